--- /dev/null
+++ b/internal/event/catalogue.go
@@ -0,0 +1,39 @@
+package event
+
+import "log/slog"
+
+// The events. Thousands: 1 daemon, 2 requests, 3 claims, 4 groups and hosts,
+// 5 configuration, 6 peers and membership, 7 accounts, 8 platform.
+const (
+	DaemonStarted      ID = 1001
+	DaemonReady        ID = 1002
+	DaemonDraining     ID = 1003
+	DaemonStopped      ID = 1004
+	RequestAnswered    ID = 2001
+	RequestRetried     ID = 2002
+	AnswerDropped      ID = 2003
+	RequestQuarantined ID = 2004
+	ConfigApplied      ID = 5001
+	ConfigRefused      ID = 5002
+	PeerLinked         ID = 6001
+	PeerLost           ID = 6002
+	PlatformLost       ID = 8001
+	PlatformBack       ID = 8002
+)
+
+var catalogue = []Definition{
+	{DaemonStarted, slog.LevelInfo, "daemon started", ""},
+	{DaemonReady, slog.LevelInfo, "daemon ready for callers", ""},
+	{DaemonDraining, slog.LevelInfo, "daemon takes no new work and finishes what is in flight", ""},
+	{DaemonStopped, slog.LevelInfo, "daemon stopped with nothing in flight", ""},
+	{RequestAnswered, slog.LevelInfo, "request answered", ""},
+	{RequestRetried, slog.LevelInfo, "request sent again to another target", "If frequent, look at the target named."},
+	{AnswerDropped, slog.LevelWarn, "answer dropped since it was not whole or not for this attempt", "Look at the target named: it mixes up or cuts answers."},
+	{RequestQuarantined, slog.LevelWarn, "request refused since targets died running it", "Ask the customer not to send it again; see docs/operations/poison-request.md."},
+	{ConfigApplied, slog.LevelInfo, "configuration in force", ""},
+	{ConfigRefused, slog.LevelError, "object in the platform breaks a rule and is not applied", "Correct it with rhubarbctl apply."},
+	{PeerLinked, slog.LevelInfo, "link to another daemon open", ""},
+	{PeerLost, slog.LevelWarn, "link to another daemon lost", "If it persists, look at the daemon named and the network between."},
+	{PlatformLost, slog.LevelWarn, "platform not heard; serving on what is known", "Look at the platform's object API; see docs/operations/platform-outage.md."},
+	{PlatformBack, slog.LevelInfo, "platform heard again", ""},
+}
