Give the outside protocols packages of their own

Cause: the reducer's types named packages that will hold clients and sockets. Change: engineapi and platformapi hold plain types only; the reducer imports no client.

--- a/internal/core/step/effect.go
+++ b/internal/core/step/effect.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
+	"github.com/rhubarbswitch/rhubarbswitch/internal/engineapi"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/event"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/object"
-	"github.com/rhubarbswitch/rhubarbswitch/internal/target"
 )
 
 // Effect is one thing to be done by the loop. The concrete types are below.
@@ -138,7 +138,7 @@
 	Host    string
 	Address string
 	Conn    uint64
-	Order   target.Order
+	Order   engineapi.Order
 	// NotAfter is the monotonic time after which the order must not be sent.
 	NotAfter time.Duration
 }
--- a/internal/core/step/event.go
+++ b/internal/core/step/event.go
@@ -5,9 +5,9 @@
 import (
 	"time"
 
+	"github.com/rhubarbswitch/rhubarbswitch/internal/engineapi"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/object"
-	"github.com/rhubarbswitch/rhubarbswitch/internal/platform"
-	"github.com/rhubarbswitch/rhubarbswitch/internal/target"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/platformapi"
 )
 
 // Time is when an event was taken up by the daemon's loop.
@@ -146,13 +146,13 @@
 type PlatformState struct{ Reachable bool }
 
 // HostList is the platform's list of hosts.
-type HostList struct{ Hosts []platform.Host }
+type HostList struct{ Hosts []platformapi.Host }
 
 // HostReport answers Probe.
 type HostReport struct {
 	Host   string
 	OK     bool
-	Status target.Status // valid if OK
+	Status engineapi.Status // valid if OK
 	// Conn identifies the connection over which the report came; an order sent
 	// with the same value can only reach the same incarnation.
 	Conn uint64
@@ -165,7 +165,7 @@
 	Op     OpID
 	Host   string
 	Status ReplyStatus // ReplyConflict: refused for its fencing number
-	Report target.Status
+	Report engineapi.Status
 }
 
 // PeerUp and PeerDown say that a link to a daemon opened or closed.
--- a/internal/target/protocol.go
+++ b/internal/engineapi/engineapi.go
@@ -1,6 +1,6 @@
-// Package target speaks the published protocol of model engines and plain
+// Package engineapi is the published protocol of model engines and plain
 // services: requests with attempt IDs, reports of status, and orders.
-package target
+package engineapi
 
 // Headers of the engines' and services' protocol.
 const (
--- a/internal/platform/protocol.go
+++ b/internal/platformapi/platformapi.go
@@ -1,5 +1,5 @@
-// Package platform is the client of the platform's object API and host list.
-package platform
+// Package platformapi is the published protocol of the platform: its object API and host list.
+package platformapi
 
 import "encoding/json"
 
