--- a/internal/core/step/effect.go
+++ b/internal/core/step/effect.go
@@ -81,7 +81,11 @@
 	Status  int
 	Code    Code
 	Message string // names the remedy
+	// Outcome speaks of the request: for a key that another attempt may have run it
+	// is unknown, whatever became of this attempt.
 	Outcome object.Outcome
+	// Attempt speaks of this attempt alone; empty where it adds nothing.
+	Attempt object.Outcome
 	// RetryAfter tells the caller when to come back; zero means it does not help.
 	RetryAfter time.Duration
 	// Body is a recorded answer that is repeated in place of an error.
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -13,6 +13,9 @@
 	RequestRetried     ID = 2002
 	AnswerDropped      ID = 2003
 	RequestQuarantined ID = 2004
+	TargetDied         ID = 2005
+	ClaimOwnerSilent   ID = 3001
+	ClaimUnreachable   ID = 3002
 	ConfigApplied      ID = 5001
 	ConfigRefused      ID = 5002
 	PeerLinked         ID = 6001
@@ -30,6 +33,9 @@
 	{RequestRetried, slog.LevelInfo, "request sent again to another target", "If frequent, look at the target named."},
 	{AnswerDropped, slog.LevelWarn, "answer dropped since it was not whole or not for this attempt", "Look at the target named: it mixes up or cuts answers."},
 	{RequestQuarantined, slog.LevelWarn, "request refused since targets died running it", "Ask the customer not to send it again; see docs/operations/poison-request.md."},
+	{TargetDied, slog.LevelWarn, "target died while running a request", "Look at the host named; if requests are quarantined see docs/operations/poison-request.md."},
+	{ClaimOwnerSilent, slog.LevelInfo, "daemon asked to write a claim stays silent; writing it here", ""},
+	{ClaimUnreachable, slog.LevelWarn, "call refused since its claim could not be written", "Look at the platform; callers repeat with the same key."},
 	{ConfigApplied, slog.LevelInfo, "configuration in force", ""},
 	{ConfigRefused, slog.LevelError, "object in the platform breaks a rule and is not applied", "Correct it with rhubarbctl apply."},
 	{PeerLinked, slog.LevelInfo, "link to another daemon open", ""},
--- a/internal/object/config.go
+++ b/internal/object/config.go
@@ -1,5 +1,7 @@
 package object
 
+import "strings"
+
 // Contract is what one customer may do. Its name is the customer's.
 type Contract struct {
 	// KeyHashes are the hex SHA-256 hashes of the customer's bearer keys.
@@ -123,3 +125,17 @@
 
 // Kind returns KindHost.
 func (*Host) Kind() Kind { return KindHost }
+
+// MayRepeat reports whether a call to the service may run more than once. GET and
+// HEAD may unless the service lists its idempotent calls itself.
+func (s *Service) MayRepeat(method, path string) bool {
+	if len(s.Idempotent) == 0 {
+		return method == "GET" || method == "HEAD"
+	}
+	for _, r := range s.Idempotent {
+		if (r.Method == "" || r.Method == method) && strings.HasPrefix(path, r.Prefix) {
+			return true
+		}
+	}
+	return false
+}
