--- /dev/null
+++ b/internal/core/member/member.go
@@ -0,0 +1,262 @@
+// Package member keeps the live daemons: who is linked, heard and how far it is.
+//
+// Times are monotonic times since this daemon started. Call Advance at the start of
+// each step, so that silence is seen before anything is decided on it.
+package member
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/event"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/object"
+)
+
+const (
+	// HeartbeatEvery is the interval between a daemon's heartbeats.
+	HeartbeatEvery = time.Second
+	// SilenceBound is how long a daemon counts as live without a heartbeat.
+	SilenceBound = 3 * time.Second
+	// lateBound is the age of a heartbeat from which membership is unsure.
+	lateBound = 2 * time.Second
+	// settleTime is how long membership stays unsure after a change. It exceeds
+	// SilenceBound, so that the other side of a cut link has seen the change too.
+	settleTime = 4 * time.Second
+	// pauseBound is the time between two steps from which this daemon counts as
+	// having been paused.
+	pauseBound = 2 * time.Second
+	// askAfter leaves the watch time to bring what a peer already has.
+	askAfter = 300 * time.Millisecond
+	// askEvery is the least time between two asks for a delta.
+	askEvery = time.Second
+)
+
+// Table is the membership as one daemon sees it. The zero value is not usable; see New.
+type Table struct {
+	self  string
+	peers map[string]*peer
+	// known are the daemons that may be serving, live or not, with the reason.
+	known    map[string]bool
+	live     []string // sorted, with self
+	now      time.Duration
+	changed  time.Duration // when membership last changed
+	own      step.Heartbeat
+	sent     time.Duration // when the last heartbeat was sent
+	sentAny  bool
+	asked    time.Duration
+	platform bool
+	// watermark is the highest lowest revision seen.
+	watermark object.Version
+}
+
+type peer struct {
+	incarnation string
+	address     string
+	dataCentre  string
+	linked      bool
+	heard       time.Duration
+	beat        step.Heartbeat
+	behind      time.Duration // since when the peer has been seen ahead of this daemon
+	ahead       bool
+}
+
+// New returns the membership of a daemon that has met nobody.
+func New(self string) *Table {
+	return &Table{
+		self:  self,
+		peers: make(map[string]*peer),
+		known: map[string]bool{self: true},
+		live:  []string{self},
+	}
+}
+
+// Advance sets the time and lets silent daemons go.
+func (t *Table) Advance(now time.Duration, out *step.Out) {
+	if now-t.now >= pauseBound {
+		// After a pause every heartbeat is old news.
+		t.changed = now
+	}
+	t.now = max(t.now, now)
+	var silent []string
+	for _, name := range t.live {
+		if p, ok := t.peers[name]; ok && t.now-p.heard > SilenceBound {
+			silent = append(silent, name)
+		}
+	}
+	for _, name := range silent {
+		out.Log(event.PeerSilent, event.F("peer", name), event.F("silence", t.now-t.peers[name].heard))
+		t.drop(name)
+	}
+}
+
+// Up takes up a link to a daemon. It counts as live until its heartbeats cease.
+func (t *Table) Up(u step.PeerUp, out *step.Out) {
+	if u.Daemon == t.self {
+		return
+	}
+	p := t.peers[u.Daemon]
+	if p == nil || p.incarnation != u.Incarnation {
+		p = &peer{}
+		t.peers[u.Daemon] = p
+		t.changed = t.now
+	}
+	p.incarnation, p.address, p.dataCentre = u.Incarnation, u.Address, u.DataCentre
+	p.linked = true
+	p.heard = t.now
+	t.known[u.Daemon] = true
+	t.admit(u.Daemon)
+	// A new peer needs to know at once how far this daemon is.
+	t.sentAny = false
+	out.Log(event.PeerLinked, event.F("peer", u.Daemon), event.F("incarnation", u.Incarnation), event.F("address", u.Address))
+}
+
+// Down takes up the end of a link.
+func (t *Table) Down(d step.PeerDown, out *step.Out) {
+	p := t.peers[d.Daemon]
+	if p == nil || !p.linked {
+		return
+	}
+	p.linked = false
+	out.Log(event.PeerLost, event.F("peer", d.Daemon))
+	t.drop(d.Daemon)
+}
+
+// Heartbeat takes up a daemon's heartbeat.
+func (t *Table) Heartbeat(from string, h step.Heartbeat) {
+	p := t.peers[from]
+	if p == nil {
+		return
+	}
+	if p.incarnation != h.Incarnation {
+		return // of an earlier run
+	}
+	p.heard = t.now
+	p.beat = h
+	t.known[from] = true
+	if p.linked {
+		t.admit(from)
+	}
+}
+
+// Goodbye takes up a daemon's word that it stops.
+func (t *Table) Goodbye(from string, g step.Goodbye) {
+	p := t.peers[from]
+	if p == nil || p.incarnation != g.Incarnation {
+		return
+	}
+	p.beat.Leaving = true
+	delete(t.known, from)
+}
+
+// SetPlatform says whether this daemon hears the platform.
+func (t *Table) SetPlatform(s step.PlatformState) { t.platform = s.Reachable }
+
+// SetListed takes up the daemons that the platform lists as running. One that is
+// listed but not live is unknown: it may be serving unseen.
+func (t *Table) SetListed(names []string) {
+	t.known = map[string]bool{t.self: true}
+	for _, name := range names {
+		t.known[name] = true
+	}
+	for _, name := range t.live {
+		if name != t.self && !t.leaving(name) {
+			t.known[name] = true
+		}
+	}
+}
+
+// Tick sends this daemon's heartbeat when it is due and asks a peer that is ahead.
+// The heartbeat's Platform field is filled in here.
+func (t *Table) Tick(own step.Heartbeat, out *step.Out) {
+	own.Platform = t.platform
+	due := !t.sentAny || t.now-t.sent >= HeartbeatEvery || own.Newest > t.own.Newest ||
+		own.Platform != t.own.Platform || own.Leaving != t.own.Leaving
+	t.own.Applied = own.Applied
+	if due {
+		t.own = own
+		t.sent, t.sentAny = t.now, true
+		out.Add(step.SendPeer{Message: own})
+	}
+	lowest, _ := t.Lowest()
+	t.watermark = max(t.watermark, lowest)
+	t.ask(out)
+}
+
+// ask asks one peer for what this daemon lacks.
+func (t *Table) ask(out *step.Out) {
+	best := ""
+	for _, name := range t.live {
+		p := t.peers[name]
+		if p == nil {
+			continue
+		}
+		if p.beat.Newest <= t.own.Applied {
+			p.ahead = false
+			continue
+		}
+		if !p.ahead {
+			p.ahead, p.behind = true, t.now
+		}
+		if t.now-p.behind < askAfter && t.platform {
+			continue
+		}
+		if best == "" || t.better(name, best) {
+			best = name
+		}
+	}
+	if best == "" || (t.asked > 0 && t.now-t.asked < askEvery) {
+		return
+	}
+	t.asked = t.now
+	out.Add(step.SendPeer{To: best, Message: step.ConfigAsk{Applied: t.own.Applied}})
+}
+
+// better reports whether a is a better peer to ask than b: further on or, among
+// equals, the one that the rendezvous hash assigns, which spreads the asks.
+func (t *Table) better(a, b string) bool {
+	x, y := t.peers[a].beat.Applied, t.peers[b].beat.Applied
+	if x != y {
+		return x > y
+	}
+	return score(a, t.self) > score(b, t.self)
+}
+
+func (t *Table) admit(name string) {
+	at, found := slices.BinarySearchFunc(t.live, name, strings.Compare)
+	if found {
+		return
+	}
+	t.live = slices.Insert(t.live, at, name)
+	t.changed = t.now
+}
+
+func (t *Table) drop(name string) {
+	at, found := slices.BinarySearchFunc(t.live, name, strings.Compare)
+	if !found {
+		return
+	}
+	t.live = slices.Delete(t.live, at, at+1)
+	t.changed = t.now
+	t.peers[name].ahead = false
+}
+
+func (t *Table) leaving(name string) bool {
+	if name == t.self {
+		return t.own.Leaving
+	}
+	p := t.peers[name]
+	return p != nil && p.beat.Leaving
+}
+
+func score(name, key string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(key)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(name)
+	return d.Sum64()
+}
--- /dev/null
+++ b/internal/core/member/view.go
@@ -0,0 +1,162 @@
+package member
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/object"
+)
+
+// Live returns the live daemons with this one, sorted. The slice must not be changed.
+func (t *Table) Live() []string { return t.live }
+
+// Peer returns the last heartbeat of a live daemon other than this one.
+func (t *Table) Peer(name string) (step.Heartbeat, bool) {
+	p := t.peers[name]
+	if p == nil || !t.isLive(name) {
+		return step.Heartbeat{}, false
+	}
+	return p.beat, true
+}
+
+func (t *Table) isLive(name string) bool {
+	_, found := slices.BinarySearch(t.live, name)
+	return found
+}
+
+// Unknown returns the daemons that may be serving but are not heard, sorted.
+func (t *Table) Unknown() []string {
+	var names []string
+	for name := range t.known {
+		if !t.isLive(name) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Owner returns the live daemon that does the duty named by key; leaving daemons take
+// none. It is only a hint: what must be exclusive is settled by conditional update.
+func (t *Table) Owner(key string) string {
+	owner, best := t.self, uint64(0)
+	for _, name := range t.live {
+		if s := score(name, key); !t.leaving(name) && s >= best {
+			owner, best = name, s
+		}
+	}
+	return owner
+}
+
+// Owners returns up to n live daemons for a duty, the first being its Owner.
+func (t *Table) Owners(key string, n int) []string {
+	type scored struct {
+		name  string
+		score uint64
+	}
+	all := make([]scored, 0, len(t.live))
+	for _, name := range t.live {
+		if !t.leaving(name) {
+			all = append(all, scored{name, score(name, key)})
+		}
+	}
+	slices.SortFunc(all, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(b.name, a.name))
+	})
+	names := make([]string, 0, n)
+	for _, s := range all[:min(n, len(all))] {
+		names = append(names, s.name)
+	}
+	return names
+}
+
+// Sure reports whether every daemon that may be serving is heard and membership has
+// been the same for a while. What is shared out by membership falls to its safe side
+// when it is not.
+func (t *Table) Sure() bool {
+	if t.now-t.changed < settleTime {
+		return false
+	}
+	for name := range t.known {
+		if !t.isLive(name) {
+			return false
+		}
+	}
+	for _, name := range t.live {
+		if p := t.peers[name]; p != nil && t.now-p.heard > lateBound {
+			return false
+		}
+	}
+	return true
+}
+
+// Lowest returns the lowest applied revision among the live daemons and who is there, sorted.
+func (t *Table) Lowest() (object.Version, []string) {
+	lowest, names := t.own.Applied, []string(nil)
+	for _, name := range t.live {
+		lowest = min(lowest, t.applied(name))
+	}
+	for _, name := range t.live {
+		if t.applied(name) == lowest {
+			names = append(names, name)
+		}
+	}
+	return lowest, names
+}
+
+// Lagging returns the daemons that are live below a revision, or unknown, sorted.
+func (t *Table) Lagging(revision object.Version) []string {
+	names := t.Unknown()
+	for _, name := range t.live {
+		if t.applied(name) < revision {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Watermark returns the highest value that Lowest has had. It does not fall when a
+// daemon joins, so it tells that a revision was once in force on all, not that it is.
+func (t *Table) Watermark() object.Version { return t.watermark }
+
+func (t *Table) applied(name string) object.Version {
+	if p := t.peers[name]; p != nil {
+		return p.beat.Applied
+	}
+	return t.own.Applied
+}
+
+// Isolated reports that this daemon hears neither the platform nor a live daemon that
+// does: an accepted change may be passing it by.
+func (t *Table) Isolated() bool {
+	if t.platform {
+		return false
+	}
+	for _, name := range t.live {
+		if p := t.peers[name]; p != nil && p.beat.Platform {
+			return false
+		}
+	}
+	return true
+}
+
+// LargerPart reports whether the live daemons are more than half of those that may be
+// serving, or exactly half with the first of them by name. In an outage of the
+// platform at most one part of a split holds this.
+func (t *Table) LargerPart() bool {
+	live, first := 0, ""
+	for name := range t.known {
+		if t.isLive(name) {
+			live++
+		}
+		if first == "" || name < first {
+			first = name
+		}
+	}
+	if 2*live == len(t.known) {
+		return t.isLive(first)
+	}
+	return 2*live > len(t.known)
+}
--- a/internal/core/step/event.go
+++ b/internal/core/step/event.go
@@ -140,6 +140,17 @@
 	Full     bool
 	Revision object.Version
 	Objects  []object.Object
+	// Refused are objects that could not be decoded or break a rule: the value in
+	// force before stays.
+	Refused []RefusedObject
+}
+
+// RefusedObject is an object in the platform that can't be put in force.
+type RefusedObject struct {
+	Kind    object.Kind
+	Name    string
+	Version object.Version
+	Reason  string // names the remedy
 }
 
 // PlatformState says whether the watch is heard; it comes on change and with every renewal.
--- a/internal/core/step/message.go
+++ b/internal/core/step/message.go
@@ -18,6 +18,8 @@
 	Leaving     bool           `cbor:"4,keyasint"`
 	// Loads are the sender's requests in flight by target.
 	Loads []Load `cbor:"5,keyasint,omitempty"`
+	// Newest is the highest version of any watched object that the sender knows.
+	Newest object.Version `cbor:"6,keyasint,omitempty"`
 }
 
 // Load is one target's work in flight from one daemon.
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -17,6 +17,8 @@
 	ConfigRefused      ID = 5002
 	PeerLinked         ID = 6001
 	PeerLost           ID = 6002
+	PeerSilent         ID = 6003
+	PeerRefused        ID = 6004
 	PlatformLost       ID = 8001
 	PlatformBack       ID = 8002
 )
@@ -34,6 +36,8 @@
 	{ConfigRefused, slog.LevelError, "object in the platform breaks a rule and is not applied", "Correct it with rhubarbctl apply."},
 	{PeerLinked, slog.LevelInfo, "link to another daemon open", ""},
 	{PeerLost, slog.LevelWarn, "link to another daemon lost", "If it persists, look at the daemon named and the network between."},
+	{PeerSilent, slog.LevelWarn, "daemon not heard within the silence bound", "If it persists, look at the daemon named and the network between."},
+	{PeerRefused, slog.LevelError, "link to another daemon refused", "Give both daemons the same cluster name, shared key and release."},
 	{PlatformLost, slog.LevelWarn, "platform not heard; serving on what is known", "Look at the platform's object API; see docs/operations/platform-outage.md."},
 	{PlatformBack, slog.LevelInfo, "platform heard again", ""},
 }
