--- /dev/null
+++ b/internal/platform/watch.go
@@ -0,0 +1,110 @@
+package platform
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/object"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/platformapi"
+)
+
+// Listing is what a list tells beside the objects.
+type Listing struct {
+	// Revision is the lowest of the pages': a watch from there misses nothing.
+	Revision object.Version
+	Refused  []step.RefusedObject
+}
+
+// List hands every object of a kind to each, page by page. Errors: Unsent, Lost, Rejected.
+func (c *Client) List(ctx context.Context, kind object.Kind, each func(object.Object)) (Listing, error) {
+	var l Listing
+	after := ""
+	for first := true; first || after != ""; first = false {
+		page, err := c.page(ctx, kind, after)
+		if err != nil {
+			return Listing{}, err
+		}
+		revision := object.Version(page.Revision)
+		if first || revision < l.Revision {
+			l.Revision = revision
+		}
+		for _, e := range page.Items {
+			if o, refused := sortEnvelope(e); refused != nil {
+				l.Refused = append(l.Refused, *refused)
+			} else {
+				each(o)
+			}
+		}
+		after = page.Next
+	}
+	return l, nil
+}
+
+func (c *Client) page(ctx context.Context, kind object.Kind, after string) (platformapi.Page, error) {
+	query := url.Values{"limit": {strconv.Itoa(pageLimit)}}
+	if after != "" {
+		query.Set("after", after)
+	}
+	a, err := c.call(ctx, request{
+		op: "list", method: http.MethodGet, path: platformapi.PathObjects + url.PathEscape(string(kind)), query: query,
+	})
+	if err != nil {
+		return platformapi.Page{}, err
+	}
+	var page platformapi.Page
+	return page, a.decode(&page)
+}
+
+// Watch waits for changes of kinds after a revision, for at most wait. Errors: ErrGone,
+// Unsent, Lost, Rejected.
+func (c *Client) Watch(ctx context.Context, kinds []object.Kind, from object.Version, wait time.Duration) (step.ConfigBatch, error) {
+	if c.watched.Add(1)%watchesPerConnection == 0 {
+		c.watches.CloseIdleConnections()
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+WatchGrace)
+	defer cancel()
+	names := make([]string, 0, len(kinds))
+	for _, k := range kinds {
+		names = append(names, string(k))
+	}
+	a, err := c.do(ctx, c.watches, request{op: "watch", method: http.MethodGet, path: platformapi.PathWatch, query: url.Values{
+		"kinds":      {strings.Join(names, ",")},
+		"from":       {strconv.FormatUint(uint64(from), 10)},
+		"waitMillis": {strconv.FormatInt(wait.Milliseconds(), 10)},
+	}})
+	if err != nil {
+		return step.ConfigBatch{}, err
+	}
+	if a.status == http.StatusGone {
+		return step.ConfigBatch{}, ErrGone
+	}
+	var w platformapi.WatchBatch
+	if err := a.decode(&w); err != nil {
+		return step.ConfigBatch{}, err
+	}
+	b := step.ConfigBatch{Revision: object.Version(w.Revision)}
+	for _, e := range w.Changes {
+		if o, refused := sortEnvelope(e); refused != nil {
+			b.Refused = append(b.Refused, *refused)
+		} else {
+			b.Objects = append(b.Objects, o)
+		}
+	}
+	return b, nil
+}
+
+// sortEnvelope reads an object, or says why it can't be put in force.
+func sortEnvelope(e platformapi.Envelope) (object.Object, *step.RefusedObject) {
+	o, err := decodeEnvelope(e)
+	if err == nil {
+		return o, nil
+	}
+	return object.Object{}, &step.RefusedObject{
+		Kind: object.Kind(e.Kind), Name: e.Name, Version: object.Version(e.Version), Reason: err.Error(),
+	}
+}
