Keep what a daemon knows of groups and services in one view

Cause: routing needs one place that says which targets may take a request. Ruled out: rebuilding the candidates at each request (cost grows with the fleet), and trusting the assignment alone (it says what should be).

--- /dev/null
+++ b/internal/core/fleet/probe.go
@@ -0,0 +1,138 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
+)
+
+// Hold says whether this daemon controls a fabric domain. Who controls a domain
+// probes its hosts itself, since orders go over the connections of these probes.
+func (v *View) Hold(domain string, held bool) {
+	if v.held[domain] == held {
+		return
+	}
+	if held {
+		v.held[domain] = true
+	} else {
+		delete(v.held, domain)
+	}
+	v.live = nil
+}
+
+// HostReport takes up the answer to a probe of this daemon.
+func (v *View) HostReport(now step.Time, r step.HostReport) {
+	h, ok := v.hosts[r.Host]
+	if !ok {
+		return
+	}
+	h.probed = false
+	report := fromStatus(v.self, r)
+	if !h.own.Seen || !h.own.same(&report) {
+		h.changed = true
+	}
+	h.own, h.unpassed = report, true
+	h.failures++
+	if r.OK {
+		h.failures = 0
+		h.Conn, h.ConnStatus, h.ConnSent = r.Conn, r.Status, r.Sent
+	}
+	v.take(now, h, report)
+}
+
+// Digest takes up what a peer's probes saw.
+func (v *View) Digest(now step.Time, from string, d step.Digest) {
+	for _, m := range d.Reports {
+		if h, ok := v.hosts[m.Host]; ok {
+			v.take(now, h, fromPeer(now.Mono, from, m))
+		}
+	}
+}
+
+func (v *View) take(now step.Time, h *Host, r Report) {
+	if !r.supersedes(&h.Report) {
+		return
+	}
+	h.Report = r
+	for _, t := range h.targets {
+		v.judge(now.Mono, t)
+		if len(t.members) > 0 && t.members[0] == h && r.OK {
+			t.Reported, t.ReportedTokens, t.ReportedAt = r.InFlight, r.Tokens, r.Sent
+		}
+	}
+}
+
+// Tick sends the probes that are due and passes on what the last ones saw.
+func (v *View) Tick(now step.Time, out *step.Out) {
+	v.deal()
+	var digest step.Digest
+	for _, name := range v.hostNames {
+		h := v.hosts[name]
+		if v.probeDue(now.Mono, h) {
+			h.probed, h.probeAt = true, now.Mono
+			out.Add(step.Probe{Host: h.Name, Address: h.Address, Service: h.Service})
+		}
+		if h.passDue(now.Mono) {
+			h.unpassed, h.changed, h.passedAt = false, false, now.Mono
+			digest.Reports = append(digest.Reports, h.own.message(now.Mono, name))
+		}
+	}
+	if len(digest.Reports) > 0 && len(v.live) > 1 {
+		out.Add(step.SendPeer{Message: digest})
+	}
+	v.share()
+}
+
+// deal decides which hosts this daemon probes, whenever the membership has changed.
+func (v *View) deal() {
+	live := v.members.Live()
+	if v.live != nil && slices.Equal(live, v.live) {
+		return
+	}
+	v.live = append(v.live[:0:0], live...)
+	for name, h := range v.hosts {
+		owners := v.members.Owners(HostKey(name), secondProbers)
+		h.owned = len(owners) > 0 && owners[0] == v.self
+		h.second = slices.Contains(owners, v.self)
+		h.held = v.held[h.Domain]
+	}
+}
+
+// probeDue reports whether this daemon should probe the host now. One whose prober
+// has gone silent is probed by the next daemons, and at last by all.
+func (v *View) probeDue(now time.Duration, h *Host) bool {
+	if h.Address == "" || (h.probed && now-h.probeAt < FreshFor) {
+		return false
+	}
+	if h.probeAt > 0 && now-h.probeAt < ProbeEvery {
+		return false
+	}
+	age := now - h.Report.Sent
+	if !h.Report.Seen {
+		age = now
+	}
+	return h.owned || h.held || (h.second && age >= secondAfter) || age >= anyAfter
+}
+
+// passDue reports whether the last own report should go to the peers: at once if
+// it is news, else now and then while it is this daemon's to tell.
+func (h *Host) passDue(now time.Duration) bool {
+	return h.unpassed && (h.changed || now-h.passedAt >= refreshEvery)
+}
+
+// share sets each target's Limit to this daemon's part of the warm limit.
+func (v *View) share() {
+	live := max(1, len(v.live))
+	for _, name := range v.names {
+		t := v.targets[name]
+		warm := 0
+		if m, ok := v.config.Model(t.Model); ok && t.Model != "" {
+			warm = m.WarmLimit
+		}
+		if s, ok := v.config.Service(t.Service); ok && t.Service != "" {
+			warm = s.WarmLimit
+		}
+		t.Limit = (warm + live - 1) / live
+	}
+}
