Read the daemon's settings strictly, with line, column and remedy

Cause: every part of the daemon needs its settings, and a misspelt field or a duration without a unit must be found before anything starts.

--- /dev/null
+++ b/internal/config/check.go
@@ -0,0 +1,229 @@
+package config
+
+import (
+	"encoding/hex"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/netip"
+	"net/url"
+	"regexp"
+	"slices"
+	"strings"
+)
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,62}[a-z0-9])?$`)
+
+const keyHashBytes = 32 // of SHA-256
+
+func broken(field, format string, args ...any) error {
+	return &FieldError{Field: field, Remedy: fmt.Sprintf(format, args...)}
+}
+
+// Check reports the first rule that the settings break as a *FieldError, or nil.
+func (s *Settings) Check() error {
+	checks := []func() error{
+		s.checkNames,
+		func() error { return checkBounds(s) },
+		s.checkCallers,
+		s.checkOperators,
+		s.checkPeers,
+		s.checkListens,
+		s.checkPlatform,
+		s.checkTimes,
+		s.checkLog,
+	}
+	for _, check := range checks {
+		if err := check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Settings) checkNames() error {
+	names := []struct{ field, value string }{
+		{"cluster", s.Cluster},
+		{"daemon", s.Daemon},
+		{"dataCentre", s.DataCentre},
+	}
+	for _, n := range names {
+		if !namePattern.MatchString(n.value) {
+			return broken(n.field, "give a name of 1 to 64 lower-case letters, digits, dots and dashes, not %q", n.value)
+		}
+	}
+	if s.Region != "" && !namePattern.MatchString(s.Region) {
+		return broken("region", "give a name of 1 to 64 lower-case letters, digits, dots and dashes, or leave it out")
+	}
+	return nil
+}
+
+func (s *Settings) checkCallers() error {
+	if err := checkAddress("callers.listen", s.Callers.Listen); err != nil {
+		return err
+	}
+	return checkTLS("callers.tls", s.Callers.TLS)
+}
+
+func (s *Settings) checkOperators() error {
+	o := s.Operators
+	if err := checkAddress("operators.listen", o.Listen); err != nil {
+		return err
+	}
+	if o.Advertise != "" {
+		if err := checkReachable("operators.advertise", o.Advertise); err != nil {
+			return err
+		}
+	}
+	for i, hash := range o.KeyHashes {
+		if raw, err := hex.DecodeString(hash); err != nil || len(raw) != keyHashBytes {
+			return broken(fmt.Sprintf("operators.keyHashes.%d", i), "give the SHA-256 of the key as %d hex digits", 2*keyHashBytes)
+		}
+	}
+	if err := checkSecret("operators.key", o.Key); err != nil {
+		return err
+	}
+	if len(o.KeyHashes) == 0 && o.Key.IsZero() && !isLoopback(o.Listen) {
+		return broken("operators.listen", "give operators.keyHashes or operators.key, or listen on a loopback address")
+	}
+	return checkTLS("operators.tls", o.TLS)
+}
+
+func (s *Settings) checkPeers() error {
+	p := s.Peers
+	if err := checkAddress("peers.listen", p.Listen); err != nil {
+		return err
+	}
+	if err := checkReachable("peers.advertise", p.AdvertiseOr()); err != nil {
+		return err
+	}
+	for i, seed := range p.Seeds {
+		if err := checkReachable(fmt.Sprintf("peers.seeds.%d", i), seed); err != nil {
+			return err
+		}
+	}
+	if p.Key.IsZero() {
+		return broken("peers.key", `name the place of the key that all daemons share: {"file": "..."} or {"env": "..."}`)
+	}
+	if err := checkSecret("peers.key", p.Key); err != nil {
+		return err
+	}
+	return checkTLS("peers.tls", p.TLS)
+}
+
+// AdvertiseOr returns the address under which other daemons reach this one.
+func (p Peers) AdvertiseOr() string {
+	if p.Advertise != "" {
+		return p.Advertise
+	}
+	return p.Listen
+}
+
+// AdvertiseOr returns the address under which rhubarbctl reaches this daemon.
+func (o Operators) AdvertiseOr() string {
+	if o.Advertise != "" {
+		return o.Advertise
+	}
+	return o.Listen
+}
+
+func (s *Settings) checkListens() error {
+	listens := []struct{ field, address string }{
+		{"callers.listen", s.Callers.Listen},
+		{"operators.listen", s.Operators.Listen},
+		{"peers.listen", s.Peers.Listen},
+	}
+	for i, a := range listens {
+		for _, b := range listens[:i] {
+			if a.address == b.address && !strings.HasSuffix(a.address, ":0") {
+				return broken(a.field, "%s is already used by %s: give each an address of its own", a.address, b.field)
+			}
+		}
+	}
+	return nil
+}
+
+func (s *Settings) checkPlatform() error {
+	u, err := url.Parse(s.Platform.Address)
+	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+		return broken("platform.address", `give the base URL, such as "http://10.0.0.1:7000"`)
+	}
+	return nil
+}
+
+func (s *Settings) checkTimes() error {
+	switch {
+	case s.Peers.Silence < 2*s.Peers.Heartbeat:
+		return broken("peers.silence", "use at least twice peers.heartbeat (%s)", 2*s.Peers.Heartbeat)
+	case s.Targets.Freshness < 2*s.Targets.ProbeInterval:
+		return broken("targets.freshness", "use at least twice targets.probeInterval (%s)", 2*s.Targets.ProbeInterval)
+	case s.Lease.Duration <= s.Platform.CallTimeout:
+		return broken("lease.duration", "use more than platform.callTimeout (%s)", s.Platform.CallTimeout)
+	case s.Claims.Retention < 2*s.Claims.Window:
+		return broken("claims.retention", "use at least twice claims.window (%s)", 2*s.Claims.Window)
+	}
+	return nil
+}
+
+func (s *Settings) checkLog() error {
+	if s.Log.Format != "json" && s.Log.Format != "text" {
+		return broken("log.format", `use "json" or "text"`)
+	}
+	if _, err := s.Log.SlogLevel(); err != nil {
+		return broken("log.level", `use "debug", "info", "warn" or "error"`)
+	}
+	return nil
+}
+
+// SlogLevel returns the level as log/slog knows it.
+func (l Log) SlogLevel() (slog.Level, error) {
+	var level slog.Level
+	if !slices.Contains([]string{"debug", "info", "warn", "error"}, l.Level) {
+		return level, broken("log.level", `use "debug", "info", "warn" or "error"`)
+	}
+	err := level.UnmarshalText([]byte(l.Level))
+	return level, err
+}
+
+func checkTLS(field string, t TLS) error {
+	if (t.Cert == "") != (t.Key == "") {
+		return broken(field, "give cert and key together, or neither")
+	}
+	return nil
+}
+
+func checkSecret(field string, s Secret) error {
+	if s.File != "" && s.Env != "" {
+		return broken(field, `give "file" or "env", not both`)
+	}
+	return nil
+}
+
+func checkAddress(field, address string) error {
+	if _, _, err := net.SplitHostPort(address); err != nil {
+		return broken(field, `give host:port, such as "10.0.0.2:8443", not %q`, address)
+	}
+	return nil
+}
+
+// checkReachable refuses addresses that another host can't dial.
+func checkReachable(field, address string) error {
+	if err := checkAddress(field, address); err != nil {
+		return err
+	}
+	host, _, _ := net.SplitHostPort(address)
+	ip, err := netip.ParseAddr(host)
+	if host == "" || (err == nil && ip.IsUnspecified()) {
+		return broken(field, "give an address that others can dial, with an IP address in place of %q", host)
+	}
+	return nil
+}
+
+func isLoopback(address string) bool {
+	host, _, _ := net.SplitHostPort(address)
+	if host == "localhost" {
+		return true
+	}
+	ip, err := netip.ParseAddr(host)
+	return err == nil && ip.IsLoopback()
+}
