Stand in for the platform's object API and host list

Cause: nothing of the system can be tried without a platform to write to. It prints its address as the first line of its output, so that port 0 can be given and no port is guessed.

--- /dev/null
+++ b/cmd/rhubarbstub/main.go
@@ -0,0 +1,57 @@
+// Command rhubarbstub runs small stand-ins for what surrounds rhubarbswitch: the
+// platform, model engines and plain services.
+package main
+
+import (
+	"encoding/json"
+	"os"
+
+	"github.com/alecthomas/kong"
+	"github.com/go-faster/errors"
+
+	"github.com/rhubarbswitch/rhubarbswitch/internal/platformapi"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/stub/platform"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/stub/serve"
+)
+
+type commands struct {
+	Platform platformCommand `cmd:"" help:"Stand in for the platform's object API and host list."`
+}
+
+type platformCommand struct {
+	Listen  string `help:"Address to listen on; port 0 takes a free one." default:"127.0.0.1:0"`
+	Hosts   string `help:"File with the host list as JSON." type:"existingfile"`
+	History int    `help:"Changes kept for watches." default:"10000"`
+	Seed    uint64 `help:"Seed of the draw of lost answers." default:"1"`
+}
+
+// Run serves the platform until a signal comes.
+func (c *platformCommand) Run() error {
+	hosts, err := readHosts(c.Hosts)
+	if err != nil {
+		return err
+	}
+	stub := platform.New(platform.Options{Hosts: hosts, History: c.History, Seed: c.Seed})
+	return serve.Run(os.Stdout, c.Listen, stub.Handler())
+}
+
+func readHosts(path string) ([]platformapi.Host, error) {
+	if path == "" {
+		return nil, nil
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "read the host list")
+	}
+	var list platformapi.HostList
+	if err := json.Unmarshal(text, &list); err != nil {
+		return nil, errors.Wrap(err, "decode the host list")
+	}
+	return list.Hosts, nil
+}
+
+func main() {
+	var c commands
+	parsed := kong.Parse(&c, kong.Name("rhubarbstub"), kong.Description("Stand-ins for tests of rhubarbswitch."))
+	parsed.FatalIfErrorf(parsed.Run())
+}
