Compose the reducer from its parts

Cause: the parts of the request path, configuration, membership and fleet view stand; the daemon needs one entry point.

--- a/internal/core/fleet/build.go
+++ b/internal/core/fleet/build.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/object"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/platformapi"
@@ -185,7 +187,7 @@
 func (v *View) target(name string, p *pool) *Target {
 	t, ok := v.targets[name]
 	if !ok {
-		t = &Target{Name: name, pool: p}
+		t = &Target{Name: name, Hash: xxhash.Sum64String(name), pool: p}
 		v.targets[name] = t
 	}
 	if t.pool != p {
--- a/internal/core/fleet/target.go
+++ b/internal/core/fleet/target.go
@@ -9,7 +9,9 @@
 // Target is one place that takes requests: a group or a host of a plain service.
 type Target struct {
 	// Name is the group's name, or the service's name and the host's, joined by a slash.
-	Name       string
+	Name string
+	// Hash spreads choices over targets; it depends on the name alone.
+	Hash       uint64
 	To         step.Destination
 	DataCentre string
 	// Model or Service names what the target serves; the other is empty.
@@ -43,6 +45,14 @@
 // Free is the number of further requests that this daemon may send there now.
 func (t *Target) Free() int { return max(0, t.Limit-t.InFlight) }
 
+// Incarnation is the process run that takes the target's requests, as last reported.
+func (t *Target) Incarnation() string {
+	if len(t.members) == 0 {
+		return ""
+	}
+	return t.members[0].Report.Incarnation
+}
+
 // pool holds the routable targets of one model or service, sorted by name.
 type pool struct {
 	targets []*Target
--- /dev/null
+++ b/internal/core/life.go
@@ -0,0 +1,51 @@
+package core
+
+import (
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/request"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/event"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/object"
+)
+
+// life is where the daemon stands between its start and its end.
+type life struct {
+	platform bool // the watch is heard
+	ready    bool // as last told by SetReady
+	stopping bool
+	exited   bool
+}
+
+// stop begins a graceful stop: readiness goes first so that the balancer moves on,
+// nothing new is taken, and what is in flight finishes whole.
+func (s *State) stop(_ step.Time, out *step.Out) {
+	if s.life.stopping {
+		return
+	}
+	s.life.stopping = true
+	s.requests.Close(step.CodeShuttingDown)
+	out.Log(event.DaemonDraining, event.F("requests", s.requests.Len()))
+}
+
+// advance tells readiness and ends the daemon once nothing is left to do.
+func (l *life) advance(s *State, out *step.Out) {
+	ready := s.config.Applied() > 0 && !l.stopping
+	if ready != l.ready {
+		l.ready = ready
+		out.Add(step.SetReady{Ready: ready})
+	}
+	if !l.stopping || l.exited || s.requests.Len() > 0 || s.claims.Pending() > 0 {
+		return
+	}
+	l.exited = true
+	out.Add(step.SendPeer{Message: step.Goodbye{Incarnation: s.set.Incarnation}})
+	out.Log(event.DaemonStopped)
+	out.Add(step.Exit{})
+}
+
+// Admit admits everything.
+func (unlimited) Admit(step.Time, string, *object.Contract, int64) request.Refusal {
+	return request.Refusal{}
+}
+
+// Settle keeps no account.
+func (unlimited) Settle(step.Time, request.Used) {}
--- a/internal/core/request/place.go
+++ b/internal/core/request/place.go
@@ -85,7 +85,7 @@
 	}
 	c.attempts++
 	c.attempt = step.AttemptID(fmt.Sprintf("%s.%d", c.req.ID, c.attempts))
-	c.target, c.to, c.incarnation = t.Name, t.To, t.Incarnation
+	c.target, c.to, c.incarnation = t.Name, t.To, t.Incarnation()
 	c.started = now.Mono
 	if c.mustClaim() && c.claim == "" {
 		c.phase = claiming
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -32,7 +32,7 @@
 }
 
 // Free reports whether a target has a place for one more request of this daemon.
-func Free(t *fleet.Target) bool { return t.InFlight < t.Limit }
+func Free(t *fleet.Target) bool { return t.Free() > 0 }
 
 // Places sums the places of a set of targets.
 func Places(targets []*fleet.Target) int {
@@ -87,7 +87,7 @@
 // and the target's own report where it shows more than both.
 func Load(t *fleet.Target) float64 {
 	known := t.InFlight + t.PeerInFlight
-	return float64(max(known, t.ReportedInFlight))
+	return float64(max(known, t.Reported))
 }
 
 func contains(names []string, name string) bool {
