--- /dev/null
+++ b/internal/api/caller/service.go
@@ -0,0 +1,103 @@
+package caller
+
+import (
+	"context"
+	"net/http"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-chi/chi/v5"
+
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/object"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/target"
+)
+
+// hopHeaders belong to one connection and are not passed on.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
+	"Authorization", headerKey, HeaderTimeout,
+}
+
+// service serves calls to plain services.
+func (h *Handler) service(w http.ResponseWriter, r *http.Request) {
+	id := newID()
+	customer, ok := h.customer(w, r, id)
+	if !ok {
+		return
+	}
+	body, ok := h.readBody(w, r, id)
+	if !ok {
+		return
+	}
+	timeout, ok := readTimeout(w, r, id)
+	if !ok {
+		return
+	}
+	name := chi.URLParam(r, "service")
+	path := strings.TrimPrefix(r.URL.EscapedPath(), "/v1/services/"+name)
+	if path == "" {
+		path = "/"
+	}
+	req := step.Request{
+		ID: id, Customer: customer, Service: name, Method: r.Method, Path: path,
+		Key: r.Header.Get(headerKey), Timeout: timeout,
+		Fingerprint: fingerprint(name, r.Method, path, body),
+	}
+	c := &serviceCall{h: h, w: w, r: r, id: id, key: req.Key, path: path, body: body}
+	if r.URL.RawQuery != "" {
+		c.path += "?" + r.URL.RawQuery
+	}
+	h.exchange(r, req, c)
+}
+
+func fingerprint(service, method, path string, body []byte) uint64 {
+	d := xxhash.New()
+	for _, part := range []string{service, method, path} {
+		_, _ = d.WriteString(part)
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write(body)
+	return d.Sum64()
+}
+
+// serviceCall is one call to a plain service.
+type serviceCall struct {
+	h      *Handler
+	w      http.ResponseWriter
+	r      *http.Request
+	id     step.RequestID
+	key    string
+	path   string
+	body   []byte
+	answer target.Answer
+}
+
+func (c *serviceCall) attempt(ctx context.Context, d step.Dispatch) step.AttemptEnded {
+	head := c.r.Header.Clone()
+	for _, name := range hopHeaders {
+		head.Del(name)
+	}
+	answer, end := c.h.targets.Call(ctx, target.Attempt{
+		Dispatch: d, Method: c.r.Method, Path: c.path, Header: head, Body: c.body, Key: c.key,
+	})
+	c.answer = answer
+	return end
+}
+
+func (c *serviceCall) deliver() {
+	head := c.w.Header()
+	for name, values := range c.answer.Header {
+		head[name] = values
+	}
+	for _, name := range hopHeaders {
+		head.Del(name)
+	}
+	head.Set(HeaderRequestID, string(c.id))
+	head.Set(HeaderOutcome, string(object.Completed))
+	c.w.WriteHeader(c.answer.Status)
+	_, _ = c.w.Write(c.answer.Body)
+}
+
+func (c *serviceCall) fail(a step.Answer) { writeError(c.w, c.id, a) }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -96,8 +96,6 @@
 		s.requests.On(now, e, out)
 	case step.CallerGone:
 		s.requests.OnGone(now, e.ID, out)
-	case step.AttemptProgress:
-		s.requests.OnProgress(e)
 	case step.AttemptEnded:
 		s.requests.OnEnded(now, e, out)
 	case step.PlatformReply:
@@ -106,6 +104,8 @@
 		s.configured(now, s.config.ApplyBatch(e, out), out)
 	case step.PlatformState:
 		s.onPlatform(e, out)
+	case step.DaemonList:
+		s.members.SetListed(e.Names)
 	case step.HostList:
 		s.fleet.HostList(now, e)
 	case step.HostReport:
--- a/internal/core/request/end.go
+++ b/internal/core/request/end.go
@@ -9,13 +9,6 @@
 	"github.com/rhubarbswitch/rhubarbswitch/internal/object"
 )
 
-// OnProgress notes what was delivered of a running attempt.
-func (m *Manager) OnProgress(p step.AttemptProgress) {
-	if c := m.calls[p.ID]; c != nil && c.attempt == p.Attempt {
-		c.delivered = p.Delivered
-	}
-}
-
 // OnEnded takes the end of an attempt. An end that belongs to no running attempt is
 // late and is dropped.
 func (m *Manager) OnEnded(now step.Time, e step.AttemptEnded, out *step.Out) {
--- a/internal/core/request/request.go
+++ b/internal/core/request/request.go
@@ -192,7 +192,7 @@
 func (m *Manager) reachable(c *call) *step.Answer {
 	if c.req.Model != "" {
 		c.idempotent = true // generating again harms nobody
-		if !covers(c.contract.Models, c.req.Model) {
+		if !c.contract.Covers(c.req.Model) {
 			return forbidden("model", c.req.Model)
 		}
 		if _, ok := m.Config.Model(c.req.Model); !ok {
@@ -200,7 +200,7 @@
 		}
 		return nil
 	}
-	if !covers(c.contract.Services, c.req.Service) {
+	if !c.contract.CoversService(c.req.Service) {
 		return forbidden("service", c.req.Service)
 	}
 	s, ok := m.Config.Service(c.req.Service)
@@ -215,15 +215,6 @@
 	return &step.Answer{Status: 403, Code: step.CodeForbidden, Message: fmt.Sprintf("your contract does not cover %s %q: ask your operator to add it", kind, name)}
 }
 
-func covers(names []string, name string) bool {
-	for _, n := range names {
-		if n == name || n == "*" {
-			return true
-		}
-	}
-	return false
-}
-
 func timeout(r step.Request, c *object.Contract) time.Duration {
 	if r.Timeout > 0 {
 		return r.Timeout
--- a/internal/core/step/event.go
+++ b/internal/core/step/event.go
@@ -58,13 +58,6 @@
 // CallerGone says that the caller closed its connection.
 type CallerGone struct{ ID RequestID }
 
-// AttemptProgress says that the first bytes of an answer came, and how much was delivered.
-type AttemptProgress struct {
-	ID        RequestID
-	Attempt   AttemptID
-	Delivered int // tokens delivered to the caller so far
-}
-
 // Ending says how an attempt ended, as far as the sender can prove.
 type Ending uint8
 
@@ -156,6 +149,9 @@
 // PlatformState says whether the watch is heard; it comes on change and with every renewal.
 type PlatformState struct{ Reachable bool }
 
+// DaemonList names the daemons that have joined in the platform and not left.
+type DaemonList struct{ Names []string }
+
 // HostList is the platform's list of hosts.
 type HostList struct{ Hosts []platformapi.Host }
 
@@ -199,18 +195,18 @@
 // Stop asks for a graceful stop.
 type Stop struct{}
 
-func (Tick) event()            {}
-func (Request) event()         {}
-func (CallerGone) event()      {}
-func (AttemptProgress) event() {}
-func (AttemptEnded) event()    {}
-func (PlatformReply) event()   {}
-func (ConfigBatch) event()     {}
-func (PlatformState) event()   {}
-func (HostList) event()        {}
-func (HostReport) event()      {}
-func (OrderReply) event()      {}
-func (PeerUp) event()          {}
-func (PeerDown) event()        {}
-func (PeerMessage) event()     {}
-func (Stop) event()            {}
+func (Tick) event()          {}
+func (Request) event()       {}
+func (CallerGone) event()    {}
+func (AttemptEnded) event()  {}
+func (PlatformReply) event() {}
+func (ConfigBatch) event()   {}
+func (PlatformState) event() {}
+func (DaemonList) event()    {}
+func (HostList) event()      {}
+func (HostReport) event()    {}
+func (OrderReply) event()    {}
+func (PeerUp) event()        {}
+func (PeerDown) event()      {}
+func (PeerMessage) event()   {}
+func (Stop) event()          {}
--- a/internal/object/config.go
+++ b/internal/object/config.go
@@ -139,3 +139,18 @@
 	}
 	return false
 }
+
+// Covers reports whether the contract covers a model.
+func (c *Contract) Covers(model string) bool { return contains(c.Models, model) }
+
+// CoversService reports whether the contract covers a plain service.
+func (c *Contract) CoversService(service string) bool { return contains(c.Services, service) }
+
+func contains(names []string, name string) bool {
+	for _, n := range names {
+		if n == name || n == "*" {
+			return true
+		}
+	}
+	return false
+}
