Link daemons by CBOR over WebSocket with a proven shared key

Cause: daemons must hear one another without the platform. Change: one link per pair, signs of life, a silence bound, bounded queues in which the newest heartbeat replaces one that waits, full mesh up to 16 daemons and about eight links each beyond. Ruled out: holding the mesh's lock while events are emitted, since the loop that takes them also sends; a connection pool, since a fresh dial after silence must not meet a dead connection.

--- /dev/null
+++ b/internal/peer/link.go
@@ -0,0 +1,206 @@
+package peer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-faster/errors"
+
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
+)
+
+var errOverflow = errors.New("the peer takes messages more slowly than they come")
+
+var keepAlive = mustEncode(numKeepAlive, nil)
+
+func mustEncode(n number, payload any) frame {
+	f, err := encodeFrame(n, payload)
+	if err != nil {
+		panic(err)
+	}
+	return f
+}
+
+// link is one open connection to a daemon.
+type link struct {
+	peer    hello
+	conn    *websocket.Conn
+	dialled bool // by this side
+	since   time.Time
+
+	ctx     context.Context // ends the reading
+	stop    context.CancelFunc
+	done    chan struct{}
+	once    sync.Once
+	closing sync.WaitGroup
+
+	mu        sync.Mutex
+	queue     []frame
+	queued    int // bytes
+	heartbeat *frame
+	work      chan struct{} // holds one token while there is something to write
+	used      time.Time     // last message that is not a sign of life
+}
+
+func newLink(h hello, conn *websocket.Conn, dialled bool) *link {
+	now := time.Now()
+	ctx, stop := context.WithCancel(context.Background())
+	return &link{
+		ctx: ctx, stop: stop, peer: h, conn: conn, dialled: dialled, since: now, used: now,
+		done: make(chan struct{}), work: make(chan struct{}, 1),
+	}
+}
+
+// push queues a frame without blocking. The newest heartbeat replaces one that waits.
+func (l *link) push(f frame) {
+	l.mu.Lock()
+	switch {
+	case f.number == numHeartbeat:
+		l.heartbeat = &f
+	case len(l.queue) > 0 && (len(l.queue) >= maxQueued || l.queued+len(f.bytes) > maxQueuedBytes):
+		l.mu.Unlock()
+		dropped.Inc()
+		l.close(codeSlow, errOverflow.Error())
+		return
+	default:
+		l.queue = append(l.queue, f)
+		l.queued += len(f.bytes)
+		l.used = time.Now()
+	}
+	l.mu.Unlock()
+	select {
+	case l.work <- struct{}{}:
+	default:
+	}
+}
+
+// take empties the queue.
+func (l *link) take() []frame {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	frames := l.queue
+	if l.heartbeat != nil {
+		frames = append(frames, *l.heartbeat)
+	}
+	l.queue, l.queued, l.heartbeat = nil, 0, nil
+	return frames
+}
+
+// empty reports whether nothing waits to be written.
+func (l *link) empty() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.queue) == 0 && l.heartbeat == nil
+}
+
+func (l *link) idleSince() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.used
+}
+
+// close ends the link; the close frame is tried in the background since the
+// connection may be dead.
+func (l *link) close(code websocket.StatusCode, reason string) {
+	l.once.Do(func() {
+		close(l.done)
+		if code == 0 {
+			l.stop()
+			_ = l.conn.CloseNow()
+			return
+		}
+		l.closing.Go(func() {
+			defer l.stop()
+			timer := time.AfterFunc(closeBound, l.stop)
+			defer timer.Stop()
+			_ = l.conn.Close(code, shorten(reason))
+		})
+	})
+}
+
+// write sends what is queued, and a sign of life when nothing was sent for a while.
+func (l *link) write(every, silence time.Duration) {
+	ticker := time.NewTicker(every)
+	defer ticker.Stop()
+	for {
+		frames := []frame{keepAlive}
+		select {
+		case <-l.done:
+			return
+		case <-ticker.C:
+		case <-l.work:
+			frames = l.take()
+			ticker.Reset(every)
+		}
+		for _, f := range frames {
+			if err := l.writeFrame(f, silence); err != nil {
+				l.close(0, "")
+				return
+			}
+		}
+	}
+}
+
+func (l *link) writeFrame(f frame, bound time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), bound)
+	defer cancel()
+	sent.count(f.number, len(f.bytes))
+	return l.conn.Write(ctx, websocket.MessageBinary, f.bytes)
+}
+
+// read hands on messages until the link ends or is silent for longer than the bound.
+func (l *link) read(silence time.Duration, handle func(step.Message), learn func([]Address)) {
+	for {
+		e, err := l.readEnvelope(silence)
+		if err != nil {
+			l.close(0, "")
+			return
+		}
+		switch e.Number {
+		case numKeepAlive:
+			continue
+		case numAddresses:
+			var known []Address
+			if cbor.Unmarshal(e.Payload, &known) == nil {
+				learn(known)
+			}
+			continue
+		}
+		m, err := decodeMessage(e.Number, e.Payload)
+		if err != nil {
+			broken.Inc()
+			continue
+		}
+		if m != nil {
+			l.touch(e.Number)
+			handle(m)
+		}
+	}
+}
+
+func (l *link) readEnvelope(silence time.Duration) (envelope, error) {
+	ctx, cancel := context.WithTimeout(l.ctx, silence)
+	defer cancel()
+	_, b, err := l.conn.Read(ctx)
+	if err != nil {
+		return envelope{}, err
+	}
+	var e envelope
+	if err := cbor.Unmarshal(b, &e); err != nil {
+		return envelope{}, err
+	}
+	received.count(e.Number, len(b))
+	return e, nil
+}
+
+func (l *link) touch(n number) {
+	if n == numHeartbeat {
+		return
+	}
+	l.mu.Lock()
+	l.used = time.Now()
+	l.mu.Unlock()
+}
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,278 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
+)
+
+// waitBound is how long a test waits for what must happen.
+const waitBound = 20 * time.Second
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// node is a mesh with what it emitted.
+type node struct {
+	*Mesh
+	mu      sync.Mutex
+	up      map[string]bool
+	got     []step.PeerMessage
+	refusal []*Refused
+}
+
+func startNode(t *testing.T, name string, change func(*Settings)) *node {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	n := &node{up: make(map[string]bool)}
+	set := Settings{
+		Cluster: "walvis", Daemon: name, Incarnation: name + "-1", Address: listener.Addr().String(),
+		DataCentre: "dc1", Key: []byte("shared"), Seed: 1, Emit: n.take,
+		Refused: func(r *Refused) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.refusal = append(n.refusal, r)
+		},
+		Silence: 600 * time.Millisecond, KeepAlive: 100 * time.Millisecond,
+	}
+	if change != nil {
+		change(&set)
+	}
+	n.Mesh = New(set)
+	served := make(chan error, 1)
+	go func() { served <- n.Run(listener) }()
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		n.Stop(ctx)
+		require.NoError(t, <-served)
+	})
+	return n
+}
+
+func (n *node) take(e step.Event) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	switch e := e.(type) {
+	case step.PeerUp:
+		n.up[e.Daemon] = true
+	case step.PeerDown:
+		delete(n.up, e.Daemon)
+	case step.PeerMessage:
+		n.got = append(n.got, e)
+	}
+}
+
+func (n *node) ups() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.up)
+}
+
+func (n *node) received() []step.PeerMessage {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return append([]step.PeerMessage(nil), n.got...)
+}
+
+func (n *node) refusals() []*Refused {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return append([]*Refused(nil), n.refusal...)
+}
+
+func (n *node) address() Address { return Address{Name: n.set.Daemon, Address: n.set.Address} }
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	require.Eventually(t, ok, waitBound, 5*time.Millisecond, what)
+}
+
+func TestFullMeshFromOneSeed(t *testing.T) {
+	nodes := make([]*node, 5)
+	for i := range nodes {
+		nodes[i] = startNode(t, fmt.Sprintf("d%d", i), nil)
+	}
+	for _, n := range nodes[1:] {
+		n.Connect(nodes[0].set.Address)
+	}
+	for _, n := range nodes {
+		eventually(t, "all linked", func() bool { return n.ups() == len(nodes)-1 })
+	}
+	require.NoError(t, nodes[1].Send("", step.Heartbeat{Incarnation: "x", Applied: 7}))
+	require.NoError(t, nodes[1].Send("d2", step.ConfigAsk{Applied: 3}))
+	eventually(t, "both messages", func() bool { return len(nodes[2].received()) == 2 })
+	eventually(t, "broadcast", func() bool { return len(nodes[4].received()) == 1 })
+	require.Equal(t, step.PeerMessage{From: "d1", Message: step.Heartbeat{Incarnation: "x", Applied: 7}}, nodes[4].received()[0])
+}
+
+func TestOneLinkWhenBothDial(t *testing.T) {
+	a, b := startNode(t, "a", nil), startNode(t, "b", nil)
+	var wg sync.WaitGroup
+	for range 3 {
+		wg.Go(func() { a.Connect(b.set.Address) })
+		wg.Go(func() { b.Connect(a.set.Address) })
+		wg.Go(func() { a.SetPeers([]Address{b.address()}) })
+		wg.Go(func() { b.SetPeers([]Address{a.address()}) })
+	}
+	wg.Wait()
+	eventually(t, "linked", func() bool { return a.ups() == 1 && b.ups() == 1 })
+	// The links settle on one connection: what one side sends the other gets.
+	eventually(t, "delivery", func() bool {
+		require.NoError(t, a.Send("b", step.Goodbye{Incarnation: "a"}))
+		require.NoError(t, b.Send("a", step.Goodbye{Incarnation: "b"}))
+		return len(a.received()) > 0 && len(b.received()) > 0
+	})
+}
+
+func TestTieKeepsTheLowerNamesLink(t *testing.T) {
+	for _, test := range []struct {
+		self, peer string
+		dialled    bool
+		want       bool
+	}{
+		{"a", "b", true, true},
+		{"a", "b", false, false},
+		{"b", "a", true, false},
+		{"b", "a", false, true},
+	} {
+		m := New(Settings{Daemon: test.self})
+		h := hello{Daemon: test.peer, Incarnation: "1"}
+		old, new := newLink(h, nil, !test.dialled), newLink(h, nil, test.dialled)
+		require.Equal(t, test.want, m.replaces(new, old), test)
+		new.peer.Incarnation = "2"
+		require.True(t, m.replaces(new, old), "a new run always wins")
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	for name, test := range map[string]struct {
+		change func(*Settings)
+		code   int
+		remedy string
+	}{
+		"key":     {func(s *Settings) { s.Key = []byte("other") }, int(codeKey), "shared key"},
+		"cluster": {func(s *Settings) { s.Cluster = "bucha" }, int(codeCluster), "cluster name"},
+		"name":    {func(s *Settings) { s.Daemon = "a" }, int(codeSelf), "name of its own"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a, b := startNode(t, "a", nil), startNode(t, "b", test.change)
+			b.Connect(a.set.Address)
+			for _, n := range []*node{a, b} {
+				eventually(t, "refused on both sides", func() bool { return len(n.refusals()) > 0 })
+				require.Equal(t, test.code, n.refusals()[0].Code)
+				require.Contains(t, n.refusals()[0].Error(), test.remedy)
+			}
+			require.Zero(t, a.ups()+b.ups())
+		})
+	}
+}
+
+func TestSilentLinkIsReplaced(t *testing.T) {
+	a, b := startNode(t, "a", nil), startNode(t, "b", nil)
+	cut := startCutter(t, b.set.Address)
+	a.SetPeers([]Address{{Name: "b", Address: cut.address()}})
+	eventually(t, "linked", func() bool { return a.ups() == 1 && b.ups() == 1 })
+	first := a.linkTo("b")
+	silenced := time.Now()
+	cut.silence()
+	eventually(t, "replaced", func() bool {
+		l := a.linkTo("b")
+		return l != nil && l != first
+	})
+	t.Logf("replaced after %v with a bound of %v", time.Since(silenced), a.set.Silence)
+	require.NoError(t, a.Send("b", step.ConfigAsk{Applied: 9}))
+	eventually(t, "delivered over the fresh connection", func() bool { return len(b.received()) == 1 })
+}
+
+func TestOverflowClosesTheLink(t *testing.T) {
+	a, b := startNode(t, "a", nil), startNode(t, "b", nil)
+	a.SetPeers([]Address{b.address()})
+	eventually(t, "linked", func() bool { return a.ups() == 1 })
+	l := newLink(hello{Daemon: "b"}, a.linkTo("b").conn, true)
+	for range maxQueued {
+		l.push(frame{number: numSuspect, bytes: []byte{1}})
+	}
+	l.push(frame{number: numHeartbeat, bytes: []byte{1}})
+	l.push(frame{number: numHeartbeat, bytes: []byte{2}})
+	require.True(t, isOpen(l), "heartbeats replace one another")
+	l.push(frame{number: numSuspect, bytes: []byte{1}})
+	require.False(t, isOpen(l))
+	l.closing.Wait()
+	frames := l.take()
+	require.Len(t, frames, maxQueued+1)
+	require.Equal(t, []byte{2}, frames[maxQueued].bytes)
+}
+
+func TestMessageToAnUnlinkedDaemonDialsIt(t *testing.T) {
+	a, b := startNode(t, "a", nil), startNode(t, "b", nil)
+	a.mu2(func(m *Mesh) { m.known["b"] = b.set.Address })
+	require.NoError(t, a.Send("b", step.ConfigAsk{Applied: 4}))
+	eventually(t, "delivered", func() bool { return len(b.received()) == 1 })
+}
+
+func (n *node) mu2(change func(*Mesh)) {
+	n.Mesh.mu.Lock()
+	defer n.Mesh.mu.Unlock()
+	change(n.Mesh)
+}
+
+func TestUnknownTypesAreSkipped(t *testing.T) {
+	m, err := decodeMessage(numbers+5, []byte{0xf6})
+	require.NoError(t, err)
+	require.Nil(t, m)
+}
+
+func TestChoiceIsBoundedAndConnected(t *testing.T) {
+	names := make([]string, 340)
+	for i := range names {
+		names[i] = fmt.Sprintf("entry-%03d", i)
+	}
+	graph := make(map[string]map[string]bool)
+	for _, n := range names {
+		graph[n] = make(map[string]bool)
+	}
+	for _, n := range names {
+		for _, c := range choose(n, names) {
+			graph[n][c], graph[c][n] = true, true
+		}
+	}
+	most := 0
+	for _, n := range names {
+		most = max(most, len(graph[n]))
+	}
+	far := 0
+	for _, n := range names {
+		far = max(far, reach(t, graph, n))
+	}
+	t.Logf("340 daemons: at most %d links, at most %d hops", most, far)
+	require.LessOrEqual(t, most, 16)
+	require.LessOrEqual(t, far, 6)
+}
+
+// reach returns the number of hops from a daemon to the farthest and checks that all are reached.
+func reach(t *testing.T, graph map[string]map[string]bool, from string) int {
+	seen, edge, hops := map[string]bool{from: true}, []string{from}, -1
+	for ; len(edge) > 0; hops++ {
+		var next []string
+		for _, n := range edge {
+			for c := range graph[n] {
+				if !seen[c] {
+					seen[c] = true
+					next = append(next, c)
+				}
+			}
+		}
+		edge = next
+	}
+	require.Len(t, seen, len(graph))
+	return hops
+}
