--- /dev/null
+++ b/internal/api/health/health.go
@@ -0,0 +1,37 @@
+// Package health answers the questions of balancers and monitors: whether the
+// process runs, whether it serves callers, and its metrics.
+package health
+
+import (
+	"io"
+	"net/http"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-chi/chi/v5"
+
+	"github.com/rhubarbswitch/rhubarbswitch/internal/operatorapi"
+)
+
+// Register adds /healthz, /readyz and /metrics to a router. ready returns nil
+// while callers are served, else the reason.
+func Register(r chi.Router, ready func() error) {
+	r.Get(operatorapi.PathHealth, func(w http.ResponseWriter, _ *http.Request) { writeText(w, http.StatusOK, "ok") })
+	r.Get(operatorapi.PathReady, func(w http.ResponseWriter, _ *http.Request) {
+		if err := ready(); err != nil {
+			writeText(w, http.StatusServiceUnavailable, err.Error())
+			return
+		}
+		writeText(w, http.StatusOK, "ready")
+	})
+	r.Get(operatorapi.PathMetrics, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+		metrics.WritePrometheus(w, true)
+	})
+}
+
+func writeText(w http.ResponseWriter, status int, text string) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.Header().Set("Cache-Control", "no-store")
+	w.WriteHeader(status)
+	_, _ = io.WriteString(w, text+"\n")
+}
--- a/internal/strictjson/decode.go
+++ b/internal/strictjson/decode.go
@@ -34,12 +34,12 @@
 	if decodesItself(target) {
 		return d.leaf(v, target, path)
 	}
+	if isNull(v) && canBeNil(target) {
+		target.SetZero()
+		return nil
+	}
 	switch target.Kind() {
 	case reflect.Pointer:
-		if isNull(v) {
-			target.SetZero()
-			return nil
-		}
 		if target.IsNil() {
 			target.Set(reflect.New(target.Type().Elem()))
 		}
@@ -66,6 +66,16 @@
 	return false
 }
 
+// canBeNil reports whether the target has an empty state that encoding/json writes
+// as null.
+func canBeNil(target reflect.Value) bool {
+	switch target.Kind() {
+	case reflect.Pointer, reflect.Slice, reflect.Map:
+		return true
+	}
+	return false
+}
+
 func isNull(v *hujson.Value) bool {
 	literal, ok := v.Value.(hujson.Literal)
 	return ok && string(literal) == "null"
@@ -149,7 +159,7 @@
 
 // leaf hands one value to encoding/json and turns its refusal into a remedy.
 func (d *decoder) leaf(v *hujson.Value, target reflect.Value, path string) error {
-	if isNull(v) && target.Kind() != reflect.Interface {
+	if isNull(v) {
 		return d.fail(v, path, "give %s instead of null, or leave the field out", hint(target))
 	}
 	err := json.Unmarshal(literalOf(v), target.Addr().Interface())
