Run the daemon: loop, effects, registration, status

Cause: the reducer needs a process around it. Change: rhubarbswitchd with callers', operators' and peers' interfaces; the loop feeds one event after the other and carries out effects without waiting. Readiness goes off first on a stop; new work is still served for a grace.

--- /dev/null
+++ b/cmd/rhubarbswitchd/main.go
@@ -0,0 +1,82 @@
+// Command rhubarbswitchd is the daemon: the callers' front door, the router, and
+// its share of control.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/rhubarbswitch/rhubarbswitch/internal/config"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/daemon"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/logging"
+)
+
+type commands struct {
+	Run           runCommand   `cmd:"" default:"withargs" help:"Run the daemon."`
+	CheckSettings checkCommand `cmd:"" help:"Check a settings file and say what is wrong with it."`
+	Version       versionCmd   `cmd:"" help:"Print the release."`
+}
+
+type runCommand struct {
+	Settings string `arg:"" help:"Settings file, JSON with comments." type:"existingfile"`
+}
+
+type checkCommand struct {
+	Settings string `arg:"" help:"Settings file, JSON with comments." type:"existingfile"`
+}
+
+type versionCmd struct{}
+
+// Run runs the daemon until it is told to stop. The first signal stops it
+// gracefully, a second cuts off what is in flight.
+func (c *runCommand) Run() error {
+	set, err := config.Load(c.Settings)
+	if err != nil {
+		return err
+	}
+	log, err := logging.New(os.Stderr, set.Log)
+	if err != nil {
+		return err
+	}
+	d, err := daemon.New(set, log)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		d.Stop()
+		<-signals
+		cancel()
+	}()
+	return d.Run(ctx)
+}
+
+// Run checks the file.
+func (c *checkCommand) Run() error {
+	if _, err := config.Load(c.Settings); err != nil {
+		return err
+	}
+	fmt.Println("settings are in order")
+	return nil
+}
+
+// Run prints the release.
+func (versionCmd) Run() error {
+	fmt.Println("rhubarbswitchd", daemon.Release)
+	return nil
+}
+
+func main() {
+	var c commands
+	ctx := kong.Parse(&c, kong.Name("rhubarbswitchd"), kong.Description("Serves language models whose replicas span several hosts."))
+	ctx.FatalIfErrorf(ctx.Run())
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -6,6 +6,8 @@
 package core
 
 import (
+	"time"
+
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/admit"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/claim"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/conf"
@@ -27,13 +29,19 @@
 	Poison      poison.Settings
 	Retry       retry.Settings
 	Admit       admit.Settings
+	// StopGrace is how long a stopping daemon still takes new requests after it
+	// turned its readiness off.
+	StopGrace time.Duration
 }
 
+const defaultStopGrace = 2 * time.Second
+
 // Defaults returns the settings of a daemon with everything else as it comes.
 func Defaults(daemon, incarnation, dataCentre string) Settings {
 	return Settings{
 		Daemon: daemon, Incarnation: incarnation, DataCentre: dataCentre,
 		Claims: claim.Defaults(), Poison: poison.Defaults(), Retry: retry.Defaults(), Admit: admit.Defaults(),
+		StopGrace: defaultStopGrace,
 	}
 }
 
@@ -122,7 +130,7 @@
 		s.stop(now, out)
 	}
 	s.requests.OnClaims(now, out)
-	s.life.advance(s, out)
+	s.life.advance(s, now, out)
 	return out.Effects
 }
 
--- a/internal/core/life.go
+++ b/internal/core/life.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"time"
+
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/request"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/event"
@@ -12,28 +14,38 @@
 	platform bool // the watch is heard
 	ready    bool // as last told by SetReady
 	stopping bool
+	closeAt  time.Duration // when a stopping daemon takes nothing new any more
+	closed   bool
 	exited   bool
 }
 
-// stop begins a graceful stop: readiness goes first so that the balancer moves on,
-// nothing new is taken, and what is in flight finishes whole.
-func (s *State) stop(_ step.Time, out *step.Out) {
+// stop begins a graceful stop. Readiness goes first; what the balancer still sends
+// until it has noticed is served, then nothing new is taken, and what is in flight
+// finishes whole.
+func (s *State) stop(now step.Time, out *step.Out) {
 	if s.life.stopping {
 		return
 	}
 	s.life.stopping = true
-	s.requests.Close(step.CodeShuttingDown)
+	s.life.closeAt = now.Mono + s.set.StopGrace
 	out.Log(event.DaemonDraining, event.F("requests", s.requests.Len()))
 }
 
 // advance tells readiness and ends the daemon once nothing is left to do.
-func (l *life) advance(s *State, out *step.Out) {
+func (l *life) advance(s *State, now step.Time, out *step.Out) {
 	ready := s.config.Applied() > 0 && !l.stopping
 	if ready != l.ready {
 		l.ready = ready
 		out.Add(step.SetReady{Ready: ready})
 	}
-	if !l.stopping || l.exited || s.requests.Len() > 0 || s.claims.Pending() > 0 {
+	if !l.stopping || l.exited || now.Mono < l.closeAt {
+		return
+	}
+	if !l.closed {
+		l.closed = true
+		s.requests.Close(step.CodeShuttingDown)
+	}
+	if s.requests.Len() > 0 || s.claims.Pending() > 0 {
 		return
 	}
 	l.exited = true
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -1,7 +1,12 @@
 package core
 
 import (
+	"maps"
+	"slices"
+
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/object"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/operatorapi"
 )
 
 // Directory is what the callers' interface needs before a request reaches the
@@ -33,3 +38,71 @@
 	d.Services = append(d.Services, s.config.Names(object.KindService)...)
 	return d
 }
+
+// Status is what this daemon knows of the whole system; the caller adds what the
+// settings say.
+func (s *State) Status(now step.Time) operatorapi.Status {
+	st := operatorapi.Status{
+		Daemon: s.set.Daemon, Incarnation: s.set.Incarnation, DataCentre: s.set.DataCentre,
+		Ready: s.life.ready, Applied: s.config.Applied(), PlatformReachable: s.life.platform,
+		Daemons:  []operatorapi.DaemonStatus{},
+		Groups:   []operatorapi.GroupStatus{},
+		Services: []operatorapi.ServiceStatus{},
+		Leases:   []operatorapi.LeaseStatus{},
+	}
+	s.daemonStatus(&st)
+	s.groupStatus(now, &st)
+	s.serviceStatus(now, &st)
+	return st
+}
+
+func (s *State) daemonStatus(st *operatorapi.Status) {
+	for _, name := range s.members.Live() {
+		d := operatorapi.DaemonStatus{Name: name, DataCentre: s.set.DataCentre, Applied: s.config.Applied(), Linked: true}
+		if beat, ok := s.members.Peer(name); ok {
+			d.Applied, d.Leaving, d.DataCentre = beat.Applied, beat.Leaving, ""
+		}
+		st.Daemons = append(st.Daemons, d)
+	}
+	for _, name := range s.members.Unknown() {
+		st.Daemons = append(st.Daemons, operatorapi.DaemonStatus{Name: name, AgeMillis: -1})
+	}
+}
+
+func (s *State) groupStatus(now step.Time, st *operatorapi.Status) {
+	for _, domain := range s.config.Names(object.KindDomain) {
+		d, _ := s.config.Domain(domain)
+		if d == nil {
+			continue
+		}
+		st.Leases = append(st.Leases, operatorapi.LeaseStatus{Domain: domain, Holder: d.Holder, Fence: d.Fence, AgeMillis: -1})
+		for _, name := range slices.Sorted(maps.Keys(d.Groups)) {
+			g := d.Groups[name]
+			item := operatorapi.GroupStatus{
+				Name: name, Model: g.Model, Domain: domain, DataCentre: g.DataCentre,
+				Generation: g.Generation, Members: g.Members, Serving: s.fleet.Routable(now, name),
+			}
+			if t, ok := s.fleet.Target(name); ok {
+				item.Limit, item.InFlight = t.Limit, t.InFlight+t.PeerInFlight
+			}
+			st.Groups = append(st.Groups, item)
+		}
+	}
+}
+
+func (s *State) serviceStatus(now step.Time, st *operatorapi.Status) {
+	for _, name := range s.config.Names(object.KindService) {
+		service, ok := s.config.Service(name)
+		if !ok {
+			continue
+		}
+		for _, t := range service.Targets {
+			item := operatorapi.ServiceStatus{Service: name, Host: t.Host, DataCentre: t.DataCentre}
+			if f, ok := s.fleet.Target(name + "/" + t.Host); ok {
+				item.Serving = s.fleet.Routable(now, f.Name)
+				item.Limit, item.InFlight = f.Limit, f.InFlight+f.PeerInFlight
+			}
+			st.Services = append(st.Services, item)
+		}
+	}
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,251 @@
+// Package daemon runs one rhubarbswitch daemon: it feeds events to the reducer one
+// after the other and carries out the effects that come back.
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-faster/errors"
+	"github.com/google/uuid"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/rhubarbswitch/rhubarbswitch/internal/api/caller"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/api/operator"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/config"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/event"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/peer"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/platform"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/target"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/tlsreload"
+)
+
+// Release is the program's release.
+const Release = "0.1.0"
+
+const (
+	// tickEvery is the interval of the reducer's ticks.
+	tickEvery = 50 * time.Millisecond
+	// eventQueue is the number of events that may wait for the reducer.
+	eventQueue = 4096
+	// farewell bounds what a stopping daemon says to the platform and its peers.
+	farewell = 3 * time.Second
+)
+
+// Daemon is one running daemon.
+type Daemon struct {
+	set         *config.Settings
+	log         *slog.Logger
+	incarnation string
+	began       time.Time
+
+	state   *core.State
+	events  chan step.Event
+	queries chan func(*core.State)
+	exit    chan struct{}
+
+	calls     calls
+	directory atomic.Pointer[core.Directory]
+	ready     atomic.Bool
+	traces    traces
+
+	platform *platform.Client
+	targets  *target.Client
+	mesh     *peer.Mesh
+
+	// work counts the effects that are being carried out.
+	work sync.WaitGroup
+	// fresh tells that the configuration in force changed during this step.
+	fresh bool
+}
+
+// New returns a daemon that has opened nothing yet.
+func New(set *config.Settings, log *slog.Logger) (*Daemon, error) {
+	key, err := set.Peers.Key.Read()
+	if err != nil {
+		return nil, errors.Wrap(err, "peers.key")
+	}
+	id, err := uuid.NewV7()
+	if err != nil {
+		return nil, errors.Wrap(err, "mint the incarnation")
+	}
+	d := &Daemon{
+		set: set, log: log, incarnation: id.String(), began: time.Now(),
+		events:  make(chan step.Event, eventQueue),
+		queries: make(chan func(*core.State)),
+		exit:    make(chan struct{}),
+	}
+	d.state = core.New(coreSettings(set, d.incarnation))
+	d.directory.Store(d.state.Directory())
+	d.platform = platform.New(set.Platform.Address, platform.WithCallBound(set.Platform.CallTimeout.D()))
+	d.targets = target.New(targetSettings(set))
+	d.mesh = peer.New(peer.Settings{
+		Cluster: set.Cluster, Daemon: set.Daemon, Incarnation: d.incarnation,
+		Address: set.Peers.AdvertiseOr(), DataCentre: set.DataCentre, Key: key,
+		Seed: d.seed(), Emit: d.Post,
+		Refused: func(r *peer.Refused) { d.record(event.PeerRefused, event.F("error", r)) },
+		Silence: set.Peers.Silence.D(), KeepAlive: set.Peers.Heartbeat.D(),
+	})
+	return d, nil
+}
+
+// seed spreads the pauses of daemons: each name and start has its own.
+func (d *Daemon) seed() uint64 { return xxhash.Sum64String(d.set.Daemon + d.incarnation) }
+
+func coreSettings(set *config.Settings, incarnation string) core.Settings {
+	s := core.Defaults(set.Daemon, incarnation, set.DataCentre)
+	s.Claims.Shards = uint64(set.Claims.Shards)
+	s.Claims.Window = set.Claims.Window.D()
+	s.Claims.Retention = set.Claims.Retention.D()
+	s.Claims.BodyBytes = set.Claims.MaxRecordedBytes
+	s.Poison.Targets = set.Poison.Targets
+	s.Poison.Expiry = set.Poison.Expiry.D()
+	s.Retry.Share = set.Retry.BudgetShare
+	s.Retry.Attempts = set.Retry.MaxAttempts
+	s.Admit.Length = set.Queue.MaxRequests
+	return s
+}
+
+func targetSettings(set *config.Settings) target.Settings {
+	s := target.Defaults()
+	s.DialTimeout = set.Targets.DialTimeout.D()
+	s.ProbeTimeout = set.Targets.ProbeTimeout.D()
+	s.Silence = set.Targets.Silence.D()
+	s.IdleConnections = set.Targets.IdleConnections
+	return s
+}
+
+// Run serves until the daemon has stopped gracefully or the context ends, which
+// cuts off what is in flight.
+func (d *Daemon) Run(ctx context.Context) error {
+	listeners, err := d.listen()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	d.record(event.DaemonStarted, event.F("daemon", d.set.Daemon), event.F("incarnation", d.incarnation),
+		event.F("callers", listeners.callers.Addr()), event.F("operators", listeners.operators.Addr()),
+		event.F("peers", listeners.peers.Addr()), event.F("release", Release))
+
+	servers, err := d.servers()
+	if err != nil {
+		return err
+	}
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return serve(servers.callers, listeners.callers) })
+	g.Go(func() error { return serve(servers.operators, listeners.operators) })
+	g.Go(func() error { return d.mesh.Run(listeners.peers) })
+	g.Go(func() error {
+		platform.NewFollower(d.platform, d.seed(), d.Post).Run(ctx)
+		return nil
+	})
+	g.Go(func() error {
+		d.keepRegistered(ctx)
+		return nil
+	})
+	for _, seed := range d.set.Peers.Seeds {
+		d.mesh.Connect(seed)
+	}
+	d.loop(ctx)
+	d.leave(servers)
+	cancel()
+	return g.Wait()
+}
+
+// Stop asks for a graceful stop: Run returns once nothing is in flight.
+func (d *Daemon) Stop() { d.Post(step.Stop{}) }
+
+type listeners struct{ callers, operators, peers net.Listener }
+
+func (d *Daemon) listen() (listeners, error) {
+	var l listeners
+	var err error
+	if l.callers, err = listenOn(d.set.Callers.Listen, d.set.Callers.TLS); err != nil {
+		return l, errors.Wrap(err, "callers.listen")
+	}
+	if l.operators, err = listenOn(d.set.Operators.Listen, d.set.Operators.TLS); err != nil {
+		return l, errors.Wrap(err, "operators.listen")
+	}
+	if l.peers, err = listenOn(d.set.Peers.Listen, d.set.Peers.TLS); err != nil {
+		return l, errors.Wrap(err, "peers.listen")
+	}
+	return l, nil
+}
+
+func listenOn(address string, t config.TLS) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	c, err := tlsreload.ServerConfig(t)
+	if err != nil {
+		return nil, err
+	}
+	if c == nil {
+		return l, nil
+	}
+	return tls.NewListener(l, c), nil
+}
+
+type servers struct{ callers, operators *http.Server }
+
+func (d *Daemon) servers() (servers, error) {
+	keys, err := operator.LoadKeys(d.set.Operators)
+	if err != nil {
+		return servers{}, err
+	}
+	callers := d.set.Callers
+	return servers{
+		callers: &http.Server{
+			Handler:           caller.New(d, d.targets, callers.MaxBodyBytes),
+			ReadHeaderTimeout: callers.ReadHeaderTimeout.D(),
+			ReadTimeout:       callers.ReadBodyTimeout.D(),
+			IdleTimeout:       callers.IdleTimeout.D(),
+			MaxHeaderBytes:    callers.MaxHeaderBytes,
+		},
+		operators: &http.Server{
+			Handler: operator.New(operator.Options{
+				Store: d.platform, Inspector: d, Keys: keys, Ready: d.readiness, Pprof: d.set.Pprof,
+			}),
+			ReadHeaderTimeout: callers.ReadHeaderTimeout.D(),
+		},
+	}, nil
+}
+
+func serve(s *http.Server, l net.Listener) error {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+func (d *Daemon) readiness() error {
+	if d.ready.Load() {
+		return nil
+	}
+	return errors.New("not ready: no configuration is in force yet, or the daemon is stopping")
+}
+
+// leave closes everything after the loop has ended. The callers' server waits for
+// the handlers that still write their last answer.
+func (d *Daemon) leave(s servers) {
+	ctx, cancel := context.WithTimeout(context.Background(), farewell)
+	defer cancel()
+	_ = s.callers.Shutdown(ctx)
+	d.unregister(ctx)
+	d.mesh.Stop(ctx)
+	_ = s.operators.Close()
+	_ = s.callers.Close()
+	d.targets.Close()
+	d.platform.Close()
+}
--- /dev/null
+++ b/internal/daemon/loop.go
@@ -0,0 +1,132 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
+)
+
+// callEffects is the number of effects that can wait for one request: a dispatch,
+// a cancel and the final answer.
+const callEffects = 4
+
+// calls are the requests whose handlers wait for effects.
+type calls struct {
+	mu   sync.Mutex
+	byID map[step.RequestID]chan step.Effect
+}
+
+func (c *calls) add(id step.RequestID) <-chan step.Effect {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.byID == nil {
+		c.byID = make(map[step.RequestID]chan step.Effect)
+	}
+	ch := make(chan step.Effect, callEffects)
+	c.byID[id] = ch
+	return ch
+}
+
+func (c *calls) remove(id step.RequestID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.byID, id)
+}
+
+func (c *calls) send(id step.RequestID, e step.Effect) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if ch, ok := c.byID[id]; ok {
+		ch <- e
+	}
+}
+
+// Submit hands a request to the reducer; its effects come on the channel.
+func (d *Daemon) Submit(r step.Request) <-chan step.Effect {
+	ch := d.calls.add(r.ID)
+	d.Post(r)
+	return ch
+}
+
+// Release ends the interest in a request's effects.
+func (d *Daemon) Release(id step.RequestID) { d.calls.remove(id) }
+
+// Post hands an event to the reducer. After the daemon has ended it does nothing.
+func (d *Daemon) Post(e step.Event) {
+	select {
+	case d.events <- e:
+	case <-d.exit:
+	}
+}
+
+// Directory is the configuration in force as callers meet it.
+func (d *Daemon) Directory() *core.Directory { return d.directory.Load() }
+
+// At turns a monotonic time of the reducer into a time.
+func (d *Daemon) At(mono time.Duration) time.Time { return d.began.Add(mono) }
+
+func (d *Daemon) now() step.Time {
+	now := time.Now()
+	return step.Time{Mono: now.Sub(d.began), Unix: now.UnixMilli()}
+}
+
+// loop feeds the reducer until it asks to exit or the context ends.
+func (d *Daemon) loop(ctx context.Context) {
+	defer close(d.exit)
+	ticks := time.NewTicker(tickEvery)
+	defer ticks.Stop()
+	for {
+		var e step.Event
+		select {
+		case <-ctx.Done():
+			return
+		case q := <-d.queries:
+			q(d.state)
+			continue
+		case <-ticks.C:
+			e = step.Tick{}
+		case e = <-d.events:
+		}
+		if done := d.step(ctx, e); done {
+			return
+		}
+	}
+}
+
+// step reduces one event and carries out its effects; it reports whether the daemon
+// is done.
+func (d *Daemon) step(ctx context.Context, e step.Event) bool {
+	began := time.Now()
+	effects := d.state.Reduce(d.now(), e)
+	stepSeconds.UpdateDuration(began)
+	d.fresh = false
+	done := false
+	for _, effect := range effects {
+		done = d.carry(ctx, effect) || done
+	}
+	if d.fresh {
+		d.directory.Store(d.state.Directory())
+	}
+	return done
+}
+
+// ask runs a function on the reducer's state between two events.
+func (d *Daemon) ask(ctx context.Context, f func(*core.State)) error {
+	done := make(chan struct{})
+	q := func(s *core.State) {
+		defer close(done)
+		f(s)
+	}
+	select {
+	case d.queries <- q:
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-d.exit:
+		return context.Canceled
+	}
+	<-done
+	return nil
+}
