Stand in for model engines and plain services

Cause: group, cold-start, claim and retry decisions need targets that fail the way real ones do: all connections die with a process, a leader that has lost a member accepts work it can't finish, a cold back end falls over. Change: rhubarbstub engine and service serve engineapi. Incarnations live in one place (lifecycle), which binds each connection to the incarnation that accepted it, so that an order in flight dies with a restart. Text follows from the prompt alone, so a resumed stream can be checked. Ruled out: a leader that asks its members before each request; it would cost a round of calls a request, and the lag of a poll is the honest behaviour.

--- a/cmd/rhubarbstub/main.go
+++ b/cmd/rhubarbstub/main.go
@@ -16,6 +16,8 @@
 
 type commands struct {
 	Platform platformCommand `cmd:"" help:"Stand in for the platform's object API and host list."`
+	Engine   engineCommand   `cmd:"" help:"Stand in for a model engine."`
+	Service  serviceCommand  `cmd:"" help:"Stand in for a plain service."`
 }
 
 type platformCommand struct {
@@ -32,7 +34,7 @@
 		return err
 	}
 	stub := platform.New(platform.Options{Hosts: hosts, History: c.History, Seed: c.Seed})
-	return serve.Run(os.Stdout, c.Listen, stub.Handler())
+	return serve.Run(os.Stdout, c.Listen, stub.Handler(), serve.Hooks{})
 }
 
 func readHosts(path string) ([]platformapi.Host, error) {
--- /dev/null
+++ b/internal/stub/engine/engine_test.go
@@ -0,0 +1,365 @@
+package engine
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rhubarbswitch/rhubarbswitch/internal/engineapi"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/stub/serve"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/stub/warmth"
+)
+
+const patience = 10 * time.Second
+
+type running struct {
+	*Engine
+	address string
+	server  *serve.Local
+}
+
+func start(t *testing.T, change func(*Options)) *running {
+	t.Helper()
+	o := Options{
+		Host: "h", TokenGap: time.Millisecond, Restart: 5 * time.Millisecond, Poll: 5 * time.Millisecond,
+		Notice: 200 * time.Millisecond, BreakAfter: 20 * time.Millisecond, Prefixes: 2,
+	}
+	if change != nil {
+		change(&o)
+	}
+	stub := New(o)
+	server, err := serve.Open(stub.Handler(), stub.Hooks())
+	require.NoError(t, err)
+	t.Cleanup(server.Close)
+	return &running{stub, server.Address, server}
+}
+
+func (r *running) send(t *testing.T, o engineapi.Order) (int, engineapi.OrderReply) {
+	t.Helper()
+	body, err := json.Marshal(o)
+	require.NoError(t, err)
+	response, err := http.Post("http://"+r.address+engineapi.PathOrder, "application/json", strings.NewReader(string(body)))
+	require.NoError(t, err)
+	defer response.Body.Close()
+	var reply engineapi.OrderReply
+	require.NoError(t, json.NewDecoder(response.Body).Decode(&reply))
+	return response.StatusCode, reply
+}
+
+func (r *running) statusNow() (engineapi.Status, error) {
+	var status engineapi.Status
+	response, err := http.Get("http://" + r.address + engineapi.PathStatus)
+	if err != nil {
+		return status, err
+	}
+	defer response.Body.Close()
+	return status, json.NewDecoder(response.Body).Decode(&status)
+}
+
+func (r *running) waitReady(t *testing.T) engineapi.Status {
+	t.Helper()
+	var status engineapi.Status
+	require.Eventually(t, func() bool {
+		var err error
+		status, err = r.statusNow()
+		return err == nil && status.Ready
+	}, patience, time.Millisecond)
+	return status
+}
+
+func join(t *testing.T, group string, generation uint64, members ...*running) {
+	t.Helper()
+	var addresses []string
+	for _, m := range members {
+		addresses = append(addresses, m.address)
+	}
+	for rank, m := range members {
+		status, reply := m.send(t, engineapi.Order{
+			Fence: 1, Kind: engineapi.OrderJoin, Group: group, Generation: generation,
+			Model: "m", Rank: rank, Members: addresses,
+		})
+		require.Equal(t, http.StatusOK, status)
+		require.True(t, reply.Taken)
+	}
+	for _, m := range members {
+		m.waitReady(t)
+	}
+}
+
+func (r *running) request(t *testing.T, body string, header map[string]string) (*http.Response, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	t.Cleanup(cancel)
+	request, err := http.NewRequestWithContext(ctx, "POST", "http://"+r.address+"/v1/completions", strings.NewReader(body))
+	require.NoError(t, err)
+	request.Header.Set(engineapi.HeaderAttempt, "a1")
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
+	return http.DefaultClient.Do(request)
+}
+
+// stream returns the text, the last offset and whether the stream ended as it should.
+func stream(t *testing.T, response *http.Response) (text string, offset int, whole bool) {
+	t.Helper()
+	defer response.Body.Close()
+	lines := bufio.NewScanner(response.Body)
+	for lines.Scan() {
+		data, isData := strings.CutPrefix(lines.Text(), "data: ")
+		if !isData {
+			continue
+		}
+		if data == "[DONE]" {
+			return text, offset, true
+		}
+		var chunk Answer
+		require.NoError(t, json.Unmarshal([]byte(data), &chunk))
+		require.Equal(t, "a1", chunk.Attempt)
+		text += chunk.Choices[0].Text
+		offset = chunk.Offset
+	}
+	return text, offset, false
+}
+
+func TestWholeAnswer(t *testing.T) {
+	e := start(t, nil)
+	join(t, "g", 1, e)
+	response, err := e.request(t, `{"model":"m","prompt":"p","max_tokens":5}`, nil)
+	require.NoError(t, err)
+	defer response.Body.Close()
+	var answer Answer
+	require.NoError(t, json.NewDecoder(response.Body).Decode(&answer))
+	require.Equal(t, Text("p", 0, 5), answer.Choices[0].Text)
+	require.Equal(t, "a1", answer.Attempt)
+	require.Equal(t, "a1", response.Header.Get(engineapi.HeaderAttempt))
+	require.Equal(t, 5, answer.Usage.CompletionTokens)
+	require.Equal(t, map[string]int64{"a1": 1}, e.Stats().RunsByAttempt)
+}
+
+func TestStreamResumes(t *testing.T) {
+	e := start(t, nil)
+	join(t, "g", 1, e)
+	response, err := e.request(t, `{"prompt":"p","max_tokens":8,"stream":true}`, map[string]string{engineapi.HeaderResume: "3"})
+	require.NoError(t, err)
+	text, offset, whole := stream(t, response)
+	require.True(t, whole)
+	require.Equal(t, Text("p", 3, 8), text)
+	require.Equal(t, 8, offset)
+}
+
+func TestRefusesWhatItDoesNotHold(t *testing.T) {
+	e := start(t, nil)
+	response, err := e.request(t, `{"prompt":"p"}`, nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusMisdirectedRequest, response.StatusCode)
+	join(t, "g", 7, e)
+	for _, header := range []map[string]string{
+		{engineapi.HeaderGroup: "other"},
+		{engineapi.HeaderGroup: "g", engineapi.HeaderGeneration: "6"},
+	} {
+		response, err = e.request(t, `{"prompt":"p"}`, header)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusMisdirectedRequest, response.StatusCode)
+		require.Equal(t, "true", response.Header.Get(engineapi.HeaderNotRun))
+	}
+	require.Zero(t, e.Stats().Runs)
+}
+
+func TestFencing(t *testing.T) {
+	checks := start(t, func(o *Options) { o.ChecksFencing = true })
+	ignores := start(t, nil)
+	for _, e := range []*running{checks, ignores} {
+		status, _ := e.send(t, engineapi.Order{Fence: 5, Kind: engineapi.OrderIdle})
+		require.Equal(t, http.StatusOK, status)
+	}
+	status, reply := checks.send(t, engineapi.Order{Fence: 4, Kind: engineapi.OrderIdle})
+	require.Equal(t, http.StatusConflict, status)
+	require.False(t, reply.Taken)
+	require.EqualValues(t, 5, reply.Status.Fence)
+	status, _ = ignores.send(t, engineapi.Order{Fence: 4, Kind: engineapi.OrderIdle})
+	require.Equal(t, http.StatusOK, status)
+	require.EqualValues(t, 1, ignores.Stats().StaleOrdersTaken)
+}
+
+func TestGroupWithoutMemberNeverAnswers(t *testing.T) {
+	leader, member := start(t, nil), start(t, nil)
+	join(t, "g", 1, leader, member)
+	response, err := leader.request(t, `{"prompt":"p","max_tokens":2,"stream":true}`, nil)
+	require.NoError(t, err)
+	_, _, whole := stream(t, response)
+	require.True(t, whole)
+
+	member.SetFaults(Faults{Crash: true})
+	require.Eventually(t, func() bool {
+		i, running := leader.process.Current()
+		if !running {
+			return false
+		}
+		_, broken := i.State.brokenFor(i.State.held, time.Now())
+		return broken
+	}, patience, time.Millisecond)
+	_, err = leader.request(t, `{"prompt":"p"}`, nil)
+	require.Error(t, err)
+	require.EqualValues(t, 1, leader.Stats().BrokenGroupRequests)
+	require.Eventually(t, func() bool {
+		status, err := leader.statusNow()
+		return err == nil && !status.Ready
+	}, patience, time.Millisecond)
+}
+
+func TestRetireStartsNewIncarnation(t *testing.T) {
+	e := start(t, nil)
+	join(t, "g", 1, e)
+	before := e.waitReady(t)
+	status, _ := e.send(t, engineapi.Order{Fence: 2, Kind: engineapi.OrderRetire})
+	require.Equal(t, http.StatusOK, status)
+	require.Eventually(t, func() bool {
+		after, err := e.statusNow()
+		return err == nil && after.Incarnation != before.Incarnation && after.Group == ""
+	}, patience, time.Millisecond)
+}
+
+func TestEndClosesIdleConnections(t *testing.T) {
+	e := start(t, nil)
+	var client http.Client
+	client.Transport = &http.Transport{MaxConnsPerHost: 1}
+	response, err := client.Get("http://" + e.address + engineapi.PathBeat)
+	require.NoError(t, err)
+	first := response.Header.Get(engineapi.HeaderIncarnation)
+	require.NoError(t, response.Body.Close())
+	i, running := e.process.Current()
+	require.True(t, running)
+	e.end(i)
+	require.Error(t, i.Context().Err())
+	require.Eventually(t, func() bool {
+		response, err := client.Get("http://" + e.address + engineapi.PathBeat)
+		if err != nil {
+			return false
+		}
+		defer response.Body.Close()
+		return response.Header.Get(engineapi.HeaderIncarnation) != first
+	}, patience, time.Millisecond)
+}
+
+func TestColdEngineTopples(t *testing.T) {
+	e := start(t, func(o *Options) {
+		o.Warmth = warmth.Limits{Cold: 1, WarmAfter: 1}
+		o.TokenGap = 20 * time.Millisecond
+	})
+	join(t, "g", 1, e)
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	broken := 0
+	for range 2 {
+		group.Go(func() {
+			response, err := e.request(t, `{"prompt":"p","max_tokens":5000}`, nil)
+			if err == nil {
+				_, err = io.Copy(io.Discard, response.Body)
+				_ = response.Body.Close()
+			}
+			if err != nil {
+				mu.Lock()
+				broken++
+				mu.Unlock()
+			}
+		})
+	}
+	group.Wait()
+	require.Equal(t, 2, broken)
+	require.EqualValues(t, 1, e.Stats().Toppled)
+	require.Equal(t, 2, e.Stats().PeakCold)
+}
+
+func TestPoisonEndsIncarnation(t *testing.T) {
+	e := start(t, nil)
+	join(t, "g", 1, e)
+	_, err := e.request(t, `{"prompt":"a {{crash}} b"}`, nil)
+	require.Error(t, err)
+	require.Eventually(t, func() bool { return e.Stats().Incarnations == 2 }, patience, time.Millisecond)
+	require.EqualValues(t, 1, e.Stats().Poisoned)
+}
+
+func TestMisbehaviours(t *testing.T) {
+	e := start(t, nil)
+	join(t, "g", 1, e)
+	e.SetFaults(Faults{WrongAttempt: 1})
+	response, err := e.request(t, `{"prompt":"p"}`, nil)
+	require.NoError(t, err)
+	require.NotEqual(t, "a1", response.Header.Get(engineapi.HeaderAttempt))
+
+	e.SetFaults(Faults{Truncate: 2})
+	response, err = e.request(t, `{"prompt":"p"}`, nil)
+	require.NoError(t, err)
+	_, err = io.ReadAll(response.Body)
+	require.Error(t, err)
+	response, err = e.request(t, `{"prompt":"p","stream":true}`, nil)
+	require.NoError(t, err)
+	_, _, whole := stream(t, response)
+	require.False(t, whole)
+
+	e.SetFaults(Faults{DuplicateChunk: 1})
+	response, err = e.request(t, `{"prompt":"p","stream":true,"max_tokens":3}`, nil)
+	require.NoError(t, err)
+	text, _, whole := stream(t, response)
+	require.True(t, whole)
+	require.Equal(t, Token("p", 0)+Text("p", 0, 3), text)
+
+	e.SetFaults(Faults{CrashAfterTokens: 3})
+	response, err = e.request(t, `{"prompt":"p","stream":true}`, nil)
+	require.NoError(t, err)
+	_, offset, whole := stream(t, response)
+	require.False(t, whole)
+	require.LessOrEqual(t, offset, 3)
+}
+
+func TestCancelStopsAttempt(t *testing.T) {
+	e := start(t, func(o *Options) { o.TokenGap = 10 * time.Millisecond })
+	join(t, "g", 1, e)
+	response, err := e.request(t, `{"prompt":"p","stream":true,"max_tokens":100000}`, nil)
+	require.NoError(t, err)
+	request, err := http.NewRequest("DELETE", "http://"+e.address+engineapi.PathAttempts+"a1", nil)
+	require.NoError(t, err)
+	cancelled, err := http.DefaultClient.Do(request)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusNoContent, cancelled.StatusCode)
+	_, _, whole := stream(t, response)
+	require.False(t, whole)
+	require.EqualValues(t, 1, e.Stats().Cancels)
+}
+
+func TestPauseHoldsWithoutClosing(t *testing.T) {
+	e := start(t, nil)
+	e.SetFaults(Faults{Pause: true})
+	done := make(chan error, 1)
+	go func() {
+		_, err := e.statusNow()
+		done <- err
+	}()
+	select {
+	case <-done:
+		t.Fatal("a paused engine answered")
+	case <-time.After(50 * time.Millisecond):
+	}
+	e.SetFaults(Faults{})
+	require.NoError(t, <-done)
+}
+
+func TestPrefixCache(t *testing.T) {
+	cache := newPrefixCache(2)
+	var hits []string
+	for i, prompt := range []string{"a", "b", "a", "c", "b", "a"} {
+		if cache.use(prompt) {
+			hits = append(hits, prompt+strconv.Itoa(i))
+		}
+	}
+	require.Equal(t, []string{"a2"}, hits)
+}
--- a/internal/stub/platform/server.go
+++ b/internal/stub/platform/server.go
@@ -15,6 +15,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"github.com/rhubarbswitch/rhubarbswitch/internal/platformapi"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/stub/serve"
 )
 
 const (
@@ -84,9 +85,9 @@
 		r.Get(platformapi.PathWatch, s.watch)
 		r.Get(platformapi.PathHosts, s.listHosts)
 	})
-	r.Get(PathStats, func(w http.ResponseWriter, _ *http.Request) { reply(w, http.StatusOK, s.Stats()) })
-	r.Post(PathFaults, func(w http.ResponseWriter, r *http.Request) { accept(w, r, s.SetFaults) })
-	r.Post(PathHosts, func(w http.ResponseWriter, r *http.Request) { accept(w, r, s.SetHosts) })
+	r.Get(PathStats, func(w http.ResponseWriter, _ *http.Request) { serve.Reply(w, http.StatusOK, s.Stats()) })
+	r.Post(PathFaults, func(w http.ResponseWriter, r *http.Request) { serve.Accept(w, r, s.SetFaults) })
+	r.Post(PathHosts, func(w http.ResponseWriter, r *http.Request) { serve.Accept(w, r, s.SetHosts) })
 	return r
 }
 
@@ -154,7 +155,7 @@
 		http.Error(w, "no such object", http.StatusNotFound)
 		return
 	}
-	reply(w, http.StatusOK, e)
+	serve.Reply(w, http.StatusOK, e)
 }
 
 func (s *Server) putObject(w http.ResponseWriter, r *http.Request) {
@@ -195,10 +196,10 @@
 	}
 	if !done {
 		s.conflicts.Add(1)
-		reply(w, http.StatusConflict, e)
+		serve.Reply(w, http.StatusConflict, e)
 		return
 	}
-	reply(w, http.StatusOK, e)
+	serve.Reply(w, http.StatusOK, e)
 }
 
 func (s *Server) listObjects(w http.ResponseWriter, r *http.Request) {
@@ -211,7 +212,7 @@
 		}
 		limit = n
 	}
-	reply(w, http.StatusOK, s.store.list(chi.URLParam(r, "kind"), r.URL.Query().Get("after"), limit))
+	serve.Reply(w, http.StatusOK, s.store.list(chi.URLParam(r, "kind"), r.URL.Query().Get("after"), limit))
 }
 
 func (s *Server) watch(w http.ResponseWriter, r *http.Request) {
@@ -238,32 +239,12 @@
 		http.Error(w, "revision not kept: list again", http.StatusGone)
 		return
 	}
-	reply(w, http.StatusOK, batch)
+	serve.Reply(w, http.StatusOK, batch)
 }
 
 func (s *Server) listHosts(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	list := platformapi.HostList{Hosts: slices.Clone(s.hosts)}
 	s.mu.Unlock()
-	reply(w, http.StatusOK, list)
-}
-
-// accept decodes a setting of the stand-in and applies it.
-func accept[T any](w http.ResponseWriter, r *http.Request, apply func(T)) {
-	var value T
-	decoder := json.NewDecoder(r.Body)
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&value); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	apply(value)
-	w.WriteHeader(http.StatusNoContent)
-}
-
-func reply(w http.ResponseWriter, status int, value any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	// The caller's departure is the only failure, and there is nobody left to tell.
-	_ = json.NewEncoder(w).Encode(value)
+	serve.Reply(w, http.StatusOK, list)
 }
--- a/internal/stub/serve/serve.go
+++ b/internal/stub/serve/serve.go
@@ -17,23 +17,29 @@
 
 const headerTimeout = 10 * time.Second
 
+// Hooks follow the connections of a server; see http.Server. Both may be nil.
+type Hooks struct {
+	ConnContext func(context.Context, net.Conn) context.Context
+	ConnState   func(net.Conn, http.ConnState)
+}
+
 // Run serves until a signal comes. The address may end in ":0" for any free port.
-func Run(out io.Writer, address string, handler http.Handler) error {
+func Run(out io.Writer, address string, handler http.Handler, hooks Hooks) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	return Listener(ctx, out, listener, handler)
+	return Listener(ctx, out, listener, handler, hooks)
 }
 
 // Listener serves on an open listener until the context ends.
-func Listener(ctx context.Context, out io.Writer, listener net.Listener, handler http.Handler) error {
+func Listener(ctx context.Context, out io.Writer, listener net.Listener, handler http.Handler, hooks Hooks) error {
 	if _, err := fmt.Fprintln(out, listener.Addr()); err != nil {
 		return errors.Wrap(err, "print the address")
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	server := newServer(handler, hooks)
 	unhook := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer unhook()
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -41,3 +47,10 @@
 	}
 	return nil
 }
+
+func newServer(handler http.Handler, hooks Hooks) *http.Server {
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout,
+		ConnContext: hooks.ConnContext, ConnState: hooks.ConnState,
+	}
+}
