--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -13,10 +13,15 @@
 	RequestRetried     ID = 2002
 	AnswerDropped      ID = 2003
 	RequestQuarantined ID = 2004
+	TargetDied         ID = 2005
+	ClaimOwnerSilent   ID = 3001
+	ClaimUnreachable   ID = 3002
 	ConfigApplied      ID = 5001
 	ConfigRefused      ID = 5002
 	PeerLinked         ID = 6001
 	PeerLost           ID = 6002
+	PeerSilent         ID = 6003
+	PeerRefused        ID = 6004
 	PlatformLost       ID = 8001
 	PlatformBack       ID = 8002
 )
@@ -30,10 +35,15 @@
 	{RequestRetried, slog.LevelInfo, "request sent again to another target", "If frequent, look at the target named."},
 	{AnswerDropped, slog.LevelWarn, "answer dropped since it was not whole or not for this attempt", "Look at the target named: it mixes up or cuts answers."},
 	{RequestQuarantined, slog.LevelWarn, "request refused since targets died running it", "Ask the customer not to send it again; see docs/operations/poison-request.md."},
+	{TargetDied, slog.LevelWarn, "target died while running a request", "Look at the host named; if requests are quarantined see docs/operations/poison-request.md."},
+	{ClaimOwnerSilent, slog.LevelInfo, "daemon asked to write a claim stays silent; writing it here", ""},
+	{ClaimUnreachable, slog.LevelWarn, "call refused since its claim could not be written", "Look at the platform; callers repeat with the same key."},
 	{ConfigApplied, slog.LevelInfo, "configuration in force", ""},
 	{ConfigRefused, slog.LevelError, "object in the platform breaks a rule and is not applied", "Correct it with rhubarbctl apply."},
 	{PeerLinked, slog.LevelInfo, "link to another daemon open", ""},
 	{PeerLost, slog.LevelWarn, "link to another daemon lost", "If it persists, look at the daemon named and the network between."},
+	{PeerSilent, slog.LevelWarn, "daemon not heard within the silence bound", "If it persists, look at the daemon named and the network between."},
+	{PeerRefused, slog.LevelError, "link to another daemon refused", "Give both daemons the same cluster name, shared key and release."},
 	{PlatformLost, slog.LevelWarn, "platform not heard; serving on what is known", "Look at the platform's object API; see docs/operations/platform-outage.md."},
 	{PlatformBack, slog.LevelInfo, "platform heard again", ""},
 }
