Relay TCP connections and cut them on order

Cause: connections that go silent for good while new ones work must be brought about in tests. Conclusion: go test -race -count=10 ./internal/stub/cutter passes.

--- a/cmd/rhubarbstub/main.go
+++ b/cmd/rhubarbstub/main.go
@@ -18,6 +18,7 @@
 	Platform platformCommand `cmd:"" help:"Stand in for the platform's object API and host list."`
 	Engine   engineCommand   `cmd:"" help:"Stand in for a model engine."`
 	Service  serviceCommand  `cmd:"" help:"Stand in for a plain service."`
+	Cutter   cutterCommand   `cmd:"" help:"Relay TCP connections and cut them as told."`
 }
 
 type platformCommand struct {
--- /dev/null
+++ b/internal/stub/cutter/cutter_test.go
@@ -0,0 +1,128 @@
+package cutter
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	patience = 10 * time.Second
+	silence  = 50 * time.Millisecond
+)
+
+// echoServer sends back what it reads.
+func echoServer(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				_, _ = io.Copy(conn, conn)
+				_ = conn.Close()
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func open(t *testing.T) *Cutter {
+	t.Helper()
+	c, err := Open("127.0.0.1:0", echoServer(t))
+	require.NoError(t, err)
+	t.Cleanup(c.Close)
+	return c
+}
+
+func dial(t *testing.T, c *Cutter) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", c.Address())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+func exchange(conn net.Conn, wait time.Duration) error {
+	if err := conn.SetDeadline(time.Now().Add(wait)); err != nil {
+		return err
+	}
+	if _, err := conn.Write([]byte("x")); err != nil {
+		return err
+	}
+	_, err := io.ReadFull(conn, make([]byte, 1))
+	return err
+}
+
+func isTimeout(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
+}
+
+func TestPassAndEnd(t *testing.T) {
+	c := open(t)
+	conn := dial(t, c)
+	require.NoError(t, exchange(conn, patience))
+	require.NoError(t, conn.(*net.TCPConn).CloseWrite())
+	_, err := io.ReadAll(conn)
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return c.Stats().Open == 0 }, patience, time.Millisecond)
+}
+
+func TestSwallowExistingWhileNewOnesWork(t *testing.T) {
+	c := open(t)
+	old := dial(t, c)
+	require.NoError(t, exchange(old, patience))
+	c.Apply(Cut{Existing: Swallow})
+	require.True(t, isTimeout(exchange(old, silence)))
+	require.NoError(t, exchange(dial(t, c), patience))
+	c.Apply(Cut{Existing: Pass})
+	require.True(t, isTimeout(exchange(old, silence)), "what was swallowed stays lost")
+}
+
+func TestFreezeKeepsBytes(t *testing.T) {
+	c := open(t)
+	conn := dial(t, c)
+	require.NoError(t, exchange(conn, patience))
+	c.Apply(Cut{Existing: Freeze})
+	require.True(t, isTimeout(exchange(conn, silence)))
+	c.Apply(Cut{Existing: Pass})
+	require.NoError(t, conn.SetDeadline(time.Now().Add(patience)))
+	_, err := io.ReadFull(conn, make([]byte, 1))
+	require.NoError(t, err)
+}
+
+func TestReset(t *testing.T) {
+	c := open(t)
+	conn := dial(t, c)
+	require.NoError(t, exchange(conn, patience))
+	c.Apply(Cut{Existing: Reset, New: Reset})
+	err := exchange(conn, patience)
+	require.Error(t, err)
+	require.False(t, isTimeout(err))
+	// The reset may come before the dial has returned.
+	later, err := net.Dial("tcp", c.Address())
+	if err == nil {
+		t.Cleanup(func() { _ = later.Close() })
+		err = exchange(later, patience)
+	}
+	require.Error(t, err)
+	require.False(t, isTimeout(err))
+}
+
+func TestOneWayCut(t *testing.T) {
+	c := open(t)
+	conn := dial(t, c)
+	require.NoError(t, exchange(conn, patience))
+	c.Apply(Cut{Existing: Swallow, Direction: ToCaller})
+	require.True(t, isTimeout(exchange(conn, silence)))
+}
