--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -235,11 +235,11 @@
 	// Default: "24h". Bounds: 1m to 168h.
 	Retention Duration `json:"retention" bounds:"1m..168h"`
 	// Window is the span of mint times that share one record per shard.
-	// Default: "10m". Bounds: 1s to 24h.
+	// Default: "2s". Bounds: 1s to 24h.
 	Window Duration `json:"window" bounds:"1s..24h"`
 	// Shards is the number of records per window. All daemons of a cluster must
 	// agree on it.
-	// Default: 16. Bounds: 1 to 4096.
+	// Default: 8. Bounds: 1 to 4096.
 	Shards int `json:"shards" bounds:"1..4096"`
 	// MaxRecordedBytes is the largest answer in bytes that is kept with its key and
 	// repeated to a caller who sends the key again.
