--- a/internal/core/poison/poison.go
+++ b/internal/core/poison/poison.go
@@ -28,8 +28,12 @@
 // Defaults returns the settings used where none are given.
 func Defaults() Settings { return Settings{Targets: 2, Expiry: 10 * time.Minute} }
 
-// proofPatience is how long a broken attempt waits for proof of the death.
-const proofPatience = 30 * time.Second
+const (
+	// proofPatience is how long a broken attempt waits for proof of the death.
+	proofPatience = 30 * time.Second
+	// verdictPatience is how long a request waits to learn whether it is condemned.
+	verdictPatience = 2 * time.Second
+)
 
 // death is one incarnation that ended, with the fingerprints that ran on it.
 type death struct {
@@ -126,6 +130,36 @@
 	return false
 }
 
+// Undecided reports whether the fingerprint has broken off on as many distinct hosts
+// as condemn it, while it is not yet proved of all of them whether they died. Such a
+// request waits for the proof rather than be sent to one more target.
+func (b *Book) Undecided(now step.Time, print uint64) bool {
+	var hosts []string
+	waiting := false
+	for _, o := range b.open {
+		if o.print == print && now.Mono-o.at <= verdictPatience {
+			hosts = appendNew(hosts, o.host)
+			waiting = true
+		}
+	}
+	if !waiting {
+		return false
+	}
+	for _, d := range b.deaths {
+		if _, present := slices.BinarySearch(d.prints, print); present {
+			hosts = appendNew(hosts, d.host)
+		}
+	}
+	return len(hosts) >= b.set.Targets
+}
+
+func appendNew(names []string, name string) []string {
+	if slices.Contains(names, name) {
+		return names
+	}
+	return append(names, name)
+}
+
 // Condemned reports whether the fingerprint must not run, and for how long yet.
 func (b *Book) Condemned(now step.Time, print uint64) (time.Duration, bool) {
 	var hosts []string
@@ -134,9 +168,7 @@
 	earlier := make(map[uint64]bool)
 	for _, d := range b.deaths {
 		if _, present := slices.BinarySearch(d.prints, print); present {
-			if !slices.Contains(hosts, d.host) {
-				hosts = append(hosts, d.host)
-			}
+			hosts = appendNew(hosts, d.host)
 			alone = alone || earlier[print] && onlySuspect(d.prints, print, earlier)
 			last = d.at
 		}
--- a/internal/core/request/end.go
+++ b/internal/core/request/end.go
@@ -84,10 +84,7 @@
 	c.tried = append(c.tried, c.target)
 	c.suspect = m.Poison.Suspected(c.req.Fingerprint)
 	if left, condemned := m.Poison.Condemned(now, c.req.Fingerprint); condemned {
-		out.Log(event.RequestQuarantined, event.F("request", c.req.ID), event.F("customer", c.req.Customer))
-		answer.Code, answer.Status, answer.RetryAfter = step.CodeQuarantined, 422, left
-		answer.Message = "targets died running this request: change it before sending it again"
-		m.end(now, c, answer, out)
+		m.quarantine(now, c, answer, left, out)
 		return
 	}
 	if !m.budget.Allow(c.attempts) {
@@ -98,6 +95,14 @@
 	m.place(now, c, out)
 }
 
+// quarantine ends a request that has just been condemned.
+func (m *Manager) quarantine(now step.Time, c *call, a step.Answer, left time.Duration, out *step.Out) {
+	out.Log(event.RequestQuarantined, event.F("request", c.req.ID), event.F("customer", c.req.Customer))
+	a.Code, a.Status, a.RetryAfter = step.CodeQuarantined, 422, left
+	a.Message = "targets died running this request: change it before sending it again"
+	m.end(now, c, a, out)
+}
+
 // failed is the answer of a request whose last attempt ended without a whole answer.
 func failed(e step.AttemptEnded) step.Answer {
 	a := step.Answer{Status: 502, Code: step.CodeTargetFailed, Outcome: object.Unknown, RetryAfter: comeBack}
@@ -187,7 +192,7 @@
 	m.Limits.Settle(now, c.used)
 	out.Log(event.RequestAnswered, event.F("request", c.req.ID), event.F("customer", c.req.Customer),
 		event.F("outcome", c.used.Outcome), event.F("target", c.target), event.F("attempts", c.attempts),
-		event.F("millis", (now.Mono-c.arrived)/time.Millisecond))
+		event.F("millis", (now.Mono-c.arrived).Milliseconds()))
 }
 
 // OnGone takes the news that a caller left.
@@ -208,7 +213,7 @@
 		m.leave(now, c, step.EndedUnsent, "")
 		m.giveUp(now, c, answer, out)
 		m.pump(now, c.pool(), out)
-	case waiting:
+	case waiting, parked:
 		m.giveUp(now, c, answer, out)
 	}
 }
--- a/internal/core/request/place.go
+++ b/internal/core/request/place.go
@@ -23,6 +23,11 @@
 
 // place gives the request a target now, or queues it, or refuses it.
 func (m *Manager) place(now step.Time, c *call, out *step.Out) {
+	if m.Poison.Undecided(now, c.req.Fingerprint) {
+		c.phase = parked
+		m.parked = append(m.parked, c.req.ID)
+		return
+	}
 	q := m.queue(c)
 	if q.Len() == 0 && m.tryStart(now, c, out) {
 		return
@@ -145,9 +150,36 @@
 	}
 }
 
+// unpark places the requests whose case is decided.
+func (m *Manager) unpark(now step.Time, out *step.Out) {
+	ids := m.parked
+	m.parked = nil
+	for _, id := range ids {
+		c := m.calls[id]
+		if c == nil || c.phase != parked {
+			continue
+		}
+		if now.Mono >= c.deadline {
+			m.giveUp(now, c, m.noPlace(now, c), out)
+			continue
+		}
+		if m.Poison.Undecided(now, c.req.Fingerprint) {
+			m.parked = append(m.parked, id)
+			continue
+		}
+		if left, condemned := m.Poison.Condemned(now, c.req.Fingerprint); condemned {
+			m.quarantine(now, c, step.Answer{Outcome: object.Unknown}, left, out)
+			continue
+		}
+		c.suspect = m.Poison.Suspected(c.req.Fingerprint)
+		m.place(now, c, out)
+	}
+}
+
 // Tick gives up what can't be whole in time any more and hands out places that
 // became free without an answer, such as those of a target that warmed up.
 func (m *Manager) Tick(now step.Time, out *step.Out) {
+	m.unpark(now, out)
 	for _, p := range m.order {
 		for _, it := range m.pools[p].Expired(now) {
 			if c := m.calls[it.ID]; c != nil {
--- a/internal/core/request/request.go
+++ b/internal/core/request/request.go
@@ -81,6 +81,7 @@
 	pools    map[pool]*admit.Queue
 	order    []pool         // pools in order of first use
 	suspects map[string]int // suspected requests in flight by target
+	parked   []step.RequestID
 	// closed says why nothing new is taken, or is empty.
 	closed step.Code
 }
@@ -97,6 +98,7 @@
 	waiting  phase = iota + 1 // for a free place at a target
 	claiming                  // a place is held; the claim is being written
 	running                   // an attempt is in flight
+	parked                    // it may have ended targets; the proof is awaited
 )
 
 // call is one request on its way.
--- a/internal/core/step/event.go
+++ b/internal/core/step/event.go
@@ -3,8 +3,11 @@
 package step
 
 import (
+	"slices"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/rhubarbswitch/rhubarbswitch/internal/engineapi"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/object"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/platformapi"
@@ -81,6 +84,28 @@
 	EndedCancelled
 )
 
+var endingNames = []string{
+	"", "whole", "unsent", "refused", "broken", "crossed", "error", "timeout", "cancelled",
+}
+
+// String returns the ending's name in logs and sessions.
+func (e Ending) String() string {
+	if int(e) < len(endingNames) {
+		return endingNames[e]
+	}
+	return "unknown"
+}
+
+// UnmarshalText reads an ending by its name.
+func (e *Ending) UnmarshalText(text []byte) error {
+	i := slices.Index(endingNames, string(text))
+	if i < 0 {
+		return errors.Errorf("no ending %q: use one of %v", text, endingNames[1:])
+	}
+	*e = Ending(i)
+	return nil
+}
+
 // AttemptEnded says how an attempt ended.
 type AttemptEnded struct {
 	ID      RequestID
