Send bounded load and judge every answer

Cause: what callers see must be measured from outside the daemon. Change: rhubarbstub load sends seeded arrivals and prints outcomes, latency quantiles and whole answers per second. Streams are compared token by token with what their prompt makes; keyed answers must carry the caller's own key and body digest. A service's refusal now echoes the attempt ID as the protocol says.

--- a/cmd/rhubarbstub/main.go
+++ b/cmd/rhubarbstub/main.go
@@ -19,6 +19,7 @@
 	Engine   engineCommand   `cmd:"" help:"Stand in for a model engine."`
 	Service  serviceCommand  `cmd:"" help:"Stand in for a plain service."`
 	Cutter   cutterCommand   `cmd:"" help:"Relay TCP connections and cut them as told."`
+	Load     loadCommand     `cmd:"" help:"Send bounded load to daemons and report on the answers."`
 }
 
 type platformCommand struct {
--- /dev/null
+++ b/internal/stub/load/caller.go
@@ -0,0 +1,261 @@
+// Package load sends bounded load to daemons as their callers would and checks
+// every answer: whole, its own, and with an outcome.
+package load
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rhubarbswitch/rhubarbswitch/internal/engineapi"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/object"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/stub/engine"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/stub/service"
+)
+
+const (
+	headerOutcome        = "X-Outcome"
+	headerAttemptOutcome = "X-Attempt-Outcome"
+	headerTimeout        = "X-Timeout-Ms"
+	maxEventBytes        = 1 << 20
+	// graceAfterDeadline is how long a caller waits past the deadline it gave.
+	graceAfterDeadline = 5 * time.Second
+)
+
+// Result is what a caller learned of one request.
+type Result struct {
+	Address string
+	Key     string
+	Sent    time.Time
+	// Status is zero if no answer came.
+	Status         int
+	Outcome        object.Outcome
+	AttemptOutcome object.Outcome
+	Code           string // of an error answer or event
+	// Whole is an answer that ended as it should; Wrong is one that is not the
+	// request's own, or repeats or lacks a part although it claims to be whole.
+	Whole bool
+	Wrong bool
+	// ErrorEvent is a stream that ended with an explicit error.
+	ErrorEvent bool
+	Tokens     int
+	Latency    time.Duration
+	FirstToken time.Duration
+	WorstGap   time.Duration
+	Err        error
+}
+
+// Cut reports a connection that was lost before the answer ended.
+func (r Result) Cut() bool { return !r.Whole && !r.ErrorEvent && (r.Err != nil || r.Status == 0) }
+
+// Caller sends requests as one customer.
+type Caller struct {
+	// Key is the customer's bearer key.
+	Key string
+	// Deadline is given with each request.
+	Deadline time.Duration
+	client   *http.Client
+}
+
+// NewCaller returns a caller with its own connections.
+func NewCaller(key string, deadline time.Duration) *Caller {
+	transport := &http.Transport{MaxIdleConnsPerHost: 256, IdleConnTimeout: 10 * time.Second}
+	return &Caller{Key: key, Deadline: deadline, client: &http.Client{Transport: transport}}
+}
+
+// Close closes idle connections.
+func (c *Caller) Close() { c.client.CloseIdleConnections() }
+
+// Call is a call to a plain service.
+type Call struct {
+	Service string
+	Method  string
+	Path    string // begins with a slash
+	Key     string // idempotency key, or empty
+	Body    []byte
+}
+
+// Call sends a call and checks that the answer is its own.
+func (c *Caller) Call(ctx context.Context, address string, call Call) Result {
+	result := Result{Address: address, Key: call.Key, Sent: time.Now()}
+	ctx, cancel := context.WithTimeout(ctx, c.Deadline+graceAfterDeadline)
+	defer cancel()
+	response, err := c.send(ctx, call.Method, "http://"+address+"/v1/services/"+call.Service+call.Path, call.Key, call.Body)
+	if err != nil {
+		result.Err = err
+		return result
+	}
+	defer response.Body.Close()
+	result.head(response)
+	text, err := io.ReadAll(response.Body)
+	result.Latency = time.Since(result.Sent)
+	if err != nil {
+		result.Err = err
+		return result
+	}
+	if response.StatusCode != http.StatusOK {
+		result.Code = errorCode(text)
+		return result
+	}
+	result.Whole = true
+	result.Wrong = !isOwn(text, call)
+	return result
+}
+
+func isOwn(text []byte, call Call) bool {
+	var answer service.Answer
+	if err := json.Unmarshal(text, &answer); err != nil {
+		return false
+	}
+	return answer.Key == call.Key && answer.BodyDigest == service.Digest(call.Body)
+}
+
+func (c *Caller) send(ctx context.Context, method, url, key string, body []byte) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	request.GetBody = nil // the transport must not repeat a call by itself
+	request.Header.Set("Authorization", "Bearer "+c.Key)
+	request.Header.Set(headerTimeout, strconv.FormatInt(c.Deadline.Milliseconds(), 10))
+	request.Header.Set("Content-Type", "application/json")
+	if key != "" {
+		request.Header.Set(engineapi.HeaderKey, key)
+	}
+	return c.client.Do(request)
+}
+
+func (r *Result) head(response *http.Response) {
+	r.Status = response.StatusCode
+	r.Outcome = object.Outcome(response.Header.Get(headerOutcome))
+	r.AttemptOutcome = object.Outcome(response.Header.Get(headerAttemptOutcome))
+}
+
+func errorCode(text []byte) string {
+	var body struct {
+		Error struct {
+			Code string `json:"code"`
+		} `json:"error"`
+	}
+	// A body of another form has no code.
+	_ = json.Unmarshal(text, &body)
+	return body.Error.Code
+}
+
+// Generate asks for a completion and checks its text.
+func (c *Caller) Generate(ctx context.Context, address string, body engine.Request) Result {
+	result := Result{Address: address, Sent: time.Now()}
+	text, err := json.Marshal(body)
+	if err != nil {
+		result.Err = err
+		return result
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.Deadline+graceAfterDeadline)
+	defer cancel()
+	response, err := c.send(ctx, http.MethodPost, "http://"+address+"/v1/completions", "", text)
+	if err != nil {
+		result.Err = err
+		return result
+	}
+	defer response.Body.Close()
+	result.head(response)
+	switch {
+	case response.StatusCode != http.StatusOK:
+		text, err := io.ReadAll(response.Body)
+		result.Code, result.Err = errorCode(text), err
+	case body.Stream:
+		result.readStream(response, body)
+	default:
+		result.readWhole(response.Body, body)
+	}
+	result.Latency = time.Since(result.Sent)
+	return result
+}
+
+func (r *Result) readWhole(from io.Reader, body engine.Request) {
+	var answer engine.Answer
+	if r.Err = json.NewDecoder(from).Decode(&answer); r.Err != nil {
+		return
+	}
+	r.Whole = true
+	r.Tokens = body.MaxTokens
+	r.Wrong = len(answer.Choices) != 1 || answer.Choices[0].Text != engine.Text(body.Prompt, 0, body.MaxTokens)
+}
+
+// readStream reads events and compares the text with what the prompt makes.
+func (r *Result) readStream(response *http.Response, body engine.Request) {
+	s := streamReader{result: r, body: body, last: r.Sent}
+	lines := bufio.NewScanner(response.Body)
+	lines.Buffer(make([]byte, 0, 4<<10), maxEventBytes)
+	for lines.Scan() {
+		s.line(lines.Text())
+	}
+	r.Err = lines.Err()
+	if outcome := response.Trailer.Get(headerOutcome); outcome != "" {
+		r.Outcome = object.Outcome(outcome)
+	}
+	r.Tokens = s.tokens
+	if r.Whole && s.text.String() != engine.Text(body.Prompt, 0, body.MaxTokens) {
+		r.Wrong = true
+	}
+}
+
+type streamReader struct {
+	result *Result
+	body   engine.Request
+	text   strings.Builder
+	tokens int
+	last   time.Time
+	event  string // name of the event being read
+}
+
+func (s *streamReader) line(line string) {
+	if name, ok := strings.CutPrefix(line, "event: "); ok {
+		s.event = name
+		return
+	}
+	data, ok := strings.CutPrefix(line, "data: ")
+	if !ok {
+		return
+	}
+	switch {
+	case s.event == "error":
+		s.result.ErrorEvent = true
+		s.result.Code = errorCode([]byte(data))
+	case data == "[DONE]":
+		s.result.Whole = true
+	default:
+		s.chunk(data)
+	}
+	s.event = ""
+}
+
+func (s *streamReader) chunk(data string) {
+	var chunk engine.Answer
+	if err := json.Unmarshal([]byte(data), &chunk); err != nil || len(chunk.Choices) != 1 {
+		s.result.Wrong = true
+		return
+	}
+	piece := chunk.Choices[0].Text
+	if piece == "" {
+		return
+	}
+	now := time.Now()
+	if s.tokens == 0 {
+		s.result.FirstToken = now.Sub(s.result.Sent)
+	} else {
+		s.result.WorstGap = max(s.result.WorstGap, now.Sub(s.last))
+	}
+	s.last = now
+	if piece != engine.Token(s.body.Prompt, s.tokens) {
+		s.result.Wrong = true // a repeated, lost or foreign token
+	}
+	s.tokens++
+	s.text.WriteString(piece)
+}
--- /dev/null
+++ b/internal/stub/load/report.go
@@ -0,0 +1,127 @@
+package load
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/rhubarbswitch/rhubarbswitch/internal/object"
+)
+
+// Report sums up a load.
+type Report struct {
+	Sent    int   `json:"sent"`
+	Skipped int64 `json:"skipped"` // arrivals beyond the bound of requests in flight
+
+	NotRun    int `json:"notRun"`
+	Completed int `json:"completed"`
+	Unknown   int `json:"unknown"`
+	NoOutcome int `json:"noOutcome"` // the daemon's connection was lost
+
+	Whole       int `json:"whole"`
+	Wrong       int `json:"wrong"`
+	Cut         int `json:"cut"` // neither whole nor ended by an error
+	ErrorEvents int `json:"errorEvents"`
+	InDeadline  int `json:"inDeadline"` // whole within the deadline
+
+	// Codes counts error answers by code.
+	Codes map[string]int `json:"codes"`
+
+	Latency    Quantiles `json:"latency"`
+	FirstToken Quantiles `json:"firstToken"`
+	WorstGap   Quantiles `json:"worstGap"`
+
+	Seconds []Second `json:"seconds"`
+}
+
+// Quantiles of a delay, in microseconds.
+type Quantiles struct {
+	Count int64 `json:"count"`
+	P50   int64 `json:"p50Micros"`
+	P95   int64 `json:"p95Micros"`
+	P99   int64 `json:"p99Micros"`
+	Max   int64 `json:"maxMicros"`
+}
+
+// Second counts the requests sent in one second of the load.
+type Second struct {
+	Sent       int `json:"sent"`
+	InDeadline int `json:"inDeadline"`
+}
+
+const (
+	lowestMicros  = 1
+	highestMicros = int64(10 * time.Minute / time.Microsecond)
+	digits        = 3 // significant digits kept by histograms
+)
+
+type histogram struct{ *hdrhistogram.Histogram }
+
+func newHistogram() histogram {
+	return histogram{hdrhistogram.New(lowestMicros, highestMicros, digits)}
+}
+
+func (h histogram) record(d time.Duration) {
+	// Beyond the highest value the delay counts as the highest.
+	_ = h.RecordValue(min(d.Microseconds(), highestMicros))
+}
+
+func (h histogram) quantiles() Quantiles {
+	return Quantiles{
+		Count: h.TotalCount(), P50: h.ValueAtQuantile(50), P95: h.ValueAtQuantile(95),
+		P99: h.ValueAtQuantile(99), Max: h.Max(),
+	}
+}
+
+func makeReport(o Options, start time.Time, skipped int64, results []Result) Report {
+	report := Report{
+		Sent: len(results), Skipped: skipped, Codes: make(map[string]int),
+		Seconds: make([]Second, int(o.Duration/time.Second)+1),
+	}
+	latency, firstToken, worstGap := newHistogram(), newHistogram(), newHistogram()
+	for _, r := range results {
+		report.add(r)
+		second := &report.Seconds[min(int(r.Sent.Sub(start)/time.Second), len(report.Seconds)-1)]
+		second.Sent++
+		if r.Whole && r.Latency <= o.Deadline {
+			report.InDeadline++
+			second.InDeadline++
+		}
+		if !r.Whole {
+			continue
+		}
+		latency.record(r.Latency)
+		if r.FirstToken > 0 {
+			firstToken.record(r.FirstToken)
+			worstGap.record(r.WorstGap)
+		}
+	}
+	report.Latency, report.FirstToken, report.WorstGap = latency.quantiles(), firstToken.quantiles(), worstGap.quantiles()
+	return report
+}
+
+func (r *Report) add(result Result) {
+	switch result.Outcome {
+	case object.NotRun:
+		r.NotRun++
+	case object.Completed:
+		r.Completed++
+	case object.Unknown:
+		r.Unknown++
+	default:
+		r.NoOutcome++
+	}
+	count(&r.Whole, result.Whole)
+	count(&r.Wrong, result.Wrong)
+	count(&r.Cut, result.Cut())
+	count(&r.ErrorEvents, result.ErrorEvent)
+	if result.Code != "" {
+		r.Codes[result.Code]++
+	}
+}
+
+func count(n *int, yes bool) {
+	if yes {
+		*n++
+	}
+}
--- /dev/null
+++ b/internal/stub/load/run.go
@@ -0,0 +1,128 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/google/uuid"
+
+	"github.com/rhubarbswitch/rhubarbswitch/internal/stub/engine"
+)
+
+// Kind is what is sent.
+type Kind string
+
+// The kinds of load.
+const (
+	Streams Kind = "streams" // streamed completions
+	Whole   Kind = "whole"   // completions in one piece
+	Keyed   Kind = "keyed"   // calls to a service, each with a key of its own
+	Lookups Kind = "lookups" // idempotent reads of a service
+)
+
+// Options describe a load. Arrivals are drawn from the seed; the daemon of each
+// request is taken in turn.
+type Options struct {
+	Addresses   []string
+	CallerKey   string
+	Kind        Kind
+	Model       string
+	Service     string
+	Rate        float64 // requests per second
+	Duration    time.Duration
+	Deadline    time.Duration
+	MaxTokens   int
+	Prompts     int // distinct prompts
+	MaxInFlight int // arrivals beyond it are counted and not sent
+	Seed        uint64
+}
+
+// Run sends the load and returns what became of each request.
+func Run(ctx context.Context, o Options) (Report, []Result, error) {
+	if len(o.Addresses) == 0 || o.Rate <= 0 {
+		return Report{}, nil, errors.New("give at least one address and a rate above 0")
+	}
+	s := newSender(o)
+	defer s.caller.Close()
+	start := time.Now()
+	next := start
+	for n := 0; ctx.Err() == nil; n++ {
+		next = next.Add(time.Duration(s.draw.ExpFloat64() / o.Rate * float64(time.Second)))
+		if next.Sub(start) > o.Duration {
+			break
+		}
+		time.Sleep(time.Until(next))
+		s.launch(ctx, n)
+	}
+	s.running.Wait()
+	return makeReport(o, start, s.skipped, s.results), s.results, nil
+}
+
+type sender struct {
+	options Options
+	caller  *Caller
+	draw    *rand.Rand
+	slots   chan struct{}
+	running sync.WaitGroup
+	skipped int64
+
+	mu      sync.Mutex
+	results []Result
+}
+
+func newSender(o Options) *sender {
+	return &sender{
+		options: o, caller: NewCaller(o.CallerKey, o.Deadline),
+		draw: rand.New(rand.NewPCG(o.Seed, 0)), slots: make(chan struct{}, max(o.MaxInFlight, 1)),
+	}
+}
+
+func (s *sender) launch(ctx context.Context, n int) {
+	prompt := s.draw.IntN(max(s.options.Prompts, 1))
+	select {
+	case s.slots <- struct{}{}:
+	default:
+		s.skipped++
+		return
+	}
+	s.running.Go(func() {
+		result := s.send(ctx, n, prompt)
+		<-s.slots
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.results = append(s.results, result)
+	})
+}
+
+func (s *sender) send(ctx context.Context, n, prompt int) Result {
+	o := s.options
+	address := o.Addresses[n%len(o.Addresses)]
+	switch o.Kind {
+	case Keyed:
+		key, err := uuid.NewV7()
+		if err != nil {
+			return Result{Address: address, Sent: time.Now(), Err: err}
+		}
+		return s.caller.Call(ctx, address, Call{
+			Service: o.Service, Method: http.MethodPost, Path: "/orders",
+			Key: key.String(), Body: fmt.Appendf(nil, `{"entry":%d}`, n),
+		})
+	case Lookups:
+		return s.caller.Call(ctx, address, Call{
+			Service: o.Service, Method: http.MethodGet, Path: fmt.Sprintf("/entries/%d", n),
+		})
+	}
+	return s.caller.Generate(ctx, address, engine.Request{
+		Model: o.Model, Prompt: Prompt(o.Seed, prompt), MaxTokens: o.MaxTokens, Stream: o.Kind == Streams,
+	})
+}
+
+// Prompt returns distinct prompt n of a seed.
+func Prompt(seed uint64, n int) string {
+	return fmt.Sprintf("Seed %d, topic %d: write a summary of the records of this month.", seed, n)
+}
--- a/internal/stub/service/service.go
+++ b/internal/stub/service/service.go
@@ -106,6 +106,8 @@
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
+	w.Header().Set(engineapi.HeaderAttempt, r.Header.Get(engineapi.HeaderAttempt))
+	w.Header().Set(engineapi.HeaderIncarnation, i.ID)
 	key := r.Header.Get(engineapi.HeaderKey)
 	fault := s.draw(key)
 	if fault == CrashBefore {
@@ -168,7 +170,6 @@
 		s.end(i)
 		panic(http.ErrAbortHandler)
 	case FailAfter:
-		w.Header().Set(engineapi.HeaderAttempt, answer.Attempt)
 		http.Error(w, "failed", http.StatusInternalServerError)
 		return false
 	case Cross:
@@ -176,7 +177,6 @@
 	}
 	s.remember(answer)
 	w.Header().Set(engineapi.HeaderAttempt, answer.Attempt)
-	w.Header().Set(engineapi.HeaderIncarnation, answer.Incarnation)
 	w.Header().Set("Content-Type", "application/json")
 	text := encode(answer)
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
