--- a/internal/stub/load/caller.go
+++ b/internal/stub/load/caller.go
@@ -52,7 +52,9 @@
 }
 
 // Cut reports a connection that was lost before the answer ended.
-func (r Result) Cut() bool { return !r.Whole && !r.ErrorEvent && (r.Err != nil || r.Status == 0) }
+func (r Result) Cut() bool {
+	return !r.Whole && !r.ErrorEvent && (r.Err != nil || r.Status == 0 || r.Status == http.StatusOK)
+}
 
 // Caller sends requests as one customer.
 type Caller struct {
--- a/internal/stub/load/load_test.go
+++ b/internal/stub/load/load_test.go
@@ -54,6 +54,7 @@
 			require.Equal(t, c.whole, result.Whole)
 			require.Equal(t, c.wrong, result.Wrong)
 			require.Equal(t, c.fail, result.ErrorEvent)
+			require.Equal(t, !c.whole && !c.fail, result.Cut())
 			require.Equal(t, object.Completed, result.Outcome)
 		})
 	}
--- /dev/null
+++ b/test/process/process_test.go
@@ -0,0 +1,191 @@
+package process
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	// patience bounds every wait for a condition.
+	patience = 60 * time.Second
+	// glance is the time between two looks at a condition.
+	glance = 20 * time.Millisecond
+	// logTail is how much of a process's log a failed test shows.
+	logTail = 6 << 10
+)
+
+// binaries is the directory of the programs under test.
+var binaries string
+
+func TestMain(m *testing.M) {
+	os.Exit(run(m))
+}
+
+func run(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "rhubarbswitch-process")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	binaries = dir
+	args := []string{"build", "-o", dir + string(filepath.Separator)}
+	if raceEnabled {
+		args = append(args, "-race")
+	}
+	build := exec.Command("go", append(args, "../../cmd/rhubarbstub", "../../cmd/rhubarbswitchd")...)
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "%s%v\n", out, err)
+		return 1
+	}
+	go starter()
+	return m.Run()
+}
+
+// starts are commands to start. One locked thread starts them all, since a child
+// is killed when the thread that started it ends.
+var starts = make(chan startRequest)
+
+type startRequest struct {
+	command *exec.Cmd
+	err     chan error
+}
+
+func starter() {
+	runtime.LockOSThread()
+	for s := range starts {
+		s.err <- s.command.Start()
+	}
+}
+
+// process is a started program. It is killed at the end of its test.
+type process struct {
+	t       *testing.T
+	name    string
+	command *exec.Cmd
+	log     string // path of its standard error
+	lines   *bufio.Reader
+	ended   chan struct{}
+	paused  bool
+}
+
+// spawn starts a program.
+func spawn(t *testing.T, name, program string, args ...string) *process {
+	t.Helper()
+	logFile, err := os.CreateTemp(t.TempDir(), name+"-*.log")
+	require.NoError(t, err)
+	p := &process{t: t, name: name, log: logFile.Name(), ended: make(chan struct{})}
+	p.command = exec.Command(filepath.Join(binaries, program), args...)
+	p.command.Stderr = logFile
+	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	reader, writer, err := os.Pipe()
+	require.NoError(t, err)
+	p.command.Stdout = writer
+	p.lines = bufio.NewReader(reader)
+	started := startRequest{p.command, make(chan error, 1)}
+	starts <- started
+	require.NoError(t, <-started.err)
+	_ = writer.Close()
+	_ = logFile.Close()
+	go func() {
+		_ = p.command.Wait()
+		close(p.ended)
+	}()
+	t.Cleanup(func() {
+		p.kill()
+		_ = reader.Close()
+		p.checkLog()
+	})
+	return p
+}
+
+// line returns the next line of standard output.
+func (p *process) line() string {
+	p.t.Helper()
+	text, err := p.lines.ReadString('\n')
+	require.NoError(p.t, err, "%s printed no address; its log: %s", p.name, p.tail())
+	return strings.TrimSpace(text)
+}
+
+func (p *process) signal(s syscall.Signal) {
+	// A process that has ended needs no signal.
+	_ = p.command.Process.Signal(s)
+}
+
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.ended
+}
+
+func (p *process) pause()     { p.signal(syscall.SIGSTOP) }
+func (p *process) wake()      { p.signal(syscall.SIGCONT) }
+func (p *process) terminate() { p.signal(syscall.SIGTERM) }
+
+// waitEnd waits for the process to end and returns its exit code.
+func (p *process) waitEnd(bound time.Duration) int {
+	p.t.Helper()
+	select {
+	case <-p.ended:
+		return p.command.ProcessState.ExitCode()
+	case <-time.After(bound):
+		require.Fail(p.t, "process goes on", "%s did not end within %s; its log: %s", p.name, bound, p.tail())
+		return -1
+	}
+}
+
+func (p *process) hasEnded() bool {
+	select {
+	case <-p.ended:
+		return true
+	default:
+		return false
+	}
+}
+
+func (p *process) tail() string {
+	text, err := os.ReadFile(p.log)
+	if err != nil {
+		return err.Error()
+	}
+	return string(text[max(0, len(text)-logTail):])
+}
+
+// checkLog fails the test on a race or panic in the process.
+func (p *process) checkLog() {
+	text, err := os.ReadFile(p.log)
+	if err != nil {
+		return
+	}
+	for _, mark := range []string{"DATA RACE", "panic:", "fatal error:"} {
+		if i := bytes.Index(text, []byte(mark)); i >= 0 {
+			p.t.Errorf("%s: %s", p.name, text[i:min(len(text), i+logTail)])
+			return
+		}
+	}
+}
+
+// until polls a condition.
+func until(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	for !condition() {
+		select {
+		case <-ctx.Done():
+			require.Fail(t, "gave up waiting", "%s, after %s", what, patience)
+		case <-time.After(glance):
+		}
+	}
+}
--- /dev/null
+++ b/test/process/race_on_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package process
+
+const raceEnabled = true
