--- a/internal/core/conf/conf.go
+++ b/internal/core/conf/conf.go
@@ -27,6 +27,7 @@
 	newest  object.Version
 	// floor is the revision from which deltas can be told: deletions at or below it may be forgotten.
 	floor   object.Version
+	bound   int // on tombs
 	entries map[key]object.Object
 	// tombs are the deletions above floor, by rising version.
 	tombs []object.Object
@@ -47,6 +48,7 @@
 // New returns an empty table at revision 0.
 func New() *Table {
 	return &Table{
+		bound:   MaxTombstones,
 		entries: make(map[key]object.Object),
 		dead:    make(map[key]object.Version),
 		names:   make(map[object.Kind][]string),
@@ -120,8 +122,9 @@
 		if present[k] || keep[k] || o.Version > revision {
 			continue
 		}
-		t.take(object.Object{Kind: o.Kind, Name: o.Name, Version: revision})
-		changed = true
+		if t.take(object.Object{Kind: o.Kind, Name: o.Name, Version: revision}) {
+			changed = true
+		}
 	}
 	if revision > t.applied {
 		t.raiseFloor(revision)
@@ -206,7 +209,7 @@
 	})
 	t.tombs = slices.Insert(t.tombs, at, o)
 	t.dead[keyOf(o)] = o.Version
-	if excess := len(t.tombs) - MaxTombstones; excess > 0 {
+	if excess := len(t.tombs) - t.bound; excess > 0 {
 		t.raiseFloor(t.tombs[excess-1].Version)
 	}
 }
--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -17,15 +17,17 @@
 )
 
 const (
-	// HeartbeatEvery is the interval between a daemon's heartbeats.
+	// HeartbeatEvery is the interval between a daemon's heartbeats in a cluster of up
+	// to 100 daemons; beyond, heartbeatShare per live daemon bounds the traffic.
 	HeartbeatEvery = time.Second
-	// SilenceBound is how long a daemon counts as live without a heartbeat.
-	SilenceBound = 3 * time.Second
-	// lateBound is the age of a heartbeat from which membership is unsure.
-	lateBound = 2 * time.Second
-	// settleTime is how long membership stays unsure after a change. It exceeds
-	// SilenceBound, so that the other side of a cut link has seen the change too.
-	settleTime = 4 * time.Second
+	heartbeatShare = 10 * time.Millisecond
+	// A daemon is late, and membership unsure, after lateBeats of its intervals; it
+	// is no longer live after silentBeats.
+	lateBeats   = 2
+	silentBeats = 3
+	// settleBeats is for how many intervals membership stays unsure after a change. It
+	// exceeds silentBeats, so that the other side of a cut link has seen the change too.
+	settleBeats = 4
 	// pauseBound is the time between two steps from which this daemon counts as
 	// having been paused.
 	pauseBound = 2 * time.Second
@@ -74,6 +76,19 @@
 	}
 }
 
+// Interval returns the time between this daemon's heartbeats.
+func (t *Table) Interval() time.Duration {
+	return max(HeartbeatEvery, time.Duration(len(t.live))*heartbeatShare)
+}
+
+// every returns the time between a peer's heartbeats.
+func (t *Table) every(p *peer) time.Duration {
+	if p.beat.Every == 0 {
+		return t.Interval()
+	}
+	return max(HeartbeatEvery, p.beat.Every)
+}
+
 // Advance sets the time and lets silent daemons go.
 func (t *Table) Advance(now time.Duration, out *step.Out) {
 	if now-t.now >= pauseBound {
@@ -83,7 +98,7 @@
 	t.now = max(t.now, now)
 	var silent []string
 	for _, name := range t.live {
-		if p, ok := t.peers[name]; ok && t.now-p.heard > SilenceBound {
+		if p, ok := t.peers[name]; ok && t.now-p.heard > silentBeats*t.every(p) {
 			silent = append(silent, name)
 		}
 	}
@@ -170,10 +185,11 @@
 }
 
 // Tick sends this daemon's heartbeat when it is due and asks a peer that is ahead.
-// The heartbeat's Platform field is filled in here.
+// The heartbeat's Platform and Every are filled in here.
 func (t *Table) Tick(own step.Heartbeat, out *step.Out) {
 	own.Platform = t.platform
-	due := !t.sentAny || t.now-t.sent >= HeartbeatEvery || own.Newest > t.own.Newest ||
+	own.Every = t.Interval()
+	due := !t.sentAny || t.now-t.sent >= own.Every || own.Newest > t.own.Newest ||
 		own.Platform != t.own.Platform || own.Leaving != t.own.Leaving
 	t.own.Applied = own.Applied
 	if due {
--- a/internal/core/step/message.go
+++ b/internal/core/step/message.go
@@ -20,6 +20,8 @@
 	Loads []Load `cbor:"5,keyasint,omitempty"`
 	// Newest is the highest version of any watched object that the sender knows.
 	Newest object.Version `cbor:"6,keyasint,omitempty"`
+	// Every is the sender's interval between heartbeats, which grows with the cluster.
+	Every time.Duration `cbor:"7,keyasint,omitempty"`
 }
 
 // Load is one target's work in flight from one daemon.
--- a/internal/peer/hello.go
+++ b/internal/peer/hello.go
@@ -181,7 +181,7 @@
 	if !hmac.Equal(shown, proof(m.set.Key, roleDialler, theirs, own)) {
 		return h, errKey(h.Daemon)
 	}
-	return h, conn.Write(ctx, websocket.MessageBinary, keepAlive.bytes)
+	return h, conn.Write(ctx, websocket.MessageBinary, keepAlive(m.set.KeepAlive).bytes)
 }
 
 func readCBOR(ctx context.Context, conn *websocket.Conn, into any) error {
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -14,12 +14,11 @@
 
 var errOverflow = errors.New("the peer takes messages more slowly than they come")
 
-var keepAlive = mustEncode(numKeepAlive, nil)
-
-func mustEncode(n number, payload any) frame {
-	f, err := encodeFrame(n, payload)
+// keepAlive returns a sign of life that announces the longest time to the next.
+func keepAlive(every time.Duration) frame {
+	f, err := encodeFrame(numKeepAlive, every)
 	if err != nil {
-		panic(err)
+		panic(err) // a duration always encodes
 	}
 	return f
 }
@@ -121,26 +120,33 @@
 	})
 }
 
-// write sends what is queued, and a sign of life when nothing was sent for a while.
-func (l *link) write(every, silence time.Duration) {
+// write sends what is queued, and a sign of life when nothing was sent for a while,
+// which is announced whenever it changes.
+func (l *link) write(interval func() time.Duration) {
+	every := interval()
 	ticker := time.NewTicker(every)
 	defer ticker.Stop()
+	frames := []frame{keepAlive(every)}
 	for {
-		frames := []frame{keepAlive}
+		for _, f := range frames {
+			if err := l.writeFrame(f, silentSigns*every); err != nil {
+				l.close(0, "")
+				return
+			}
+		}
 		select {
 		case <-l.done:
 			return
 		case <-ticker.C:
+			frames = []frame{keepAlive(every)}
 		case <-l.work:
 			frames = l.take()
-			ticker.Reset(every)
 		}
-		for _, f := range frames {
-			if err := l.writeFrame(f, silence); err != nil {
-				l.close(0, "")
-				return
-			}
+		if now := interval(); now != every {
+			every = now
+			frames = append(frames, keepAlive(every))
 		}
+		ticker.Reset(every)
 	}
 }
 
@@ -151,36 +157,46 @@
 	return l.conn.Write(ctx, websocket.MessageBinary, f.bytes)
 }
 
-// read hands on messages until the link ends or is silent for longer than the bound.
-func (l *link) read(silence time.Duration, handle func(step.Message), learn func([]Address)) {
+// read hands on messages until the link ends or is silent for longer than the
+// announced interval allows.
+func (l *link) read(interval time.Duration, handle func(step.Message), learn func([]Address)) {
+	every := interval
 	for {
-		e, err := l.readEnvelope(silence)
+		e, err := l.readEnvelope(silentSigns * every)
 		if err != nil {
 			l.close(0, "")
 			return
 		}
 		switch e.Number {
 		case numKeepAlive:
-			continue
+			var announced time.Duration
+			if cbor.Unmarshal(e.Payload, &announced) == nil {
+				every = min(max(interval, announced), KeepAliveMost)
+			}
 		case numAddresses:
 			var known []Address
 			if cbor.Unmarshal(e.Payload, &known) == nil {
 				learn(known)
 			}
-			continue
-		}
-		m, err := decodeMessage(e.Number, e.Payload)
-		if err != nil {
-			broken.Inc()
-			continue
-		}
-		if m != nil {
-			l.touch(e.Number)
-			handle(m)
+		default:
+			l.handle(e, handle)
 		}
 	}
 }
 
+func (l *link) handle(e envelope, handle func(step.Message)) {
+	m, err := decodeMessage(e.Number, e.Payload)
+	if err != nil {
+		broken.Inc()
+		return
+	}
+	if m == nil {
+		return // of a newer release
+	}
+	l.touch(e.Number)
+	handle(m)
+}
+
 func (l *link) readEnvelope(silence time.Duration) (envelope, error) {
 	ctx, cancel := context.WithTimeout(l.ctx, silence)
 	defer cancel()
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -27,10 +27,14 @@
 )
 
 const (
-	// SilenceBound is how long a link lasts without a sign of life.
-	SilenceBound = 3 * time.Second
-	// KeepAliveEvery is the longest time between two messages on a link.
+	// KeepAliveEvery is the longest time between two messages on a link, up to 100
+	// links; beyond, keepAliveShare for each link bounds the traffic. KeepAliveMost
+	// bounds what the other side may announce.
 	KeepAliveEvery = time.Second
+	KeepAliveMost  = 10 * time.Second
+	keepAliveShare = 10 * time.Millisecond
+	// silentSigns is for how many of the announced intervals a link may be silent.
+	silentSigns = 3
 	// MaxMessageBytes bounds one message.
 	MaxMessageBytes = 16 << 20
 	// Path is where a daemon takes links.
@@ -71,8 +75,7 @@
 	Emit func(step.Event)
 	// Refused takes each refusal; it may be nil.
 	Refused func(*Refused)
-	// Silence and KeepAlive replace SilenceBound and KeepAliveEvery unless zero.
-	Silence   time.Duration
+	// KeepAlive replaces KeepAliveEvery unless zero.
 	KeepAlive time.Duration
 }
 
@@ -105,9 +108,6 @@
 
 // New returns a mesh without links.
 func New(set Settings) *Mesh {
-	if set.Silence == 0 {
-		set.Silence = SilenceBound
-	}
 	if set.KeepAlive == 0 {
 		set.KeepAlive = KeepAliveEvery
 	}
@@ -276,8 +276,8 @@
 		return
 	}
 	var wg sync.WaitGroup
-	wg.Go(func() { l.write(m.set.KeepAlive, m.set.Silence) })
-	l.read(m.set.Silence, func(msg step.Message) {
+	wg.Go(func() { l.write(m.keepAliveEvery) })
+	l.read(m.set.KeepAlive, func(msg step.Message) {
 		m.set.Emit(step.PeerMessage{From: h.Daemon, Message: msg})
 	}, m.learn)
 	m.unregister(l)
@@ -353,6 +353,13 @@
 	}
 }
 
+// keepAliveEvery returns the longest time between two messages on a link.
+func (m *Mesh) keepAliveEvery() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return min(max(m.set.KeepAlive, time.Duration(len(m.links))*keepAliveShare), KeepAliveMost)
+}
+
 func (m *Mesh) linkTo(name string) *link {
 	m.mu.Lock()
 	defer m.mu.Unlock()
