Give operators rhubarbctl

Cause: contracts, configuration and planned removals need a tool whose answers a script can trust. Ruled out: writing without the version read, and repeating writes whose answers were lost; a lost answer is read back, a conflict names both versions. Change: rhubarbctl with apply, get, describe, delete, validate, customer, datacentre, host, status, trace, report account, version and completion, over any daemon or the platform itself; ten exit codes. Conclusion: the commands run in tests against the operators' interface over the stand-in of the platform; not yet against a real daemon.

--- a/internal/api/operator/objects.go
+++ b/internal/api/operator/objects.go
@@ -14,24 +14,11 @@
 	"github.com/go-faster/errors"
 
 	"github.com/rhubarbswitch/rhubarbswitch/internal/object"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/objectjson"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/operatorapi"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/platform"
-	"github.com/rhubarbswitch/rhubarbswitch/internal/strictjson"
 )
 
-// DecodeValue decodes and checks a value strictly: unknown and repeated fields and
-// broken rules are refused.
-func DecodeValue(kind object.Kind, data []byte) (object.Value, error) {
-	value, err := object.New(kind)
-	if err != nil {
-		return nil, err
-	}
-	if err := strictjson.Unmarshal(data, value); err != nil {
-		return nil, err
-	}
-	return value, value.Check()
-}
-
 func (s *server) list(w http.ResponseWriter, r *http.Request) {
 	kind := object.Kind(chi.URLParam(r, "kind"))
 	if _, err := object.New(kind); err != nil {
@@ -162,7 +149,7 @@
 	if err != nil {
 		return nil, invalid(http.StatusBadRequest, operatorapi.CodeInvalid, "send the whole body")
 	}
-	value, err := DecodeValue(kind, data)
+	value, err := objectjson.Decode(kind, data)
 	if err != nil {
 		return nil, invalid(http.StatusBadRequest, operatorapi.CodeInvalid, err.Error())
 	}
--- /dev/null
+++ b/internal/ctl/customer.go
@@ -0,0 +1,132 @@
+package ctl
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/hex"
+	"fmt"
+
+	"github.com/go-faster/errors"
+
+	"github.com/rhubarbswitch/rhubarbswitch/internal/ctl/render"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/object"
+)
+
+const (
+	keyPrefix = "rsw_"
+	keyBytes  = 32 // of randomness
+)
+
+type customerCommands struct {
+	Create    customerCreate    `cmd:"" help:"Create a customer's contract with a new key, shown once."`
+	RotateKey customerRotateKey `cmd:"" help:"Give a customer a new key, shown once; the newest old key stays valid."`
+}
+
+// issued is a new key; only its hash is kept.
+type issued struct {
+	Customer string         `json:"customer"`
+	Key      string         `json:"key"`
+	Version  object.Version `json:"version"`
+}
+
+func (i issued) print(env *Env) error {
+	if env.Output == render.FormatJSON {
+		return render.JSON(env.Out, i)
+	}
+	env.Notef("version %d accepted; this key is not kept anywhere, hand it to the customer now:", i.Version)
+	_, err := fmt.Fprintln(env.Out, i.Key)
+	return err
+}
+
+// newKey returns a bearer key and its hash as it stands in contracts.
+func newKey() (key, hash string) {
+	secret := make([]byte, keyBytes)
+	_, _ = rand.Read(secret) // never fails
+	key = keyPrefix + base64.RawURLEncoding.EncodeToString(secret)
+	sum := sha256.Sum256([]byte(key))
+	return key, hex.EncodeToString(sum[:])
+}
+
+// lostKey adds the remedy for a write that may have put a key in force which
+// nobody has seen.
+func lostKey(customer string, err error) error {
+	if exitCodeOf(err) != ExitUnknown {
+		return err
+	}
+	return withCode(ExitUnknown, errors.Wrapf(err, "the new key was not shown; once the platform answers, give another with rhubarbctl customer rotate-key %s --drop-old", customer))
+}
+
+type customerCreate struct {
+	Name              string   `arg:"" help:"Name of the customer."`
+	Model             []string `help:"Model that the customer may reach; * for all."`
+	Service           []string `help:"Service that the customer may reach; * for all."`
+	Priority          int      `help:"Priority from 0 (lowest) to 9." default:"5"`
+	Concurrency       int      `help:"Requests in flight over all daemons; 0 for no bound."`
+	RequestsPerSecond float64  `help:"Requests a second; 0 for no bound."`
+	TokensPerSecond   float64  `help:"Tokens a second; 0 for no bound."`
+	RequestsPerMonth  int64    `help:"Requests a calendar month (UTC); 0 for no bound."`
+	TokensPerMonth    int64    `help:"Tokens a calendar month (UTC); 0 for no bound."`
+	OutageRule        string   `help:"What happens in an outage of the platform once the reserved allowance is spent: ${enum}." enum:"refuse,serve" default:"refuse"`
+	WaitFlags
+}
+
+// Run creates the contract; one that exists is a conflict.
+func (c *customerCreate) Run(env *Env) error {
+	if err := object.CheckName(c.Name); err != nil {
+		return withCode(ExitInvalid, err)
+	}
+	key, hash := newKey()
+	contract := &object.Contract{
+		KeyHashes: []string{hash}, Models: c.Model, Services: c.Service,
+		Priority: c.Priority, Concurrency: c.Concurrency,
+		RequestsPerSecond: c.RequestsPerSecond, TokensPerSecond: c.TokensPerSecond,
+		RequestsPerMonth: c.RequestsPerMonth, TokensPerMonth: c.TokensPerMonth,
+		OutageRule: object.OutageRule(c.OutageRule),
+	}
+	if len(c.Model)+len(c.Service) == 0 {
+		env.Notef("the customer may reach nothing yet: add models or services to the contract")
+	}
+	version, err := write(env, c.Name, 0, contract)
+	if err != nil {
+		return lostKey(c.Name, err)
+	}
+	if err := (issued{Customer: c.Name, Key: key, Version: version}).print(env); err != nil {
+		return err
+	}
+	return c.await(env, version)
+}
+
+type customerRotateKey struct {
+	Name    string `arg:"" help:"Name of the customer."`
+	DropOld bool   `help:"Refuse every old key from now on."`
+	WaitFlags
+}
+
+// Run adds a new key and keeps at most one old one.
+func (c *customerRotateKey) Run(env *Env) error {
+	contract := &object.Contract{}
+	read, err := readInto(env, c.Name, contract)
+	if err != nil {
+		return err
+	}
+	if read == 0 {
+		return failf(ExitNotFound, "customer %q has no contract: create it with rhubarbctl customer create", c.Name)
+	}
+	key, hash := newKey()
+	kept := contract.KeyHashes
+	if c.DropOld {
+		kept = nil
+	} else if len(kept) > 1 {
+		kept = kept[:1] // the newest stands first
+	}
+	contract.KeyHashes = append([]string{hash}, kept...)
+	version, err := write(env, c.Name, read, contract)
+	if err != nil {
+		return lostKey(c.Name, err)
+	}
+	if err := (issued{Customer: c.Name, Key: key, Version: version}).print(env); err != nil {
+		return err
+	}
+	return c.await(env, version)
+}
--- /dev/null
+++ b/internal/ctl/outin.go
@@ -0,0 +1,142 @@
+package ctl
+
+import (
+	"github.com/rhubarbswitch/rhubarbswitch/internal/ctl/capacity"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/ctl/render"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/object"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/operatorapi"
+)
+
+// outFlags are the flags of taking something out of service.
+type outFlags struct {
+	Check  bool   `help:"Only show whether today's work fits on what remains; change nothing."`
+	Force  bool   `help:"Go on even if the work does not fit or can't be checked."`
+	Reason string `help:"Why, for other operators."`
+	WaitFlags
+}
+
+// mayLeave shows what remains and reports whether to go on.
+func (f *outFlags) mayLeave(env *Env, judge func(operatorapi.Status) capacity.Verdict) (bool, error) {
+	status, err := env.Backend.Status(env.Context)
+	if err == nil && status.Daemon == "" {
+		err = failf(ExitUnreachable, "only daemons know what serves: name one with --daemon")
+	}
+	if err != nil {
+		if f.Force && !f.Check {
+			env.Notef("going on unchecked: %v", err)
+			return true, nil
+		}
+		return false, err
+	}
+	verdict := judge(status)
+	if err := env.Print(verdict, func() *render.Table { return verdictTable(verdict) }); err != nil {
+		return false, err
+	}
+	if !verdict.Fits && (f.Check || !f.Force) {
+		return false, failf(ExitNoCapacity, "today's work does not fit on what remains: wait for less load, add capacity, or give --force")
+	}
+	return !f.Check, nil
+}
+
+func verdictTable(v capacity.Verdict) *render.Table {
+	t := &render.Table{Header: []string{"KIND", "NAME", "SERVING", "REMAINING", "LIMIT", "IN FLIGHT", "FITS"}}
+	for _, r := range v.Rows {
+		t.Add(r.Kind, r.Name, r.Serving, r.Remaining, r.Limit, r.InFlight, render.YesNo(r.Fits))
+	}
+	return t
+}
+
+// finish tells the accepted version and waits for it.
+func (w *WaitFlags) finish(env *Env, what string, version object.Version, err error) error {
+	if err != nil {
+		return err
+	}
+	env.Notef("%s accepted as version %d", what, version)
+	return w.await(env, version)
+}
+
+type outInDataCentre struct {
+	Out dataCentreOut `cmd:"" help:"Take a data centre out of service: it receives no new work, work in flight finishes."`
+	In  dataCentreIn  `cmd:"" help:"Bring a data centre back; its load returns gradually."`
+}
+
+type dataCentreOut struct {
+	Name string `arg:"" help:"Name of the data centre."`
+	outFlags
+}
+
+// Run checks capacity and takes the data centre out.
+func (c *dataCentreOut) Run(env *Env) error {
+	value := &object.DataCentre{}
+	read, err := readInto(env, c.Name, value)
+	if err != nil {
+		return err
+	}
+	goOn, err := c.mayLeave(env, func(s operatorapi.Status) capacity.Verdict { return capacity.WithoutDataCentre(s, c.Name) })
+	if err != nil || !goOn {
+		return err
+	}
+	value.Out, value.Reason = true, c.Reason
+	version, err := write(env, c.Name, read, value)
+	return c.finish(env, "data centre "+c.Name+" out", version, err)
+}
+
+type dataCentreIn struct {
+	Name string `arg:"" help:"Name of the data centre."`
+	WaitFlags
+}
+
+// Run brings the data centre back.
+func (c *dataCentreIn) Run(env *Env) error {
+	value := &object.DataCentre{}
+	read, err := readInto(env, c.Name, value)
+	if err != nil {
+		return err
+	}
+	value.Out, value.Reason = false, ""
+	version, err := write(env, c.Name, read, value)
+	return c.finish(env, "data centre "+c.Name+" in", version, err)
+}
+
+type outInHost struct {
+	Out hostOut `cmd:"" help:"Take a host out of service; its group finishes what is in flight and takes a spare."`
+	In  hostIn  `cmd:"" help:"Bring a host back as a spare."`
+}
+
+type hostOut struct {
+	Name string `arg:"" help:"Name of the host."`
+	outFlags
+}
+
+// Run checks capacity and takes the host out.
+func (c *hostOut) Run(env *Env) error {
+	value := &object.Host{}
+	read, err := readInto(env, c.Name, value)
+	if err != nil {
+		return err
+	}
+	goOn, err := c.mayLeave(env, func(s operatorapi.Status) capacity.Verdict { return capacity.WithoutHost(s, c.Name) })
+	if err != nil || !goOn {
+		return err
+	}
+	value.Out, value.Reason = true, c.Reason
+	version, err := write(env, c.Name, read, value)
+	return c.finish(env, "host "+c.Name+" out", version, err)
+}
+
+type hostIn struct {
+	Name string `arg:"" help:"Name of the host."`
+	WaitFlags
+}
+
+// Run brings the host back.
+func (c *hostIn) Run(env *Env) error {
+	value := &object.Host{}
+	read, err := readInto(env, c.Name, value)
+	if err != nil {
+		return err
+	}
+	value.Out, value.Reason = false, ""
+	version, err := write(env, c.Name, read, value)
+	return c.finish(env, "host "+c.Name+" in", version, err)
+}
--- a/internal/strictjson/strictjson.go
+++ b/internal/strictjson/strictjson.go
@@ -86,6 +86,21 @@
 	return docs
 }
 
+// Field returns the value of a field of the document, or nil if it has none.
+func (d *Document) Field(name string) *Document {
+	object, ok := d.root.Value.(*hujson.Object)
+	if !ok {
+		return nil
+	}
+	for i := range object.Members {
+		literal, isLiteral := object.Members[i].Name.Value.(hujson.Literal)
+		if isLiteral && literal.String() == name {
+			return &Document{data: d.data, root: object.Members[i].Value}
+		}
+	}
+	return nil
+}
+
 // Unmarshal parses and decodes in one step.
 func Unmarshal(data []byte, into any) error {
 	d, err := Parse(data)
--- a/internal/tlsreload/tlsreload.go
+++ b/internal/tlsreload/tlsreload.go
@@ -122,17 +122,23 @@
 	if !t.Enabled() {
 		return nil, nil
 	}
+	return DialConfig(t.CA)
+}
+
+// DialConfig returns the TLS configuration for dialling with the authorities in a
+// PEM file; an empty path trusts the system's.
+func DialConfig(caFile string) (*tls.Config, error) {
 	c := &tls.Config{MinVersion: tls.VersionTLS12}
-	if t.CA == "" {
+	if caFile == "" {
 		return c, nil
 	}
-	pem, err := os.ReadFile(t.CA)
+	pem, err := os.ReadFile(caFile)
 	if err != nil {
 		return nil, errors.Wrap(err, "read certificate authorities: name a PEM file")
 	}
 	c.RootCAs = x509.NewCertPool()
 	if !c.RootCAs.AppendCertsFromPEM(pem) {
-		return nil, errors.Errorf("%s holds no certificate: give authorities in PEM", t.CA)
+		return nil, errors.Errorf("%s holds no certificate: give authorities in PEM", caFile)
 	}
 	return c, nil
 }
