--- a/cmd/rhubarbstub/main.go
+++ b/cmd/rhubarbstub/main.go
@@ -16,6 +16,9 @@
 
 type commands struct {
 	Platform platformCommand `cmd:"" help:"Stand in for the platform's object API and host list."`
+	Engine   engineCommand   `cmd:"" help:"Stand in for a model engine."`
+	Service  serviceCommand  `cmd:"" help:"Stand in for a plain service."`
+	Cutter   cutterCommand   `cmd:"" help:"Relay TCP connections and cut them as told."`
 }
 
 type platformCommand struct {
@@ -32,7 +35,7 @@
 		return err
 	}
 	stub := platform.New(platform.Options{Hosts: hosts, History: c.History, Seed: c.Seed})
-	return serve.Run(os.Stdout, c.Listen, stub.Handler())
+	return serve.Run(os.Stdout, c.Listen, stub.Handler(), serve.Hooks{})
 }
 
 func readHosts(path string) ([]platformapi.Host, error) {
