--- a/cmd/rhubarbstub/main.go
+++ b/cmd/rhubarbstub/main.go
@@ -15,6 +15,7 @@
 )
 
 type commands struct {
+	Demo     demoCommand     `cmd:"" help:"Run the whole path once, as separate processes on loopback."`
 	Platform platformCommand `cmd:"" help:"Stand in for the platform's object API and host list."`
 	Engine   engineCommand   `cmd:"" help:"Stand in for a model engine."`
 	Service  serviceCommand  `cmd:"" help:"Stand in for a plain service."`
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -92,8 +92,8 @@
 		Cluster: set.Cluster, Daemon: set.Daemon, Incarnation: d.incarnation,
 		Address: set.Peers.AdvertiseOr(), DataCentre: set.DataCentre, Key: key,
 		Seed: d.seed(), Emit: d.Post,
-		Refused: func(r *peer.Refused) { d.record(event.PeerRefused, event.F("error", r)) },
-		Silence: set.Peers.Silence.D(), KeepAlive: set.Peers.Heartbeat.D(),
+		Refused:   func(r *peer.Refused) { d.record(event.PeerRefused, event.F("error", r)) },
+		KeepAlive: set.Peers.Heartbeat.D(),
 	})
 	return d, nil
 }
