--- /dev/null
+++ b/internal/core/member/member_test.go
@@ -0,0 +1,256 @@
+package member
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/object"
+)
+
+const tick = 100 * time.Millisecond
+
+// view is one daemon's table with its clock.
+type view struct {
+	*Table
+	at  time.Duration
+	own step.Heartbeat
+	out step.Out
+}
+
+func newView(self string, peers ...string) *view {
+	v := &view{Table: New(self)}
+	for _, p := range peers {
+		v.up(p)
+	}
+	return v
+}
+
+func (v *view) up(name string) {
+	v.Up(step.PeerUp{Daemon: name, Incarnation: name + "-1"}, &v.out)
+	v.beat(name, step.Heartbeat{})
+}
+
+func (v *view) beat(name string, h step.Heartbeat) {
+	h.Incarnation = name + "-1"
+	v.Heartbeat(name, h)
+}
+
+// run lets time pass while the named peers send the heartbeat.
+func (v *view) run(d time.Duration, h step.Heartbeat, heard ...string) {
+	for end := v.at + d; v.at < end; {
+		v.at += tick
+		v.Advance(v.at, &v.out)
+		for _, name := range heard {
+			v.beat(name, h)
+		}
+		v.Tick(v.own, &v.out)
+	}
+}
+
+func (v *view) sent(to string) []step.Message {
+	var messages []step.Message
+	for _, e := range v.out.Effects {
+		if s, ok := e.(step.SendPeer); ok && s.To == to {
+			messages = append(messages, s.Message)
+		}
+	}
+	return messages
+}
+
+func TestSilentDaemonLeavesTheLiveOnes(t *testing.T) {
+	v := newView("b", "a", "c")
+	require.Equal(t, []string{"a", "b", "c"}, v.Live())
+	v.run(10*time.Second, step.Heartbeat{}, "a", "c")
+	require.True(t, v.Sure())
+	v.run(lateBeats*HeartbeatEvery+2*tick, step.Heartbeat{}, "a")
+	require.False(t, v.Sure(), "c is late")
+	require.Len(t, v.Live(), 3)
+	v.run(2*time.Second, step.Heartbeat{}, "a")
+	require.Equal(t, []string{"a", "b"}, v.Live())
+	v.run(10*time.Second, step.Heartbeat{}, "a")
+	require.False(t, v.Sure(), "c may be serving unseen")
+	require.Equal(t, []string{"c"}, v.Unknown())
+	v.SetListed([]string{"a", "b"})
+	require.True(t, v.Sure(), "the platform lists c no longer")
+}
+
+func TestPausedDaemonIsUnsureAtOnce(t *testing.T) {
+	v := newView("a", "b")
+	v.run(10*time.Second, step.Heartbeat{Platform: true}, "b")
+	require.True(t, v.Sure())
+	require.False(t, v.Isolated())
+	v.at += time.Minute
+	v.Advance(v.at, &v.out)
+	require.False(t, v.Sure())
+	require.Equal(t, []string{"a"}, v.Live())
+	require.True(t, v.Isolated())
+}
+
+func TestGoodbyeLeavesNobodyUnknown(t *testing.T) {
+	v := newView("a", "b")
+	v.run(5*time.Second, step.Heartbeat{}, "b")
+	v.Goodbye("b", step.Goodbye{Incarnation: "b-1"})
+	for i := range 50 {
+		require.Equal(t, "a", v.Owner(fmt.Sprint(i)), "a leaving daemon takes no duty")
+	}
+	v.Down(step.PeerDown{Daemon: "b"}, &v.out)
+	require.Empty(t, v.Unknown())
+	v.run(5*time.Second, step.Heartbeat{})
+	require.True(t, v.Sure())
+}
+
+func TestHeartbeatOfAnEarlierRunIsIgnored(t *testing.T) {
+	v := newView("a", "b")
+	v.Heartbeat("b", step.Heartbeat{Incarnation: "b-0", Applied: 9})
+	got, ok := v.Peer("b")
+	require.True(t, ok)
+	require.Zero(t, got.Applied)
+}
+
+func TestOwnersMoveOnlyFromTheDaemonThatLeft(t *testing.T) {
+	names := []string{"b", "c", "d", "e", "f"}
+	v := newView("a", names...)
+	before := make(map[string]string)
+	counts := make(map[string]int)
+	const duties = 3000
+	for i := range duties {
+		k := fmt.Sprint(i)
+		before[k] = v.Owner(k)
+		counts[before[k]]++
+		require.Equal(t, before[k], v.Owners(k, 2)[0])
+	}
+	for name, n := range counts {
+		require.InDelta(t, duties/6, n, duties/30, name)
+	}
+	v.Down(step.PeerDown{Daemon: "d"}, &v.out)
+	for k, owner := range before {
+		if owner != "d" {
+			require.Equal(t, owner, v.Owner(k))
+		}
+	}
+}
+
+func TestAsksAPeerThatKnowsMore(t *testing.T) {
+	ahead := step.Heartbeat{Applied: 9, Newest: 7}
+	for name, test := range map[string]struct {
+		own  step.Heartbeat
+		want int
+	}{
+		"behind":             {step.Heartbeat{Applied: 6}, 1},
+		"covers the newest":  {step.Heartbeat{Applied: 7}, 0},
+		"revision rose only": {step.Heartbeat{Applied: 8}, 0},
+	} {
+		v := newView("a", "b", "c")
+		v.own = test.own
+		v.run(500*time.Millisecond, ahead, "b", "c")
+		require.Len(t, append(v.sent("b"), v.sent("c")...), test.want, name)
+	}
+	v := newView("a", "b")
+	v.SetPlatform(step.PlatformState{Reachable: true})
+	v.run(askAfter, ahead, "b")
+	require.Empty(t, v.sent("b"), "the watch is given time")
+	v.run(2*tick, ahead, "b")
+	require.Equal(t, []step.Message{step.ConfigAsk{}}, v.sent("b"))
+	v.run(askEvery, ahead, "b")
+	require.Len(t, v.sent("b"), 2, "a lost answer is asked for again")
+}
+
+func TestHeartbeatGoesOutAtOnceOnNews(t *testing.T) {
+	v := newView("a", "b")
+	v.run(5*time.Second, step.Heartbeat{}, "b")
+	before := len(v.sent(""))
+	require.InDelta(t, 5, before, 1)
+	v.own.Newest, v.own.Applied = 5, 5
+	v.run(tick, step.Heartbeat{}, "b")
+	require.Len(t, v.sent(""), before+1)
+}
+
+func TestLowestAndLagging(t *testing.T) {
+	v := newView("a", "b", "c")
+	v.own.Applied = 9
+	v.beat("b", step.Heartbeat{Applied: 8})
+	v.beat("c", step.Heartbeat{Applied: 5})
+	v.run(tick, step.Heartbeat{Applied: 8}, "b")
+	lowest, names := v.Lowest()
+	require.Equal(t, object.Version(5), lowest)
+	require.Equal(t, []string{"c"}, names)
+	v.SetListed([]string{"a", "b", "c", "z"})
+	require.Equal(t, []string{"c", "z"}, v.Lagging(8))
+	v.beat("c", step.Heartbeat{Applied: 8})
+	v.run(tick, step.Heartbeat{Applied: 8}, "b", "c")
+	require.Equal(t, object.Version(8), v.Watermark())
+	v.up("d")
+	v.run(tick, step.Heartbeat{Applied: 8}, "b", "c")
+	lowest, _ = v.Lowest()
+	require.Zero(t, lowest)
+	require.Equal(t, object.Version(8), v.Watermark(), "does not fall when a daemon joins")
+}
+
+// TestAtMostOnePartIsLarger splits clusters in two in every way.
+func TestAtMostOnePartIsLarger(t *testing.T) {
+	for size := 2; size <= 9; size++ {
+		names := make([]string, size)
+		for i := range names {
+			names[i] = fmt.Sprintf("d%d", i)
+		}
+		for mask := 1; mask < 1<<size-1; mask++ {
+			var larger [2]int
+			for i, self := range names {
+				v := newView(self, names...)
+				for j, other := range names {
+					if mask>>i&1 != mask>>j&1 {
+						v.Down(step.PeerDown{Daemon: other}, &v.out)
+					}
+				}
+				require.True(t, v.Isolated())
+				if v.LargerPart() {
+					larger[mask>>i&1]++
+				}
+			}
+			require.Falsef(t, larger[0] > 0 && larger[1] > 0, "both parts of %d split by %b", size, mask)
+			require.Positive(t, larger[0]+larger[1])
+		}
+	}
+}
+
+func TestIntervalGrowsWithTheCluster(t *testing.T) {
+	v := newView("a")
+	require.Equal(t, HeartbeatEvery, v.Interval())
+	for i := range 339 {
+		v.up(fmt.Sprintf("p%03d", i))
+	}
+	require.Equal(t, 3400*time.Millisecond, v.Interval())
+	v.beat("p000", step.Heartbeat{Every: v.Interval()})
+	v.at += silentBeats * HeartbeatEvery
+	v.Advance(v.at, &v.out)
+	_, ok := v.Peer("p000")
+	require.True(t, ok, "silence is measured by the sender's interval")
+}
+
+// BenchmarkInterval is the cost of one interval between heartbeats: one from each
+// peer, ten ticks and this daemon's own.
+func BenchmarkInterval(b *testing.B) {
+	for _, size := range []int{9, 340} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			v := newView("self")
+			names := make([]string, size-1)
+			for i := range names {
+				names[i] = fmt.Sprintf("entry-%03d", i)
+				v.up(names[i])
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				v.run(time.Second, step.Heartbeat{})
+				for _, name := range names {
+					v.beat(name, step.Heartbeat{})
+				}
+				v.out.Effects = v.out.Effects[:0]
+			}
+			require.Len(b, v.Live(), size)
+		})
+	}
+}
