Take the times of heartbeats, silence, watches and links from the settings

Cause: peers.heartbeat, peers.silence, peers.maxLinks, peers.tls, platform.watchWait and platform.hostListInterval were read but had no effect; with a heartbeat of 100 ms a link counted as silent after 300 ms whatever peers.silence said. Change: member, peer and platform take them; a longer interval in a large cluster is announced by its sender and only ever lengthens the bound.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -22,6 +22,8 @@
 
 // Settings are what the reducer needs to know of its daemon.
 type Settings struct {
+	// Member are the times of heartbeats and silence.
+	Member      member.Settings
 	Daemon      string
 	Incarnation string
 	DataCentre  string
@@ -41,7 +43,7 @@
 	return Settings{
 		Daemon: daemon, Incarnation: incarnation, DataCentre: dataCentre,
 		Claims: claim.Defaults(), Poison: poison.Defaults(), Retry: retry.Defaults(), Admit: admit.Defaults(),
-		StopGrace: defaultStopGrace,
+		StopGrace: defaultStopGrace, Member: member.Defaults(),
 	}
 }
 
@@ -62,7 +64,7 @@
 func New(set Settings) *State {
 	s := &State{set: set}
 	s.config = conf.New()
-	s.members = member.New(set.Daemon)
+	s.members = member.New(set.Daemon, set.Member)
 	s.fleet = fleet.New(set.Daemon, s.config, s.members)
 	s.claims = claim.New(set.Claims, owners{s}, s.nextOp)
 	s.poison = poison.New(set.Poison)
--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -17,29 +17,37 @@
 )
 
 const (
-	// HeartbeatEvery is the interval between a daemon's heartbeats in a cluster of up
-	// to 100 daemons; beyond, heartbeatShare per live daemon bounds the traffic.
-	HeartbeatEvery = time.Second
+	// heartbeatShare is the least part of the interval between heartbeats for each
+	// live daemon. It bounds the traffic of a large cluster.
 	heartbeatShare = 10 * time.Millisecond
-	// A daemon is late, and membership unsure, after lateBeats of its intervals; it
-	// is no longer live after silentBeats.
-	lateBeats   = 2
+	// silentBeats is for how many of its own intervals a daemon may at least be silent.
 	silentBeats = 3
-	// settleBeats is for how many intervals membership stays unsure after a change. It
-	// exceeds silentBeats, so that the other side of a cut link has seen the change too.
-	settleBeats = 4
-	// pauseBound is the time between two steps from which this daemon counts as
-	// having been paused.
-	pauseBound = 2 * time.Second
+	// lateBound is the share of the silence bound after which a heartbeat is late.
+	lateBound = 2.0 / 3
 	// askAfter leaves the watch time to bring what a peer already has.
 	askAfter = 300 * time.Millisecond
 	// askEvery is the least time between two asks for a delta.
 	askEvery = time.Second
 )
 
+// Settings are the membership's times.
+type Settings struct {
+	// Heartbeat is the interval between this daemon's heartbeats; it grows with a
+	// cluster of more than 100 daemons a second of it.
+	Heartbeat time.Duration
+	// Silence is how long a daemon counts as live without a heartbeat.
+	Silence time.Duration
+}
+
+// Defaults returns the default times.
+func Defaults() Settings {
+	return Settings{Heartbeat: 500 * time.Millisecond, Silence: 2 * time.Second}
+}
+
 // Table is the membership as one daemon sees it. The zero value is not usable; see New.
 type Table struct {
 	self  string
+	set   Settings
 	peers map[string]*peer
 	// known are the daemons that may be serving, live or not, with the reason.
 	known    map[string]bool
@@ -67,9 +75,10 @@
 }
 
 // New returns the membership of a daemon that has met nobody.
-func New(self string) *Table {
+func New(self string, set Settings) *Table {
 	return &Table{
 		self:  self,
+		set:   set,
 		peers: make(map[string]*peer),
 		known: map[string]bool{self: true},
 		live:  []string{self},
@@ -78,27 +87,38 @@
 
 // Interval returns the time between this daemon's heartbeats.
 func (t *Table) Interval() time.Duration {
-	return max(HeartbeatEvery, time.Duration(len(t.live))*heartbeatShare)
+	return max(t.set.Heartbeat, time.Duration(len(t.live))*heartbeatShare)
 }
 
-// every returns the time between a peer's heartbeats.
-func (t *Table) every(p *peer) time.Duration {
-	if p.beat.Every == 0 {
-		return t.Interval()
+// silentAfter returns how long a peer may be silent before it is no longer live.
+func (t *Table) silentAfter(p *peer) time.Duration {
+	if p.beat.Incarnation == "" {
+		return max(t.set.Silence, silentBeats*t.Interval())
 	}
-	return max(HeartbeatEvery, p.beat.Every)
+	return max(t.set.Silence, silentBeats*p.beat.Every)
+}
+
+// lateAfter returns the age of a heartbeat from which membership is unsure.
+func (*Table) lateAfter(silence time.Duration) time.Duration {
+	return time.Duration(float64(silence) * lateBound)
+}
+
+// settle returns how long membership stays unsure after a change: long enough for the
+// other side of a cut link to have seen the change too.
+func (t *Table) settle() time.Duration {
+	return max(t.set.Silence, silentBeats*t.Interval()) + t.Interval()
 }
 
 // Advance sets the time and lets silent daemons go.
 func (t *Table) Advance(now time.Duration, out *step.Out) {
-	if now-t.now >= pauseBound {
+	if now-t.now >= t.lateAfter(t.set.Silence) {
 		// After a pause every heartbeat is old news.
 		t.changed = now
 	}
 	t.now = max(t.now, now)
 	var silent []string
 	for _, name := range t.live {
-		if p, ok := t.peers[name]; ok && t.now-p.heard > silentBeats*t.every(p) {
+		if p, ok := t.peers[name]; ok && t.now-p.heard > t.silentAfter(p) {
 			silent = append(silent, name)
 		}
 	}
@@ -188,8 +208,11 @@
 // The heartbeat's Platform and Every are filled in here.
 func (t *Table) Tick(own step.Heartbeat, out *step.Out) {
 	own.Platform = t.platform
-	own.Every = t.Interval()
-	due := !t.sentAny || t.now-t.sent >= own.Every || own.Newest > t.own.Newest ||
+	interval := t.Interval()
+	if interval > t.set.Heartbeat {
+		own.Every = interval
+	}
+	due := !t.sentAny || t.now-t.sent >= interval || own.Newest > t.own.Newest ||
 		own.Platform != t.own.Platform || own.Leaving != t.own.Leaving
 	t.own.Applied = own.Applied
 	if due {
--- a/internal/core/member/member_test.go
+++ b/internal/core/member/member_test.go
@@ -22,7 +22,7 @@
 }
 
 func newView(self string, peers ...string) *view {
-	v := &view{Table: New(self)}
+	v := &view{Table: New(self, Settings{Heartbeat: time.Second, Silence: 3 * time.Second})}
 	for _, p := range peers {
 		v.up(p)
 	}
@@ -66,7 +66,7 @@
 	require.Equal(t, []string{"a", "b", "c"}, v.Live())
 	v.run(10*time.Second, step.Heartbeat{}, "a", "c")
 	require.True(t, v.Sure())
-	v.run(lateBeats*HeartbeatEvery+2*tick, step.Heartbeat{}, "a")
+	v.run(2*time.Second+2*tick, step.Heartbeat{}, "a")
 	require.False(t, v.Sure(), "c is late")
 	require.Len(t, v.Live(), 3)
 	v.run(2*time.Second, step.Heartbeat{}, "a")
@@ -219,13 +219,13 @@
 
 func TestIntervalGrowsWithTheCluster(t *testing.T) {
 	v := newView("a")
-	require.Equal(t, HeartbeatEvery, v.Interval())
+	require.Equal(t, time.Second, v.Interval())
 	for i := range 339 {
 		v.up(fmt.Sprintf("p%03d", i))
 	}
 	require.Equal(t, 3400*time.Millisecond, v.Interval())
 	v.beat("p000", step.Heartbeat{Every: v.Interval()})
-	v.at += silentBeats * HeartbeatEvery
+	v.at += 3 * time.Second
 	v.Advance(v.at, &v.out)
 	_, ok := v.Peer("p000")
 	require.True(t, ok, "silence is measured by the sender's interval")
--- a/internal/core/member/view.go
+++ b/internal/core/member/view.go
@@ -75,7 +75,7 @@
 // been the same for a while. What is shared out by membership falls to its safe side
 // when it is not.
 func (t *Table) Sure() bool {
-	if t.now-t.changed < settleBeats*t.Interval() {
+	if t.now-t.changed < t.settle() {
 		return false
 	}
 	for name := range t.known {
@@ -84,7 +84,7 @@
 		}
 	}
 	for _, name := range t.live {
-		if p := t.peers[name]; p != nil && t.now-p.heard > lateBeats*t.every(p) {
+		if p := t.peers[name]; p != nil && t.now-p.heard > t.lateAfter(t.silentAfter(p)) {
 			return false
 		}
 	}
--- a/internal/core/step/message.go
+++ b/internal/core/step/message.go
@@ -20,7 +20,8 @@
 	Loads []Load `cbor:"5,keyasint,omitempty"`
 	// Newest is the highest version of any watched object that the sender knows.
 	Newest object.Version `cbor:"6,keyasint,omitempty"`
-	// Every is the sender's interval between heartbeats, which grows with the cluster.
+	// Every is the sender's interval between heartbeats where it has grown with the
+	// cluster; zero means the configured one.
 	Every time.Duration `cbor:"7,keyasint,omitempty"`
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"github.com/rhubarbswitch/rhubarbswitch/internal/api/operator"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/config"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/member"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/event"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/peer"
@@ -74,6 +75,10 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "peers.key")
 	}
+	dial, err := tlsreload.ClientConfig(set.Peers.TLS)
+	if err != nil {
+		return nil, errors.Wrap(err, "peers.tls")
+	}
 	id, err := uuid.NewV7()
 	if err != nil {
 		return nil, errors.Wrap(err, "mint the incarnation")
@@ -93,7 +98,7 @@
 		Address: set.Peers.AdvertiseOr(), DataCentre: set.DataCentre, Key: key,
 		Seed: d.seed(), Emit: d.Post,
 		Refused:   func(r *peer.Refused) { d.record(event.PeerRefused, event.F("error", r)) },
-		KeepAlive: set.Peers.Heartbeat.D(),
+		KeepAlive: set.Peers.Heartbeat.D(), Silence: set.Peers.Silence.D(), MaxLinks: set.Peers.MaxLinks, TLS: dial,
 	})
 	return d, nil
 }
@@ -107,6 +112,7 @@
 	s.Claims.Window = set.Claims.Window.D()
 	s.Claims.Retention = set.Claims.Retention.D()
 	s.Claims.BodyBytes = set.Claims.MaxRecordedBytes
+	s.Member = member.Settings{Heartbeat: set.Peers.Heartbeat.D(), Silence: set.Peers.Silence.D()}
 	s.Poison.Targets = set.Poison.Targets
 	s.Poison.Expiry = set.Poison.Expiry.D()
 	s.Retry.Share = set.Retry.BudgetShare
@@ -146,7 +152,10 @@
 	g.Go(func() error { return serve(servers.operators, listeners.operators) })
 	g.Go(func() error { return d.mesh.Run(listeners.peers) })
 	g.Go(func() error {
-		platform.NewFollower(d.platform, d.seed(), d.Post).Run(ctx)
+		follow := platform.FollowSettings{
+			Wait: d.set.Platform.WatchWait.D(), HostsEvery: d.set.Platform.HostListInterval.D(),
+		}
+		platform.NewFollower(d.platform, follow, d.seed(), d.Post).Run(ctx)
 		return nil
 	})
 	g.Go(func() error {
--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -77,7 +77,7 @@
 	for name := range m.known {
 		names = append(names, name)
 	}
-	chosen := choose(m.set.Daemon, names)
+	chosen := choose(m.set.Daemon, names, m.set.MaxLinks)
 	for name, cancel := range m.dials {
 		if !slices.Contains(chosen, name) {
 			cancel()
@@ -153,7 +153,7 @@
 			return false
 		}
 	}
-	return len(m.known) < FullMeshMost
+	return len(m.known) < m.set.MaxLinks
 }
 
 // dialOnce opens a link for messages that wait, and closes it once idle.
@@ -196,9 +196,13 @@
 	ctx, cancel := context.WithTimeout(ctx, handshakeBound)
 	defer cancel()
 	// A transport of its own: no connection is ever shared with an earlier link.
-	transport := &http.Transport{}
+	transport := &http.Transport{TLSClientConfig: m.set.TLS}
 	defer transport.CloseIdleConnections()
-	conn, resp, err := websocket.Dial(ctx, "ws://"+to.Address+Path, &websocket.DialOptions{
+	scheme := "ws://"
+	if m.set.TLS != nil {
+		scheme = "wss://"
+	}
+	conn, resp, err := websocket.Dial(ctx, scheme+to.Address+Path, &websocket.DialOptions{
 		HTTPClient: &http.Client{Transport: transport},
 	})
 	if resp != nil && resp.Body != nil {
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -122,14 +122,14 @@
 
 // write sends what is queued, and a sign of life when nothing was sent for a while,
 // which is announced whenever it changes.
-func (l *link) write(interval func() time.Duration) {
+func (l *link) write(interval func() time.Duration, silence time.Duration) {
 	every := interval()
 	ticker := time.NewTicker(every)
 	defer ticker.Stop()
 	frames := []frame{keepAlive(every)}
 	for {
 		for _, f := range frames {
-			if err := l.writeFrame(f, silentSigns*every); err != nil {
+			if err := l.writeFrame(f, max(silence, silentSigns*every)); err != nil {
 				l.close(0, "")
 				return
 			}
@@ -159,10 +159,10 @@
 
 // read hands on messages until the link ends or is silent for longer than the
 // announced interval allows.
-func (l *link) read(interval time.Duration, handle func(step.Message), learn func([]Address)) {
-	every := interval
+func (l *link) read(silence time.Duration, handle func(step.Message), learn func([]Address)) {
+	bound := silence
 	for {
-		e, err := l.readEnvelope(silentSigns * every)
+		e, err := l.readEnvelope(bound)
 		if err != nil {
 			l.close(0, "")
 			return
@@ -171,7 +171,7 @@
 		case numKeepAlive:
 			var announced time.Duration
 			if cbor.Unmarshal(e.Payload, &announced) == nil {
-				every = min(max(interval, announced), KeepAliveMost)
+				bound = max(silence, silentSigns*min(announced, KeepAliveMost))
 			}
 		case numAddresses:
 			var known []Address
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -11,7 +11,9 @@
 package peer
 
 import (
+	"cmp"
 	"context"
+	"crypto/tls"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -27,13 +29,16 @@
 )
 
 const (
-	// KeepAliveEvery is the longest time between two messages on a link, up to 100
-	// links; beyond, keepAliveShare for each link bounds the traffic. KeepAliveMost
-	// bounds what the other side may announce.
-	KeepAliveEvery = time.Second
-	KeepAliveMost  = 10 * time.Second
+	// KeepAliveEvery is the longest time between two messages on a link, and
+	// SilenceBound how long a link lasts without any.
+	KeepAliveEvery = 500 * time.Millisecond
+	SilenceBound   = 2 * time.Second
+	// KeepAliveMost bounds the interval that the other side may announce.
+	KeepAliveMost = 10 * time.Second
+	// keepAliveShare is the least part of the interval for each link. It bounds the
+	// traffic of a daemon with many.
 	keepAliveShare = 10 * time.Millisecond
-	// silentSigns is for how many of the announced intervals a link may be silent.
+	// silentSigns is for how many of the announced intervals a link may at least be silent.
 	silentSigns = 3
 	// MaxMessageBytes bounds one message.
 	MaxMessageBytes = 16 << 20
@@ -75,8 +80,13 @@
 	Emit func(step.Event)
 	// Refused takes each refusal; it may be nil.
 	Refused func(*Refused)
-	// KeepAlive replaces KeepAliveEvery unless zero.
+	// KeepAlive and Silence replace KeepAliveEvery and SilenceBound unless zero.
 	KeepAlive time.Duration
+	Silence   time.Duration
+	// MaxLinks replaces FullMeshMost unless zero.
+	MaxLinks int
+	// TLS dials the others by TLS unless nil.
+	TLS *tls.Config
 }
 
 // Address names a daemon and where it takes links. An empty name is not known yet.
@@ -108,9 +118,9 @@
 
 // New returns a mesh without links.
 func New(set Settings) *Mesh {
-	if set.KeepAlive == 0 {
-		set.KeepAlive = KeepAliveEvery
-	}
+	set.KeepAlive = cmp.Or(set.KeepAlive, KeepAliveEvery)
+	set.Silence = cmp.Or(set.Silence, SilenceBound)
+	set.MaxLinks = cmp.Or(set.MaxLinks, FullMeshMost)
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Mesh{
 		set: set, ctx: ctx, cancel: cancel,
@@ -276,8 +286,8 @@
 		return
 	}
 	var wg sync.WaitGroup
-	wg.Go(func() { l.write(m.keepAliveEvery) })
-	l.read(m.set.KeepAlive, func(msg step.Message) {
+	wg.Go(func() { l.write(m.keepAliveEvery, m.set.Silence) })
+	l.read(m.set.Silence, func(msg step.Message) {
 		m.set.Emit(step.PeerMessage{From: h.Daemon, Message: msg})
 	}, m.learn)
 	m.unregister(l)
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -41,7 +41,7 @@
 			defer n.mu.Unlock()
 			n.refusal = append(n.refusal, r)
 		},
-		KeepAlive: 200 * time.Millisecond,
+		KeepAlive: 200 * time.Millisecond, Silence: 600 * time.Millisecond,
 	}
 	if change != nil {
 		change(&set)
@@ -188,7 +188,7 @@
 		l := a.linkTo("b")
 		return l != nil && l != first
 	})
-	t.Logf("replaced after %v with a bound of %v", time.Since(silenced), silentSigns*a.set.KeepAlive)
+	t.Logf("replaced after %v with a bound of %v", time.Since(silenced), a.set.Silence)
 	require.NoError(t, a.Send("b", step.ConfigAsk{Applied: 9}))
 	eventually(t, "delivered over the fresh connection", func() bool { return len(b.received()) == 1 })
 }
@@ -241,7 +241,7 @@
 		graph[n] = make(map[string]bool)
 	}
 	for _, n := range names {
-		for _, c := range choose(n, names) {
+		for _, c := range choose(n, names, 16) {
 			graph[n][c], graph[c][n] = true, true
 		}
 	}
--- a/internal/peer/topology.go
+++ b/internal/peer/topology.go
@@ -16,15 +16,15 @@
 	hashLinks = 3
 )
 
-// choose returns the daemons to which self dials. Up to FullMeshMost it is everyone.
+// choose returns the daemons to which self dials. In a cluster of up to most it is everyone.
 // Beyond, it is the next on a ring ordered by hash, which keeps the graph connected
 // while all live, and a few by rendezvous hash, which keep paths short and the graph
 // connected when some die. Every daemon makes the same choice from the same names.
-func choose(self string, names []string) []string {
+func choose(self string, names []string, most int) []string {
 	others := slices.DeleteFunc(slices.Clone(names), func(n string) bool { return n == self })
 	slices.Sort(others)
 	others = slices.Compact(others)
-	if len(others) < FullMeshMost {
+	if len(others) < most {
 		return others
 	}
 	chosen := make([]string, 0, ringLinks+hashLinks)
--- a/internal/platform/follower.go
+++ b/internal/platform/follower.go
@@ -13,11 +13,6 @@
 )
 
 const (
-	// WatchWait is the longest wait of one watch; a dead connection is seen within
-	// WatchWait and WatchGrace.
-	WatchWait = 3 * time.Second
-	// HostsEvery is the interval between two reads of the host list.
-	HostsEvery = 10 * time.Second
 	// backoffBase and backoffMost bound the pause after a failure, which doubles.
 	backoffBase = 200 * time.Millisecond
 	backoffMost = 5 * time.Second
@@ -26,11 +21,25 @@
 	leastWatch = 50 * time.Millisecond
 )
 
+// FollowSettings are a follower's times. Both are spread by a fifth.
+type FollowSettings struct {
+	// Wait is the longest wait of one watch; a dead connection is seen within it and WatchGrace.
+	Wait time.Duration
+	// HostsEvery is the interval between two reads of the host list.
+	HostsEvery time.Duration
+}
+
+// DefaultFollow returns the default times.
+func DefaultFollow() FollowSettings {
+	return FollowSettings{Wait: 5 * time.Second, HostsEvery: 2 * time.Second}
+}
+
 // Follower follows the watched objects and the host list. It hands ConfigBatch,
 // PlatformState and HostList events to a callback, from two goroutines. A batch
 // connects to the one before or is full.
 type Follower struct {
 	client *Client
+	set    FollowSettings
 	emit   func(step.Event)
 	// jitter is shared by the two goroutines.
 	mu     sync.Mutex
@@ -43,8 +52,8 @@
 }
 
 // NewFollower returns a follower. The seed spreads the pauses of daemons: give each its own.
-func NewFollower(client *Client, seed uint64, emit func(step.Event)) *Follower {
-	return &Follower{client: client, emit: emit, jitter: rand.New(rand.NewPCG(seed, seed))}
+func NewFollower(client *Client, set FollowSettings, seed uint64, emit func(step.Event)) *Follower {
+	return &Follower{client: client, set: set, emit: emit, jitter: rand.New(rand.NewPCG(seed, seed))}
 }
 
 // Run follows until the context ends.
@@ -84,7 +93,7 @@
 	if !f.listed {
 		return f.list(ctx)
 	}
-	b, err := f.client.Watch(ctx, object.WatchedKinds, f.revision, f.around(WatchWait))
+	b, err := f.client.Watch(ctx, object.WatchedKinds, f.revision, f.around(f.set.Wait))
 	if err != nil {
 		return err
 	}
@@ -133,7 +142,7 @@
 		}
 		failures = 0
 		f.emit(step.HostList{Hosts: hosts})
-		sleep(ctx, f.around(HostsEvery))
+		sleep(ctx, f.around(f.set.HostsEvery))
 	}
 }
 
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -159,7 +159,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		NewFollower(c, 1, r.take).Run(ctx)
+		NewFollower(c, FollowSettings{Wait: time.Second, HostsEvery: time.Second}, 1, r.take).Run(ctx)
 	}()
 	t.Cleanup(func() { cancel(); <-done })
 	return r
@@ -211,7 +211,7 @@
 }
 
 func TestBackoffIsBoundedAndSpread(t *testing.T) {
-	f, g := NewFollower(nil, 1, nil), NewFollower(nil, 2, nil)
+	f, g := NewFollower(nil, DefaultFollow(), 1, nil), NewFollower(nil, DefaultFollow(), 2, nil)
 	for failures := 1; failures < 40; failures++ {
 		a, b := f.backoff(failures), g.backoff(failures)
 		require.LessOrEqual(t, max(a, b), backoffMost)
