Link every pair of daemons, also at 340

Cause: beyond 16 daemons a few links each would have needed membership, loads and digests passed on from daemon to daemon, a second protocol that nothing tested. Change: a full mesh always; the interval grows by 15 ms a daemon. A message to a daemon without a link is dropped and counted. Ruled out: passing on by flooding, since 340 heartbeats over eight links each are 8 times the bytes of a full mesh.

--- a/internal/config/default.go
+++ b/internal/config/default.go
@@ -20,7 +20,6 @@
 			Seeds:     []string{},
 			Heartbeat: Duration(500 * time.Millisecond),
 			Silence:   Duration(2 * time.Second),
-			MaxLinks:  16,
 		},
 		Platform: Platform{
 			CallTimeout:      Duration(2 * time.Second),
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -150,10 +150,6 @@
 	// anew. At least twice heartbeat.
 	// Default: "2s". Bounds: 200ms to 1m.
 	Silence Duration `json:"silence" bounds:"200ms..1m"`
-	// MaxLinks is the largest number of links that this daemon opens. Where the
-	// cluster has more daemons than that, what they say is passed on.
-	// Default: 16. Bounds: 2 to 512.
-	MaxLinks int `json:"maxLinks" bounds:"2..512"`
 }
 
 // Platform is the platform's object API and host list.
--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -19,7 +19,7 @@
 const (
 	// heartbeatShare is the least part of the interval between heartbeats for each
 	// live daemon. It bounds the traffic of a large cluster.
-	heartbeatShare = 10 * time.Millisecond
+	heartbeatShare = 15 * time.Millisecond
 	// silentBeats is for how many of its own intervals a daemon may at least be silent.
 	silentBeats = 3
 	// lateBound is the share of the silence bound after which a heartbeat is late.
@@ -32,8 +32,8 @@
 
 // Settings are the membership's times.
 type Settings struct {
-	// Heartbeat is the interval between this daemon's heartbeats; it grows with a
-	// cluster of more than 100 daemons a second of it.
+	// Heartbeat is the interval between this daemon's heartbeats; in a large cluster
+	// it is longer.
 	Heartbeat time.Duration
 	// Silence is how long a daemon counts as live without a heartbeat.
 	Silence time.Duration
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -98,7 +98,7 @@
 		Address: set.Peers.AdvertiseOr(), DataCentre: set.DataCentre, Key: key,
 		Seed: d.seed(), Emit: d.Post,
 		Refused:   func(r *peer.Refused) { d.record(event.PeerRefused, event.F("error", r)) },
-		KeepAlive: set.Peers.Heartbeat.D(), Silence: set.Peers.Silence.D(), MaxLinks: set.Peers.MaxLinks, TLS: dial,
+		KeepAlive: set.Peers.Heartbeat.D(), Silence: set.Peers.Silence.D(), TLS: dial,
 	})
 	return d, nil
 }
--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -11,8 +11,7 @@
 	"github.com/go-faster/errors"
 )
 
-// Connect dials an address from the settings whenever this daemon knows few others
-// or has no link.
+// Connect dials an address from the settings while no known daemon has it.
 func (m *Mesh) Connect(address string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -24,8 +23,8 @@
 	m.wg.Go(func() { m.keepSeed(ctx, address) })
 }
 
-// SetPeers replaces the daemons known by name and dials the chosen ones. Links that
-// stand are not closed for a name that is no longer listed.
+// SetPeers replaces the daemons known by name and dials them. Links that stand are
+// not closed for a name that is no longer listed.
 func (m *Mesh) SetPeers(peers []Address) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -36,7 +35,7 @@
 	for name, l := range m.links {
 		m.known[name] = l.peer.Address
 	}
-	m.dialChosen()
+	m.dialKnown()
 }
 
 // learn takes up addresses from a peer, so that a daemon that starts in an outage of
@@ -49,7 +48,7 @@
 			m.addKnown(p)
 		}
 	}
-	m.dialChosen()
+	m.dialKnown()
 }
 
 func (m *Mesh) addKnown(p Address) {
@@ -68,23 +67,18 @@
 	return list
 }
 
-// dialChosen starts and stops dialling as the choice changed. The caller holds mu.
-func (m *Mesh) dialChosen() {
+// dialKnown starts and stops dialling as the known daemons changed. The caller holds mu.
+func (m *Mesh) dialKnown() {
 	if m.closed {
 		return
 	}
-	names := make([]string, 0, len(m.known))
-	for name := range m.known {
-		names = append(names, name)
-	}
-	chosen := choose(m.set.Daemon, names, m.set.MaxLinks)
 	for name, cancel := range m.dials {
-		if !slices.Contains(chosen, name) {
+		if _, ok := m.known[name]; !ok {
 			cancel()
 			delete(m.dials, name)
 		}
 	}
-	for _, name := range chosen {
+	for name := range m.known {
 		if m.dials[name] != nil {
 			continue
 		}
@@ -94,7 +88,7 @@
 	}
 }
 
-// keepLink keeps a link to a chosen daemon.
+// keepLink keeps a link to a known daemon.
 func (m *Mesh) keepLink(ctx context.Context, name string) {
 	failures := 0
 	for ctx.Err() == nil {
@@ -140,8 +134,8 @@
 	}
 }
 
-// needsSeed reports whether a seed is worth dialling: nobody is linked, or the cluster
-// is small and nobody known has this address.
+// needsSeed reports whether a seed is worth dialling: nobody is linked, or nobody
+// known has this address.
 func (m *Mesh) needsSeed(address string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -153,32 +147,7 @@
 			return false
 		}
 	}
-	return len(m.known) < m.set.MaxLinks
-}
-
-// dialOnce opens a link for messages that wait, and closes it once idle.
-func (m *Mesh) dialOnce(to Address) {
-	ctx, cancel := context.WithCancel(m.ctx)
-	defer cancel()
-	m.wg.Go(func() { m.closeIdle(ctx, to.Name) })
-	if err := m.dial(ctx, to); err == nil {
-		return
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	dropped.Add(len(m.pending[to.Name]))
-	delete(m.pending, to.Name)
-}
-
-// closeIdle closes a link that carried no message for a while.
-func (m *Mesh) closeIdle(ctx context.Context, name string) {
-	for ctx.Err() == nil {
-		sleep(ctx, idleBound/2)
-		l := m.linkTo(name)
-		if l != nil && l.dialled && time.Since(l.idleSince()) > idleBound {
-			l.close(codeIdle, "idle")
-		}
-	}
+	return true
 }
 
 // dial opens a link and serves it until it ends. An error means that none was opened.
--- a/internal/peer/hello.go
+++ b/internal/peer/hello.go
@@ -32,8 +32,7 @@
 	codeKey       websocket.StatusCode = 4003
 	codeSelf      websocket.StatusCode = 4004
 	codeDuplicate websocket.StatusCode = 4005
-	codeIdle      websocket.StatusCode = 4006
-	codeSlow      websocket.StatusCode = 4007
+	codeSlow      websocket.StatusCode = 4006
 )
 
 // Refused says why two daemons do not link. Error names the remedy.
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -41,14 +41,13 @@
 	queued    int // bytes
 	heartbeat *frame
 	work      chan struct{} // holds one token while there is something to write
-	used      time.Time     // last message that is not a sign of life
 }
 
 func newLink(h hello, conn *websocket.Conn, dialled bool) *link {
 	now := time.Now()
 	ctx, stop := context.WithCancel(context.Background())
 	return &link{
-		ctx: ctx, stop: stop, peer: h, conn: conn, dialled: dialled, since: now, used: now,
+		ctx: ctx, stop: stop, peer: h, conn: conn, dialled: dialled, since: now,
 		done: make(chan struct{}), work: make(chan struct{}, 1),
 	}
 }
@@ -67,7 +66,6 @@
 	default:
 		l.queue = append(l.queue, f)
 		l.queued += len(f.bytes)
-		l.used = time.Now()
 	}
 	l.mu.Unlock()
 	select {
@@ -95,12 +93,6 @@
 	return len(l.queue) == 0 && l.heartbeat == nil
 }
 
-func (l *link) idleSince() time.Time {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.used
-}
-
 // close ends the link; the close frame is tried in the background since the
 // connection may be dead.
 func (l *link) close(code websocket.StatusCode, reason string) {
@@ -193,7 +185,6 @@
 	if m == nil {
 		return // of a newer release
 	}
-	l.touch(e.Number)
 	handle(m)
 }
 
@@ -211,12 +202,3 @@
 	received.count(e.Number, len(b))
 	return e, nil
 }
-
-func (l *link) touch(n number) {
-	if n == numHeartbeat {
-		return
-	}
-	l.mu.Lock()
-	l.used = time.Now()
-	l.mu.Unlock()
-}
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -5,9 +5,10 @@
 // signs of life; one that is silent for longer than a bound closes the link, and the
 // dialling side opens a fresh connection.
 //
-// Up to FullMeshMost daemons each links to all others. In a larger cluster each dials
-// a few (see choose) and broadcasts reach these only; a message to a daemon without a
-// link dials it, and the link is closed once it has been idle.
+// Every daemon links to every other. The interval between signs of life grows with the
+// number of links, which bounds the traffic of a large cluster; docs/design/peers.md
+// gives the figures at 9 and at 340 daemons. A message to a daemon without a link is
+// dropped: whoever needs an answer asks again.
 package peer
 
 import (
@@ -20,6 +21,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/coder/websocket"
@@ -37,7 +39,7 @@
 	KeepAliveMost = 10 * time.Second
 	// keepAliveShare is the least part of the interval for each link. It bounds the
 	// traffic of a daemon with many.
-	keepAliveShare = 10 * time.Millisecond
+	keepAliveShare = 15 * time.Millisecond
 	// silentSigns is for how many of the announced intervals a link may at least be silent.
 	silentSigns = 3
 	// MaxMessageBytes bounds one message.
@@ -55,8 +57,6 @@
 	// yieldTime is how long the daemon with the higher name leaves the dialling
 	// to the other.
 	yieldTime = time.Second
-	// idleBound closes a link that was dialled for single messages.
-	idleBound = 30 * time.Second
 	// maxQueued and maxQueuedBytes bound what waits on a link.
 	maxQueued      = 1024
 	maxQueuedBytes = 4 << 20
@@ -83,8 +83,6 @@
 	// KeepAlive and Silence replace KeepAliveEvery and SilenceBound unless zero.
 	KeepAlive time.Duration
 	Silence   time.Duration
-	// MaxLinks replaces FullMeshMost unless zero.
-	MaxLinks int
 	// TLS dials the others by TLS unless nil.
 	TLS *tls.Config
 }
@@ -106,28 +104,28 @@
 	// taken before mu and, unlike mu, held while Emit runs.
 	registry sync.Mutex
 
-	mu      sync.Mutex
-	links   map[string]*link
-	known   map[string]string             // addresses by name
-	seeds   map[string]context.CancelFunc // by address
-	dials   map[string]context.CancelFunc // by name, of the chosen daemons
-	pending map[string][]frame            // messages that wait for a link, by name
-	jitter  *rand.Rand
-	closed  bool
+	mu     sync.Mutex
+	links  map[string]*link
+	known  map[string]string             // addresses by name
+	seeds  map[string]context.CancelFunc // by address
+	dials  map[string]context.CancelFunc // by name
+	jitter *rand.Rand
+	closed bool
+
+	// count is the number of links, for the writers, which must not wait for mu.
+	count atomic.Int64
 }
 
 // New returns a mesh without links.
 func New(set Settings) *Mesh {
 	set.KeepAlive = cmp.Or(set.KeepAlive, KeepAliveEvery)
 	set.Silence = cmp.Or(set.Silence, SilenceBound)
-	set.MaxLinks = cmp.Or(set.MaxLinks, FullMeshMost)
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Mesh{
 		set: set, ctx: ctx, cancel: cancel,
 		links: make(map[string]*link), known: make(map[string]string),
 		seeds: make(map[string]context.CancelFunc), dials: make(map[string]context.CancelFunc),
-		pending: make(map[string][]frame),
-		jitter:  rand.New(rand.NewPCG(set.Seed, set.Seed)),
+		jitter: rand.New(rand.NewPCG(set.Seed, set.Seed)),
 	}
 }
 
@@ -186,53 +184,30 @@
 }
 
 // Send queues a message to one daemon, or to every linked one if to is empty. It
-// never blocks. A daemon without a link is dialled if its address is known;
-// otherwise the message is dropped.
+// never blocks. A message to a daemon without a link is dropped. The error is that of
+// a message that can't be encoded or is too large.
 func (m *Mesh) Send(to string, msg step.Message) error {
 	f, err := encodeMessage(msg)
 	if err != nil {
 		return err
 	}
-	if to == "" {
-		m.mu.Lock()
-		links := m.openLinks()
-		m.mu.Unlock()
-		for _, l := range links {
-			l.push(f)
-		}
-		return nil
+	for _, l := range m.recipients(to) {
+		l.push(f)
 	}
-	m.sendTo(to, f)
 	return nil
 }
 
-func (m *Mesh) sendTo(to string, f frame) {
+func (m *Mesh) recipients(to string) []*link {
 	m.mu.Lock()
-	l := m.links[to]
-	if l == nil {
-		m.park(to, f)
-	}
-	m.mu.Unlock()
-	if l != nil {
-		l.push(f)
-	}
-}
-
-// maxPending bounds the messages that wait for one link.
-const maxPending = 64
-
-// park keeps a message until the link that it needs is open. The caller holds mu.
-func (m *Mesh) park(to string, f frame) {
-	waiting := m.pending[to]
-	address, ok := m.known[to]
-	if m.closed || !ok || len(waiting) >= maxPending {
-		dropped.Inc()
-		return
+	defer m.mu.Unlock()
+	if to == "" {
+		return m.openLinks()
 	}
-	m.pending[to] = append(waiting, f)
-	if len(waiting) == 0 && m.dials[to] == nil {
-		m.wg.Go(func() { m.dialOnce(Address{Name: to, Address: address}) })
+	if l := m.links[to]; l != nil {
+		return []*link{l}
 	}
+	dropped.Inc()
+	return nil
 }
 
 // ServeHTTP takes a link from another daemon.
@@ -307,10 +282,9 @@
 		return false
 	}
 	m.links[name] = l
+	m.count.Store(int64(len(m.links)))
 	m.known[name] = l.peer.Address
 	addresses := m.addresses()
-	waiting := m.pending[name]
-	delete(m.pending, name)
 	m.mu.Unlock()
 	if old != nil {
 		old.close(codeDuplicate, "a newer link of the pair")
@@ -318,9 +292,6 @@
 	if f, err := encodeFrame(numAddresses, addresses); err == nil {
 		l.push(f)
 	}
-	for _, f := range waiting {
-		l.push(f)
-	}
 	m.set.Emit(step.PeerUp{
 		Daemon: name, Incarnation: l.peer.Incarnation, Address: l.peer.Address, DataCentre: l.peer.DataCentre,
 	})
@@ -356,6 +327,7 @@
 	stands := m.links[name] == l
 	if stands {
 		delete(m.links, name)
+		m.count.Store(int64(len(m.links)))
 	}
 	m.mu.Unlock()
 	if stands {
@@ -365,9 +337,7 @@
 
 // keepAliveEvery returns the longest time between two messages on a link.
 func (m *Mesh) keepAliveEvery() time.Duration {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return min(max(m.set.KeepAlive, time.Duration(len(m.links))*keepAliveShare), KeepAliveMost)
+	return min(max(m.set.KeepAlive, time.Duration(m.count.Load())*keepAliveShare), KeepAliveMost)
 }
 
 func (m *Mesh) linkTo(name string) *link {
