--- a/internal/core/conf/conf.go
+++ b/internal/core/conf/conf.go
@@ -74,13 +74,15 @@
 	return t.applyChanges(b.Revision, b.Objects, "platform", out)
 }
 
-// Learn takes up one object read or written by this daemon, ahead of the watch. The
-// applied revision stays.
-func (t *Table) Learn(o object.Object) bool {
-	if !slices.Contains(object.WatchedKinds, o.Kind) {
+// Learn puts one object in force that this daemon read or wrote, ahead of the watch, and
+// reports whether it changed. The applied revision stays, since others may be missing
+// up to there; peers are told of it by Newest.
+func (t *Table) Learn(o object.Object, out *step.Out) bool {
+	if !slices.Contains(object.WatchedKinds, o.Kind) || !t.take(o) {
 		return false
 	}
-	return t.take(o)
+	t.advance(t.applied, true, "this daemon", out)
+	return true
 }
 
 func refusedKeys(refused []step.RefusedObject) map[key]bool {
--- a/internal/core/conf/conf_test.go
+++ b/internal/core/conf/conf_test.go
@@ -41,13 +41,28 @@
 func TestSnapshotRemovesWhatItLacks(t *testing.T) {
 	table, out := New(), &step.Out{}
 	table.ApplyBatch(step.ConfigBatch{Full: true, Revision: 5, Objects: []object.Object{dc("a", 1, ""), dc("b", 2, "")}}, out)
-	require.True(t, table.Learn(dc("c", 9, "")))
+	require.True(t, table.Learn(dc("c", 9, ""), out))
 	refused := []step.RefusedObject{{Kind: object.KindDataCentre, Name: "b", Version: 7}}
 	require.True(t, table.ApplyBatch(step.ConfigBatch{Full: true, Revision: 8, Refused: refused}, out))
 	require.Equal(t, []string{"b", "c"}, table.Names(object.KindDataCentre),
 		"a is gone, b keeps the value before the broken one, c is newer than the snapshot")
 }
 
+func TestLearnedObjectReachesPeers(t *testing.T) {
+	first, second, out := New(), New(), &step.Out{}
+	start := step.ConfigBatch{Full: true, Revision: 5, Objects: []object.Object{dc("a", 4, "old")}}
+	first.ApplyBatch(start, out)
+	second.ApplyBatch(start, out)
+	require.True(t, first.Learn(dc("a", 9, "new"), out))
+	sent := &step.Out{}
+	first.Answer("second", step.ConfigAsk{Applied: second.Applied()}, sent)
+	require.Len(t, sent.Effects, 1)
+	require.True(t, second.ApplyDelta("first", sent.Effects[0].(step.SendPeer).Message.(step.ConfigDelta), out))
+	a, _ := second.DataCentre("a")
+	require.Equal(t, "new", a.Reason)
+	require.Equal(t, object.Version(5), second.Applied(), "what else was written up to 9 is not known")
+}
+
 func TestDeltaThatDoesNotConnectLeadsToAnAsk(t *testing.T) {
 	table, out := New(), &step.Out{}
 	require.False(t, table.ApplyDelta("p", step.ConfigDelta{From: 5, To: 9}, out))
@@ -205,7 +220,7 @@
 			},
 			"learn": func(t *rapid.T) {
 				if o := m.history.at(rapid.SampledFrom(names).Draw(t, "name"), m.history.revision); o.Version > 0 {
-					m.tables[one.Draw(t, "table")].Learn(o)
+					m.tables[one.Draw(t, "table")].Learn(o, &step.Out{})
 				}
 			},
 			"ask": func(t *rapid.T) {
@@ -255,7 +270,7 @@
 	const objects, changes = 1000, 1
 	source, out := New(), &step.Out{}
 	for i := range objects {
-		source.Learn(dc(fmt.Sprintf("dc%04d", i), object.Version(i+1), "reason"))
+		source.Learn(dc(fmt.Sprintf("dc%04d", i), object.Version(i+1), "reason"), out)
 	}
 	source.ApplyBatch(step.ConfigBatch{Revision: objects}, out)
 	base := *source
--- a/internal/core/conf/delta.go
+++ b/internal/core/conf/delta.go
@@ -13,9 +13,9 @@
 )
 
 // Answer sends a peer what it lacks: a delta, or a snapshot where deletions that it
-// may have missed are forgotten. Nothing is sent to a peer that is as far.
+// may have missed are forgotten. Nothing is sent to a peer that lacks nothing.
 func (t *Table) Answer(from string, ask step.ConfigAsk, out *step.Out) {
-	if ask.Applied >= t.applied {
+	if ask.Applied >= t.applied && ask.Applied >= t.newest {
 		return
 	}
 	d, err := t.Delta(ask.Applied)
@@ -27,7 +27,8 @@
 }
 
 // Delta returns what changed after a revision, by version; a snapshot if the table
-// can't tell deletions from there on.
+// can't tell deletions from there on. Either may hold objects above the revision that it
+// completes, which this daemon learned ahead of the watch.
 func (t *Table) Delta(after object.Version) (step.ConfigDelta, error) {
 	d := step.ConfigDelta{Full: after < t.floor, From: after, To: t.applied}
 	if d.Full {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -112,6 +112,8 @@
 		s.onReply(now, e, out)
 	case step.ConfigBatch:
 		s.configured(now, s.config.ApplyBatch(e, out), out)
+	case step.ObjectRead:
+		s.configured(now, s.config.Learn(e.Object, out), out)
 	case step.PlatformState:
 		s.onPlatform(e, out)
 	case step.DaemonList:
--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -214,7 +214,10 @@
 	}
 	due := !t.sentAny || t.now-t.sent >= interval || own.Newest > t.own.Newest ||
 		own.Platform != t.own.Platform || own.Leaving != t.own.Leaving
-	t.own.Applied = own.Applied
+	if own.Applied > t.own.Applied || own.Newest > t.own.Newest {
+		t.asked = 0 // an answer came
+	}
+	t.own.Applied, t.own.Newest = own.Applied, own.Newest
 	if due {
 		t.own = own
 		t.sent, t.sentAny = t.now, true
@@ -233,7 +236,7 @@
 		if p == nil {
 			continue
 		}
-		if p.beat.Newest <= t.own.Applied {
+		if !t.isAhead(p) {
 			p.ahead = false
 			continue
 		}
@@ -254,12 +257,20 @@
 	out.Add(step.SendPeer{To: best, Message: step.ConfigAsk{Applied: t.own.Applied}})
 }
 
-// better reports whether a is a better peer to ask than b: further on or, among
-// equals, the one that the rendezvous hash assigns, which spreads the asks.
+// isAhead reports whether a peer has an object or a revision of use to this daemon.
+func (t *Table) isAhead(p *peer) bool {
+	return p.beat.Newest > t.own.Applied && (p.beat.Applied > t.own.Applied || p.beat.Newest > t.own.Newest)
+}
+
+// better reports whether a is a better peer to ask than b: one that knows newer
+// objects, is further on or, among equals, the one that the rendezvous hash assigns, which spreads the asks.
 func (t *Table) better(a, b string) bool {
-	x, y := t.peers[a].beat.Applied, t.peers[b].beat.Applied
-	if x != y {
-		return x > y
+	x, y := t.peers[a].beat, t.peers[b].beat
+	if x.Newest != y.Newest {
+		return x.Newest > y.Newest
+	}
+	if x.Applied != y.Applied {
+		return x.Applied > y.Applied
 	}
 	return score(a, t.self) > score(b, t.self)
 }
--- a/internal/core/step/event.go
+++ b/internal/core/step/event.go
@@ -171,6 +171,10 @@
 	Reason  string // names the remedy
 }
 
+// ObjectRead is an object that this daemon read from or wrote to the platform for an
+// operator: it is in force here, and passed on to peers, ahead of the watch.
+type ObjectRead struct{ Object object.Object }
+
 // PlatformState says whether the watch is heard; it comes on change and with every renewal.
 type PlatformState struct{ Reachable bool }
 
@@ -227,6 +231,7 @@
 func (PlatformReply) event() {}
 func (ConfigBatch) event()   {}
 func (PlatformState) event() {}
+func (ObjectRead) event()    {}
 func (DaemonList) event()    {}
 func (HostList) event()      {}
 func (HostReport) event()    {}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -224,7 +224,7 @@
 		},
 		operators: &http.Server{
 			Handler: operator.New(operator.Options{
-				Store: d.platform, Inspector: d, Keys: keys, Ready: d.readiness, Pprof: d.set.Pprof,
+				Store: store{d.platform, d.Post}, Inspector: d, Keys: keys, Ready: d.readiness, Pprof: d.set.Pprof,
 			}),
 			ReadHeaderTimeout: callers.ReadHeaderTimeout.D(),
 		},
--- a/test/process/cluster_test.go
+++ b/test/process/cluster_test.go
@@ -115,6 +115,7 @@
 	settings  string // path
 	callers   string
 	operators string
+	peers     string
 }
 
 // addDaemon starts a daemon and waits until it is ready.
@@ -151,7 +152,7 @@
 	require.NoError(c.t, err)
 	path := filepath.Join(c.t.TempDir(), name+".json")
 	require.NoError(c.t, os.WriteFile(path, text, 0o600))
-	return &daemon{cluster: c, name: name, settings: path, callers: s.Callers.Listen, operators: s.Operators.Listen}
+	return &daemon{cluster: c, name: name, settings: path, callers: s.Callers.Listen, operators: s.Operators.Listen, peers: s.Peers.Listen}
 }
 
 // freeAddress returns a loopback address below the ports that the system gives to
