--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -24,6 +24,7 @@
 // fixture is one daemon's interface before a stand-in of the platform.
 type fixture struct {
 	t                *testing.T
+	stub             *stub.Server
 	platform, daemon *httptest.Server
 
 	mu     sync.Mutex
@@ -39,7 +40,8 @@
 			{Name: "b", Model: "m", DataCentre: "west", Members: []string{"h3", "h4"}, Serving: true, Limit: 8, InFlight: 3},
 		},
 	}}
-	f.platform = httptest.NewServer(stub.New(stub.Options{Seed: 1}).Handler())
+	f.stub = stub.New(stub.Options{Seed: 1})
+	f.platform = httptest.NewServer(f.stub.Handler())
 	t.Cleanup(f.platform.Close)
 	f.daemon = httptest.NewServer(operator.New(operator.Options{
 		Store: platform.New(f.platform.URL), Inspector: f, Ready: func() error { return nil },
@@ -199,6 +201,21 @@
 	require.Contains(t, errOut, "--platform")
 }
 
+func TestLostAnswersAreReadBack(t *testing.T) {
+	for _, where := range []string{"daemon", "platform"} {
+		t.Run(where, func(t *testing.T) {
+			f := newFixture(t)
+			f.stub.SetFaults(stub.Faults{LoseWriteAnswers: 1, Seed: 1})
+			at := map[string][]string{"daemon": {"--daemon", f.daemon.URL}, "platform": {"--platform", f.platform.URL}}[where]
+			code, _, errOut := f.runAt(at, "apply", f.file("a.json", twoObjects))
+			require.Equal(t, 0, code, errOut)
+			code, _, errOut = f.runAt(at, "delete", "contract", "ropes")
+			require.Equal(t, 0, code, errOut)
+			require.EqualValues(t, 3, f.stub.Stats().Writes, "nothing is written twice")
+		})
+	}
+}
+
 func TestReportAccountAddsUp(t *testing.T) {
 	f := newFixture(t)
 	_, err := platform.New(f.platform.URL).Put(t.Context(), "ropes.2026-07", 0, &object.Account{
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -1,3 +1,5 @@
+//go:generate go run ../tools/eventsdoc
+
 // Package event holds the catalogue of numbered log events. Every log line of the
 // daemon carries one of these numbers; docs/events.md lists them for operators and
 // a test compares the two.
