Take the claims' defaults from what one write carries; print defaults

Change: window 2 s, 8 shards, 1 KiB of recorded answer, quarantine 10 minutes, as the packages have them; rhubarbswitchd print-defaults.

--- a/cmd/rhubarbswitchd/main.go
+++ b/cmd/rhubarbswitchd/main.go
@@ -19,6 +19,7 @@
 type commands struct {
 	Run           runCommand   `cmd:"" default:"withargs" help:"Run the daemon."`
 	CheckSettings checkCommand `cmd:"" help:"Check a settings file and say what is wrong with it."`
+	PrintDefaults defaultsCmd  `cmd:"" help:"Print every setting with its meaning and default."`
 	Version       versionCmd   `cmd:"" help:"Print the release."`
 }
 
@@ -30,6 +31,8 @@
 	Settings string `arg:"" help:"Settings file, JSON with comments." type:"existingfile"`
 }
 
+type defaultsCmd struct{}
+
 type versionCmd struct{}
 
 // Run runs the daemon until it is told to stop. The first signal stops it
@@ -69,6 +72,12 @@
 	return nil
 }
 
+// Run prints the settings with their defaults.
+func (defaultsCmd) Run() error {
+	_, err := os.Stdout.Write(config.DefaultsDocument())
+	return err
+}
+
 // Run prints the release.
 func (versionCmd) Run() error {
 	fmt.Println("rhubarbswitchd", daemon.Release)
--- a/internal/config/default.go
+++ b/internal/config/default.go
@@ -38,8 +38,8 @@
 		Lease:  Lease{Duration: Duration(10 * time.Second)},
 		Retry:  Retry{BudgetShare: 0.1, MaxAttempts: 3},
 		Queue:  Queue{MaxRequests: 1024},
-		Claims: Claims{Retention: Duration(24 * time.Hour), Window: Duration(2 * time.Second), Shards: 8, MaxRecordedBytes: 4096},
-		Poison: Poison{Targets: 2, Expiry: Duration(15 * time.Minute)},
+		Claims: Claims{Retention: Duration(24 * time.Hour), Window: Duration(2 * time.Second), Shards: 8, MaxRecordedBytes: 1 << 10},
+		Poison: Poison{Targets: 2, Expiry: Duration(10 * time.Minute)},
 		Log:    Log{Format: "json", Level: "info"},
 	}
 }
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -243,7 +243,7 @@
 	Shards int `json:"shards" bounds:"1..4096"`
 	// MaxRecordedBytes is the largest answer in bytes that is kept with its key and
 	// repeated to a caller who sends the key again.
-	// Default: 4096. Bounds: 0 to 65536.
+	// Default: 1024. Bounds: 0 to 65536.
 	MaxRecordedBytes int `json:"maxRecordedBytes" bounds:"0..65536"`
 }
 
@@ -254,7 +254,7 @@
 	// Default: 2. Bounds: 1 to 10.
 	Targets int `json:"targets" bounds:"1..10"`
 	// Expiry is how long such a request is refused.
-	// Default: "15m". Bounds: 1s to 24h.
+	// Default: "10m". Bounds: 1s to 24h.
 	Expiry Duration `json:"expiry" bounds:"1s..24h"`
 }
 
--- a/internal/tools/settingsdoc/generate.go
+++ b/internal/tools/settingsdoc/generate.go
@@ -168,7 +168,7 @@
 
 <!-- Made by go generate ./internal/config from the comments in internal/config/settings.go. -->
 
-` + "`rhubarbswitchd --settings FILE`" + ` reads one file of JSON with comments. An unknown or
+` + "`rhubarbswitchd FILE`" + ` reads one file of JSON with comments. An unknown or
 repeated field, a value of the wrong kind or without its unit, a value out of
 bounds and a contradiction between two fields are refused with line, column and
 remedy before anything starts. Check a file with ` + "`rhubarbswitchd check-settings FILE`" + `
