Refuse errors.Wrap of a nil error; mend make demo's first step

Cause: errors.Wrap of go-faster/errors returns an error for nil too, so make demo ended with 'read the stand-in's address' although the stand-in had answered. Ruled out: the stand-ins themselves; each prints its address when run by hand.

--- a/internal/ctl/customer.go
+++ b/internal/ctl/customer.go
@@ -51,10 +51,10 @@
 // lostKey adds the remedy for a write that may have put a key in force which
 // nobody has seen.
 func lostKey(customer string, err error) error {
-	if exitCodeOf(err) != ExitUnknown {
-		return err
+	if err != nil && exitCodeOf(err) == ExitUnknown {
+		err = errors.Wrapf(err, "the new key was not shown; once the platform answers, give another with rhubarbctl customer rotate-key %s --drop-old", customer)
 	}
-	return withCode(ExitUnknown, errors.Wrapf(err, "the new key was not shown; once the platform answers, give another with rhubarbctl customer rotate-key %s --drop-old", customer))
+	return err
 }
 
 type customerCreate struct {
--- a/internal/ctl/report.go
+++ b/internal/ctl/report.go
@@ -13,7 +13,7 @@
 }
 
 type reportAccount struct {
-	Customer string `help:"Only this customer."`
+	Customer string `arg:"" optional:"" help:"Only this customer."`
 	Month    string `help:"Only this month, as YYYY-MM (UTC)." placeholder:"YYYY-MM"`
 }
 
--- a/internal/stub/demo/demo.go
+++ b/internal/stub/demo/demo.go
@@ -133,7 +133,10 @@
 	}
 	d.started = append(d.started, cmd)
 	line, err := bufio.NewReader(out).ReadString('\n')
-	return strings.TrimSpace(line), errors.Wrap(err, "read the stand-in's address")
+	if err != nil {
+		return "", errors.Wrap(err, "read the stand-in's address")
+	}
+	return strings.TrimSpace(line), nil
 }
 
 func (d *Demo) daemon(name, platform string) error {
@@ -176,7 +179,7 @@
 		return "", errors.Wrap(err, "encode")
 	}
 	file := filepath.Join(d.dir, name)
-	return file, errors.Wrap(os.WriteFile(file, text, 0o600), "write")
+	return file, d.write(file, text)
 }
 
 func (d *Demo) writeObjects(plain string) error {
@@ -188,7 +191,14 @@
     "idempotent": [{"method": "GET", "prefix": "/"}], // a POST is never sent twice
     "coldLimit": 4, "warmLimit": 16, "warmAfter": 8}},
 ]`, dataCentre, model, service, plain, dataCentre)
-	return errors.Wrap(os.WriteFile(filepath.Join(d.dir, "objects.json"), []byte(objects), 0o600), "write objects")
+	return d.write(filepath.Join(d.dir, "objects.json"), []byte(objects))
+}
+
+func (d *Demo) write(file string, text []byte) error {
+	if err := os.WriteFile(file, text, 0o600); err != nil {
+		return errors.Wrap(err, "write")
+	}
+	return nil
 }
 
 // apply writes the configuration through rhubarbctl and waits until it is in force
@@ -232,7 +242,10 @@
 	var out bytes.Buffer
 	cmd.Stdout = io.MultiWriter(d.out, &out)
 	cmd.Stderr = d.out
-	return errors.Wrapf(cmd.Run(), "rhubarbctl %s", args[0])
+	if err := cmd.Run(); err != nil {
+		return errors.Wrapf(err, "rhubarbctl %s", args[0])
+	}
+	return nil
 }
 
 // calls makes the two calls through different daemons.
