--- /dev/null
+++ b/test/docs/doc.go
@@ -0,0 +1,3 @@
+// Package docs holds the checks of the documentation: links lead somewhere and the
+// tests that pages name exist.
+package docs
