Deal the slots of cold targets over the daemons of the platform

Cause: a target in its cold start must not get more than it bears, over all daemons together, also while daemons come, go, pause or are cut apart. Ruled out: slots over the linked daemons (two halves of a cut each own all), a lender with a lease (nothing is lent in an outage of the platform). KindDaemon joins the watched kinds; Heartbeat gains Held, PlatformState gains Sent. Found on the way, by rapid: a run that replaces one of the same name spoke for it, and a paused daemon alone in its old set agreed with itself.

--- /dev/null
+++ b/internal/core/coldstart/warmth.go
@@ -0,0 +1,70 @@
+package coldstart
+
+import "math/bits"
+
+// Limits are what a target bears, in requests in flight over all daemons.
+type Limits struct {
+	Cold int // just started
+	Warm int // after After whole answers
+	// After is the number of whole answers that make a cold target warm.
+	After int
+}
+
+// Warmth follows one target. The zero value is cold and has seen no incarnation.
+type Warmth struct {
+	identity string // incarnations and generation that the answers belong to
+	previous string
+	base     int64 // the target's count of answers when it was taken as cold
+	reported int64 // answers that the target reported since
+	own      int64 // answers that this daemon got since
+}
+
+// Identify takes up which incarnations serve now and the target's own count of
+// answers. New ones make the target cold; so does a count that fell. It reports
+// whether the target went cold.
+func (w *Warmth) Identify(identity string, answered int64) bool {
+	if identity != w.identity || answered < w.base {
+		w.Reset(identity, answered)
+		return true
+	}
+	w.reported = max(w.reported, answered-w.base)
+	return false
+}
+
+// Reset makes the target cold.
+func (w *Warmth) Reset(identity string, answered int64) {
+	if identity != w.identity {
+		w.previous = w.identity
+	}
+	w.identity, w.base = identity, answered
+	w.reported, w.own = 0, 0
+}
+
+// Identity is what the last Identify or Reset named.
+func (w *Warmth) Identity() string { return w.identity }
+
+// Previous is the identity before that.
+func (w *Warmth) Previous() string { return w.previous }
+
+// Answered counts a whole answer that this daemon got.
+func (w *Warmth) Answered() { w.own++ }
+
+// Limit returns the limit over all daemons that the answered work has earned, and
+// whether it is the warm one. The limit doubles step by step; each step takes as
+// many answers as its limit is a part of the whole way.
+func (w *Warmth) Limit(l Limits) (limit int, warm bool) {
+	answers := max(w.reported, w.own)
+	if answers >= int64(l.After) || l.Cold >= l.Warm {
+		return l.Warm, true
+	}
+	steps := bits.Len(uint((l.Warm - 1) / l.Cold)) // doublings from cold to warm
+	whole := int64(1)<<steps - 1
+	limit = l.Cold
+	for step := 1; step < steps; step++ {
+		if answers*whole < int64(l.After)*(int64(1)<<step-1) {
+			break
+		}
+		limit *= 2
+	}
+	return min(limit, l.Warm), false
+}
--- a/internal/core/step/event.go
+++ b/internal/core/step/event.go
@@ -143,7 +143,11 @@
 }
 
 // PlatformState says whether the watch is heard; it comes on change and with every renewal.
-type PlatformState struct{ Reachable bool }
+type PlatformState struct {
+	Reachable bool
+	// Sent is when the call was sent that proves the configuration current.
+	Sent time.Duration
+}
 
 // HostList is the platform's list of hosts.
 type HostList struct{ Hosts []platformapi.Host }
--- a/internal/core/step/message.go
+++ b/internal/core/step/message.go
@@ -16,6 +16,9 @@
 	Applied     object.Version `cbor:"2,keyasint"` // revision of the configuration in force
 	Platform    bool           `cbor:"3,keyasint"` // whether the sender hears the platform
 	Leaving     bool           `cbor:"4,keyasint"`
+	// Held says that the sender took the place of a run of the same name that may still
+	// go on: its word that it has applied a revision does not speak for that run.
+	Held bool `cbor:"9,keyasint,omitempty"`
 	// Loads are the sender's requests in flight by target.
 	Loads []Load `cbor:"5,keyasint,omitempty"`
 }
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -13,6 +13,24 @@
 	RequestRetried     ID = 2002
 	AnswerDropped      ID = 2003
 	RequestQuarantined ID = 2004
+	GroupFormed        ID = 4001
+	GroupBroken        ID = 4002
+	GroupWaiting       ID = 4003
+	GroupRepaired      ID = 4004
+	GroupDraining      ID = 4005
+	GroupDissolved     ID = 4006
+	DomainTaken        ID = 4010
+	DomainReleased     ID = 4011
+	DomainLost         ID = 4012
+	DomainDark         ID = 4013
+	DomainShort        ID = 4014
+	HostFlapping       ID = 4020
+	HostStraggling     ID = 4021
+	HostRetired        ID = 4022
+	OrderRefused       ID = 4023
+	OrderUnheard       ID = 4024
+	DaemonMarked       ID = 4030
+	DaemonRemoved      ID = 4031
 	ConfigApplied      ID = 5001
 	ConfigRefused      ID = 5002
 	PeerLinked         ID = 6001
@@ -30,6 +48,24 @@
 	{RequestRetried, slog.LevelInfo, "request sent again to another target", "If frequent, look at the target named."},
 	{AnswerDropped, slog.LevelWarn, "answer dropped since it was not whole or not for this attempt", "Look at the target named: it mixes up or cuts answers."},
 	{RequestQuarantined, slog.LevelWarn, "request refused since targets died running it", "Ask the customer not to send it again; see docs/operations/poison-request.md."},
+	{GroupFormed, slog.LevelInfo, "group assigned to hosts", ""},
+	{GroupBroken, slog.LevelWarn, "group out of service since a member is missing", "If it persists, see docs/operations/group-stuck.md."},
+	{GroupWaiting, slog.LevelInfo, "group waits for the return of a member", ""},
+	{GroupRepaired, slog.LevelInfo, "group has other members", ""},
+	{GroupDraining, slog.LevelInfo, "group takes no new work and finishes what is in flight", ""},
+	{GroupDissolved, slog.LevelInfo, "group dissolved", ""},
+	{DomainTaken, slog.LevelInfo, "control of a fabric domain taken", ""},
+	{DomainReleased, slog.LevelInfo, "control of a fabric domain handed back", ""},
+	{DomainLost, slog.LevelWarn, "control of a fabric domain lost to another daemon", "If frequent, look at the daemon named: it was paused or cut off."},
+	{DomainDark, slog.LevelError, "no host of a fabric domain answers; its groups are left as they are", "Look at the domain's switch and power."},
+	{DomainShort, slog.LevelWarn, "fabric domain has too few hosts for its groups", "Add hosts or lower the groups of the models named; see docs/operations/group-stuck.md."},
+	{HostFlapping, slog.LevelWarn, "host comes and goes and is left out for a while", "Look at the host named."},
+	{HostStraggling, slog.LevelWarn, "host is slow to join its group and is replaced", "Look at the host named."},
+	{HostRetired, slog.LevelInfo, "engine told to end so that its host can change groups", ""},
+	{OrderRefused, slog.LevelWarn, "order refused for its fencing number", "If frequent, look for a daemon that is paused again and again."},
+	{OrderUnheard, slog.LevelWarn, "order without an answer; the host's report decides", ""},
+	{DaemonMarked, slog.LevelWarn, "silent daemon marked as leaving in the platform", "If the daemon is alive, look at its links."},
+	{DaemonRemoved, slog.LevelInfo, "object of a daemon that died removed from the platform", ""},
 	{ConfigApplied, slog.LevelInfo, "configuration in force", ""},
 	{ConfigRefused, slog.LevelError, "object in the platform breaks a rule and is not applied", "Correct it with rhubarbctl apply."},
 	{PeerLinked, slog.LevelInfo, "link to another daemon open", ""},
--- a/internal/object/object.go
+++ b/internal/object/object.go
@@ -27,8 +27,9 @@
 var ConfigKinds = []Kind{KindContract, KindModel, KindService, KindDataCentre, KindHost}
 
 // WatchedKinds are the kinds that every daemon follows by watch: the
-// configuration and the assignment of hosts to groups.
-var WatchedKinds = []Kind{KindContract, KindModel, KindService, KindDataCentre, KindHost, KindDomain}
+// configuration, the assignment of hosts to groups, and the daemons, over which the
+// slots of cold targets are dealt.
+var WatchedKinds = []Kind{KindContract, KindModel, KindService, KindDataCentre, KindHost, KindDomain, KindDaemon}
 
 // MaxValueBytes bounds an encoded value. The platform refuses 1 MiB; the bound
 // leaves room for its envelope.
