Bound the load on each target by its warmth and this daemon's part

Cause: every daemon counted every target as warm and took a fixed part. Ruled out: fixed parts of the warm limit (strand what idle daemons do not use), parts of free slots in a fixed order (a busy daemon at the end of the order got none of the last eight).

--- a/internal/core/coldstart/dealer.go
+++ b/internal/core/coldstart/dealer.go
@@ -80,7 +80,7 @@
 
 // Replaces says that this daemon took the place of a run of the same name that may
 // still go on. Its slots stay unused for HoldOff.
-func (d *Dealer) Replaces(now time.Duration) { d.heldUntil = now + HoldOff }
+func (d *Dealer) Replaces() { d.heldUntil = d.now + HoldOff }
 
 // Held reports whether the slots of an earlier run are still held back; the heartbeat
 // says so.
@@ -161,8 +161,9 @@
 // Acknowledged reports whether all daemons of some set that holds this one have known it.
 func (d *Dealer) Acknowledged() bool { return d.known != none }
 
-// Daemons returns the number of daemons that slots are dealt over.
-func (d *Dealer) Daemons() int { return len(d.current()) }
+// Daemons returns the daemons that slots are dealt over, sorted. The slice must not
+// be changed.
+func (d *Dealer) Daemons() []string { return d.current() }
 
 // Sure reports whether, as of the last Advance, the deal that this daemon knows
 // still binds the others.
@@ -256,7 +257,7 @@
 		if p.held {
 			return false
 		}
-		if load := p.loads[target]; load > 0 && load > share(set, name, target, slots) {
+		if load := p.loads[target]; load > 0 && load > Part(set, name, target, 0, slots) {
 			return false
 		}
 	}
@@ -271,7 +272,7 @@
 	}
 	least := slots
 	for _, set := range d.sets[settled-d.first:] {
-		least = min(least, share(set, d.self, target, slots))
+		least = min(least, Part(set, d.self, target, 0, slots))
 	}
 	return least
 }
@@ -279,16 +280,16 @@
 // Forget drops what is kept of a target that is gone.
 func (d *Dealer) Forget(target string) { delete(d.deals, target) }
 
-// share returns a daemon's part of a target's slots: the daemons stand in the order
+// Part returns a daemon's part of a target's slots: the daemons stand in the order
 // of their rendezvous scores, and the slots are dealt round. A daemon that joins
-// never raises another's share.
-func share(set []string, daemon, target string, slots int) int {
-	own := scored{daemon, score(daemon, target)}
+// never raises another's share. Round changes the order.
+func Part(set []string, daemon, target string, round uint64, slots int) int {
+	own := scored{daemon, score(daemon, target, round)}
 	found, position := false, 0
 	for _, name := range set {
 		if name == daemon {
 			found = true
-		} else if before(scored{name, score(name, target)}, own) < 0 {
+		} else if before(scored{name, score(name, target, round)}, own) < 0 {
 			position++
 		}
 	}
@@ -302,9 +303,9 @@
 	return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.name, b.name))
 }
 
-func score(daemon, target string) uint64 {
+func score(daemon, target string, round uint64) uint64 {
 	var h xxhash.Digest
-	h.Reset()
+	h.ResetWithSeed(round)
 	_, _ = h.WriteString(target)
 	_, _ = h.Write([]byte{0})
 	_, _ = h.WriteString(daemon)
--- a/internal/core/coldstart/dealer_test.go
+++ b/internal/core/coldstart/dealer_test.go
@@ -74,6 +74,8 @@
 	return n
 }
 
+func (w *world) Objects(object.Kind) []object.Object { return w.sorted() }
+
 func (w *world) sorted() []object.Object {
 	var all []object.Object
 	for _, name := range slices.Sorted(mapsKeys(w.objects)) {
@@ -103,7 +105,7 @@
 	d.reaper = NewReaper(name, d.dealer)
 	d.dealer.Advance(d.mono())
 	if _, taken := w.objects[name]; taken {
-		d.dealer.Replaces(d.mono())
+		d.dealer.Replaces()
 	}
 	w.put(name, &object.Daemon{Incarnation: fmt.Sprint(w.joined)})
 	w.joined++
@@ -160,7 +162,7 @@
 
 func (d *daemon) reap() {
 	var out step.Out
-	d.reaper.Tick(d.mono(), d.w.sorted(), d, func() step.OpID { return 1 }, &out)
+	d.reaper.Tick(d.mono(), d.w, d, func() step.OpID { return 1 }, &out)
 	for _, e := range out.Effects {
 		switch e := e.(type) {
 		case step.PutObject:
@@ -314,9 +316,9 @@
 	for slots := range 20 {
 		sum := 0
 		for _, name := range set {
-			n := share(set, name, target, slots)
+			n := Part(set, name, target, 0, slots)
 			require.InDelta(t, float64(slots)/5, float64(n), 1)
-			require.GreaterOrEqual(t, n, share(append(set, "f"), name, target, slots))
+			require.GreaterOrEqual(t, n, Part(append(set, "f"), name, target, 0, slots))
 			sum += n
 		}
 		require.Equal(t, slots, sum)
--- a/internal/core/coldstart/reap.go
+++ b/internal/core/coldstart/reap.go
@@ -16,12 +16,19 @@
 	Owners(key string, n int) []string
 }
 
+// Config is the part of the configuration that Reaper reads.
+type Config interface {
+	// Objects returns a kind's objects, sorted by name.
+	Objects(kind object.Kind) []object.Object
+}
+
 // Reaper removes the objects of daemons that died without taking leave, so that
 // their slots are dealt anew.
 type Reaper struct {
 	self    string
 	dealer  *Dealer
 	daemons map[string]*silent
+	next    time.Duration // when to look again
 }
 
 // silent is a daemon that is not heard.
@@ -32,18 +39,27 @@
 	tried   time.Duration  // when a write was last sent
 }
 
-// retryEvery is the interval between two writes for one daemon.
-const retryEvery = 3 * time.Second
+const (
+	// lookEvery is the interval between two looks at the daemon objects.
+	lookEvery = time.Second
+	// retryEvery is the interval between two writes for one daemon.
+	retryEvery = 3 * time.Second
+)
 
 // NewReaper returns a reaper that acts once the dealer's set is acknowledged.
 func NewReaper(self string, dealer *Dealer) *Reaper {
 	return &Reaper{self: self, dealer: dealer, daemons: make(map[string]*silent)}
 }
 
-// Tick looks at the daemon objects, sorted by name, as the configuration in force
-// has them. Next mints the ID of a call; the replies need not be handed back, since
-// the watch shows what took effect.
-func (r *Reaper) Tick(now time.Duration, daemons []object.Object, members Members, next func() step.OpID, out *step.Out) {
+// Tick looks at the daemon objects of the configuration in force. Next mints the ID
+// of a call; the replies need not be handed back, since the watch shows what took
+// effect.
+func (r *Reaper) Tick(now time.Duration, config Config, members Members, next func() step.OpID, out *step.Out) {
+	if now < r.next {
+		return
+	}
+	r.next = now + lookEvery
+	daemons := config.Objects(object.KindDaemon)
 	heard := make(map[string]bool)
 	for _, name := range members.Live() {
 		heard[name] = true
--- a/internal/core/coldstart/warmth.go
+++ b/internal/core/coldstart/warmth.go
@@ -12,17 +12,16 @@
 
 // Warmth follows one target. The zero value is cold and has seen no incarnation.
 type Warmth struct {
-	identity string // incarnations and generation that the answers belong to
-	previous string
-	base     int64 // the target's count of answers when it was taken as cold
-	reported int64 // answers that the target reported since
-	own      int64 // answers that this daemon got since
+	identity uint64 // of the incarnations and the generation that the answers belong to
+	base     int64  // the target's count of answers when it was taken as cold
+	reported int64  // answers that the target reported since
+	own      int64  // answers that this daemon got since
 }
 
 // Identify takes up which incarnations serve now and the target's own count of
 // answers. New ones make the target cold; so does a count that fell. It reports
 // whether the target went cold.
-func (w *Warmth) Identify(identity string, answered int64) bool {
+func (w *Warmth) Identify(identity uint64, answered int64) bool {
 	if identity != w.identity || answered < w.base {
 		w.Reset(identity, answered)
 		return true
@@ -32,20 +31,11 @@
 }
 
 // Reset makes the target cold.
-func (w *Warmth) Reset(identity string, answered int64) {
-	if identity != w.identity {
-		w.previous = w.identity
-	}
+func (w *Warmth) Reset(identity uint64, answered int64) {
 	w.identity, w.base = identity, answered
 	w.reported, w.own = 0, 0
 }
 
-// Identity is what the last Identify or Reset named.
-func (w *Warmth) Identity() string { return w.identity }
-
-// Previous is the identity before that.
-func (w *Warmth) Previous() string { return w.previous }
-
 // Answered counts a whole answer that this daemon got.
 func (w *Warmth) Answered() { w.own++ }
 
--- a/internal/core/coldstart/warmth_test.go
+++ b/internal/core/coldstart/warmth_test.go
@@ -9,10 +9,10 @@
 func TestLimitRisesWithAnswers(t *testing.T) {
 	l := Limits{Cold: 2, Warm: 16, After: 14}
 	var w Warmth
-	require.True(t, w.Identify("i1", 100))
+	require.True(t, w.Identify(1, 100))
 	got := map[int64]int{}
 	for _, n := range []int64{0, 1, 2, 5, 6, 13, 14} {
-		w.Identify("i1", 100+n)
+		w.Identify(1, 100+n)
 		got[n], _ = w.Limit(l)
 	}
 	require.Equal(t, map[int64]int{0: 2, 1: 2, 2: 4, 5: 4, 6: 8, 13: 8, 14: 16}, got)
@@ -21,14 +21,14 @@
 func TestColdAgain(t *testing.T) {
 	l := Limits{Cold: 1, Warm: 8, After: 4}
 	cases := map[string]func(w *Warmth){
-		"new incarnation": func(w *Warmth) { w.Identify("i2", 9) },
-		"count fell":      func(w *Warmth) { w.Identify("i1", 0) },
-		"reset":           func(w *Warmth) { w.Reset("i1", 9) },
+		"new incarnation": func(w *Warmth) { w.Identify(2, 9) },
+		"count fell":      func(w *Warmth) { w.Identify(1, 0) },
+		"reset":           func(w *Warmth) { w.Reset(1, 9) },
 	}
 	for name, change := range cases {
 		t.Run(name, func(t *testing.T) {
 			var w Warmth
-			w.Identify("i1", 2)
+			w.Identify(1, 2)
 			for range 4 {
 				w.Answered()
 			}
@@ -49,7 +49,7 @@
 			var w Warmth
 			last := 0
 			for n := range int64(60) {
-				w.Identify("i", n)
+				w.Identify(1, n)
 				limit, _ := w.Limit(Limits{Cold: cold, Warm: warm, After: 50})
 				require.GreaterOrEqual(t, limit, last)
 				require.LessOrEqual(t, limit, warm)
--- a/internal/core/conf/get.go
+++ b/internal/core/conf/get.go
@@ -11,6 +11,15 @@
 // Names returns the names of a kind's objects, sorted. The slice must not be changed.
 func (t *Table) Names(kind object.Kind) []string { return t.names[kind] }
 
+// Objects returns a kind's objects, sorted by name.
+func (t *Table) Objects(kind object.Kind) []object.Object {
+	objects := make([]object.Object, 0, len(t.names[kind]))
+	for _, name := range t.names[kind] {
+		objects = append(objects, t.entries[key{kind, name}])
+	}
+	return objects
+}
+
 func get[T object.Value](t *Table, kind object.Kind, name string) (T, bool) {
 	v, ok := t.entries[key{kind, name}].Value.(T)
 	return v, ok
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -10,6 +10,7 @@
 
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/admit"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/claim"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/coldstart"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/conf"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/fleet"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/member"
@@ -18,6 +19,7 @@
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/retry"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/event"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/object"
 )
 
 // Settings are what the reducer needs to know of its daemon.
@@ -52,6 +54,8 @@
 	config   *conf.Table
 	members  *member.Table
 	fleet    *fleet.View
+	dealer   *coldstart.Dealer
+	reaper   *coldstart.Reaper
 	claims   *claim.Manager
 	poison   *poison.Book
 	requests *request.Manager
@@ -64,6 +68,9 @@
 	s.config = conf.New()
 	s.members = member.New(set.Daemon)
 	s.fleet = fleet.New(set.Daemon, s.config, s.members)
+	s.dealer = coldstart.NewDealer(set.Daemon, set.Incarnation)
+	s.reaper = coldstart.NewReaper(set.Daemon, s.dealer)
+	s.fleet.SetDealer(s.dealer)
 	s.claims = claim.New(set.Claims, owners{s}, s.nextOp)
 	s.poison = poison.New(set.Poison)
 	s.requests = request.New(request.Parts{
@@ -97,6 +104,7 @@
 func (s *State) Reduce(now step.Time, ev step.Event) []step.Effect {
 	out := &step.Out{}
 	s.members.Advance(now.Mono, out)
+	s.dealer.Advance(now.Mono)
 	switch e := ev.(type) {
 	case step.Tick:
 		s.tick(now, out)
@@ -113,7 +121,7 @@
 	case step.PlatformState:
 		s.onPlatform(e, out)
 	case step.DaemonList:
-		s.members.SetListed(e.Names)
+		s.onDaemons(e)
 	case step.HostList:
 		s.fleet.HostList(now, e)
 	case step.HostReport:
@@ -124,6 +132,7 @@
 	case step.PeerDown:
 		s.members.Down(e, out)
 		s.fleet.PeerDown(e.Daemon)
+		s.dealer.PeerDown(e.Daemon)
 	case step.PeerMessage:
 		s.onMessage(now, e.From, e.Message, out)
 	case step.Stop:
@@ -141,7 +150,9 @@
 		Newest:      s.config.Newest(),
 		Leaving:     s.life.stopping,
 		Loads:       s.fleet.Loads(),
+		Held:        s.dealer.Held(),
 	}, out)
+	s.reaper.Tick(now.Mono, s.config, s.members, s.nextOp, out)
 	s.fleet.Tick(now, out)
 	s.claims.Tick(now, out)
 	s.poison.Tick(now)
@@ -149,6 +160,7 @@
 }
 
 func (s *State) configured(now step.Time, changed bool, out *step.Out) {
+	s.dealer.SetDaemons(s.config.Applied(), s.config.Objects(object.KindDaemon))
 	if !changed {
 		return
 	}
@@ -162,6 +174,9 @@
 
 func (s *State) onPlatform(e step.PlatformState, out *step.Out) {
 	s.members.SetPlatform(e)
+	if e.Reachable {
+		s.dealer.Confirm(e.Sent)
+	}
 	if e.Reachable == s.life.platform {
 		return
 	}
@@ -173,6 +188,13 @@
 	}
 }
 
+func (s *State) onDaemons(e step.DaemonList) {
+	s.members.SetListed(e.Names)
+	if e.Replaced {
+		s.dealer.Replaces()
+	}
+}
+
 func (s *State) onReport(now step.Time, r step.HostReport, out *step.Out) {
 	s.fleet.HostReport(now, r)
 	if r.OK {
@@ -185,6 +207,7 @@
 	case step.Heartbeat:
 		s.members.Heartbeat(from, m)
 		s.fleet.Heartbeat(now, from, m)
+		s.dealer.Heartbeat(from, m)
 	case step.ConfigAsk:
 		s.config.Answer(from, m, out)
 	case step.ConfigDelta:
@@ -200,6 +223,7 @@
 	case step.Goodbye:
 		s.members.Goodbye(from, m)
 		s.fleet.PeerDown(from)
+		s.dealer.PeerDown(from)
 	}
 }
 
--- a/internal/core/fleet/build.go
+++ b/internal/core/fleet/build.go
@@ -124,12 +124,12 @@
 			continue
 		}
 		for _, group := range sortedKeys(d.Groups) {
-			v.setGroup(group, d.Groups[group])
+			v.setGroup(now, group, d.Groups[group])
 		}
 	}
 	for _, name := range v.config.Names(object.KindService) {
 		if s, ok := v.config.Service(name); ok {
-			v.setService(name, s)
+			v.setService(now, name, s)
 		}
 	}
 	v.sweep(now)
@@ -139,19 +139,20 @@
 	v.names = sortedKeys(v.targets)
 	for _, name := range slices.Clone(v.names) {
 		t := v.targets[name]
-		v.judge(now.Mono, t)
+		v.judge(now, t)
 		if !t.wanted && t.InFlight == 0 {
 			v.forget(t)
 		}
 	}
 }
 
-func (v *View) setGroup(name string, g object.Group) {
+func (v *View) setGroup(now step.Time, name string, g object.Group) {
 	_, known := v.config.Model(g.Model)
 	t := v.target(name, poolOf(v.models, g.Model))
 	t.Model, t.Service, t.DataCentre = g.Model, "", g.DataCentre
 	t.generation = g.Generation
 	t.wanted = known
+	wasOut := t.out
 	t.out = v.centreOut(g.DataCentre)
 	t.members = t.members[:0]
 	for _, member := range g.Members {
@@ -164,18 +165,25 @@
 		t.out = t.out || v.hostOut(member) || v.centreOut(h.DataCentre)
 		h.targets = append(h.targets, t)
 	}
+	if wasOut && !t.out {
+		v.centreBack(now, t)
+	}
 	t.To = step.Destination{Group: name, Generation: g.Generation}
 	if len(t.members) > 0 {
 		t.To.Host, t.To.Address = t.members[0].Name, t.members[0].Address
 	}
 }
 
-func (v *View) setService(name string, s *object.Service) {
+func (v *View) setService(now step.Time, name string, s *object.Service) {
 	for _, st := range s.Targets {
 		t := v.target(name+"/"+st.Host, poolOf(v.services, name))
 		t.Model, t.Service, t.DataCentre = "", name, st.DataCentre
 		t.wanted = true
+		wasOut := t.out
 		t.out = v.hostOut(st.Host) || v.centreOut(st.DataCentre)
+		if wasOut && !t.out {
+			v.centreBack(now, t)
+		}
 		t.To = step.Destination{Host: st.Host, Address: st.Address}
 		h := v.hosts[st.Host]
 		t.members = append(t.members[:0], h)
--- a/internal/core/fleet/host.go
+++ b/internal/core/fleet/host.go
@@ -28,6 +28,7 @@
 	ConnStatus engineapi.Status
 	ConnSent   time.Duration
 
+	previous string // incarnation before the known one
 	targets  []*Target
 	probed   bool
 	probeAt  time.Duration // when the last probe was sent
--- /dev/null
+++ b/internal/core/fleet/limit_test.go
@@ -0,0 +1,159 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/object"
+)
+
+// half deals every daemon half of the slots.
+type half struct{}
+
+func (half) Share(_ string, slots int) int { return (slots + 1) / 2 }
+func (half) Daemons() []string             { return []string{"a", "b"} }
+func (half) Forget(string)                 {}
+
+func answered(n int64, sent time.Duration) step.HostReport {
+	r := report("h000-0", sent)
+	r.Status.Answered = n
+	return r
+}
+
+func TestLimitRisesWithAnswersAndFallsWithoutWarning(t *testing.T) {
+	v, c := fleetOf(1)
+	v.SetDealer(half{})
+	target, _ := v.Target("d000.0")
+	var out step.Out
+	v.Tick(at(1), &out)
+	require.Equal(t, 1, target.Limit, "half of the cold limit")
+	v.HostReport(at(2), answered(8, 2))
+	v.Tick(at(warmEvery), &out)
+	require.Equal(t, 8, target.Limit, "half of the warm limit")
+
+	cold := map[string]func(){
+		"new incarnation of a member": func() {
+			r := report("h000-5", 3)
+			r.Status.Incarnation = "i2"
+			v.HostReport(at(3), r)
+		},
+		"stale report": func() {
+			require.Empty(t, v.Candidates(at(FreshFor+10), "m", ""))
+			for i := range 8 {
+				v.HostReport(at(FreshFor+11), report(fmt.Sprintf("h000-%d", i), FreshFor+11))
+			}
+		},
+		"taken out and in": func() {
+			c.centres["dc"] = &object.DataCentre{Out: true}
+			v.ConfigChanged(at(4))
+			c.centres["dc"].Out = false
+			v.ConfigChanged(at(4))
+		},
+	}
+	for _, name := range sortedKeys(cold) {
+		v, c = fleetOf(1)
+		v.SetDealer(half{})
+		target, _ = v.Target("d000.0")
+		v.HostReport(at(2), answered(8, 2))
+		v.Tick(at(warmEvery), &out)
+		cold[name]()
+		require.Equal(t, 1, target.Limit, name)
+	}
+}
+
+func TestRestartSeenInAReply(t *testing.T) {
+	v, _ := fleetOf(1)
+	v.Begin(at(1), "d000.0", 1)
+	v.End(at(2), "d000.0", 1, step.EndedWhole, "i2")
+	require.Empty(t, v.Candidates(at(2), "m", ""), "out of routing until the reports agree again")
+	v.HostReport(at(3), report("h000-0", 3))
+	require.Len(t, v.Candidates(at(3), "m", ""), 1)
+}
+
+func TestWarmPartsFollowTheWork(t *testing.T) {
+	v, _ := fleetOf(1)
+	v.SetDealer(half{})
+	v.HostReport(at(2), answered(8, 2))
+	target, _ := v.Target("d000.0")
+	var out step.Out
+	now := warmEvery
+	for range 20 {
+		v.Tick(step.Time{Mono: now, Unix: now.Milliseconds()}, &out)
+		for target.Free() > 0 {
+			v.Begin(at(now), target.Name, 1)
+		}
+		now += warmEvery
+	}
+	require.Equal(t, 16, target.InFlight, "one busy daemon gets the whole limit in time")
+	v.Heartbeat(at(now), "b", step.Heartbeat{Loads: []step.Load{{Target: target.Name, InFlight: 3}}})
+	v.Tick(at(now), &out)
+	require.Zero(t, target.Free())
+}
+
+func TestPartsOfUnheardDaemonsAreLeftAlone(t *testing.T) {
+	v, _ := fleetOf(1)
+	v.SetDealer(half{})
+	v.members.(*fakeMembers).live = []string{"a"}
+	v.HostReport(at(2), answered(8, 2))
+	target, _ := v.Target("d000.0")
+	var out step.Out
+	for now := warmEvery; now < 20*warmEvery; now += warmEvery {
+		v.Tick(step.Time{Mono: now, Unix: now.Milliseconds()}, &out)
+		for target.Free() > 0 {
+			v.Begin(at(now), target.Name, 1)
+		}
+	}
+	require.Equal(t, 8, target.InFlight)
+}
+
+func BenchmarkCandidates(b *testing.B) {
+	for _, n := range []int{10, 90, 1000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			v, _ := fleetOf(n)
+			b.ReportAllocs()
+			for b.Loop() {
+				if len(v.Candidates(at(1), "m", "")) != n {
+					b.Fatal("not all are routable")
+				}
+			}
+		})
+	}
+}
+
+// The fleet of the next two years: 90 groups, 720 hosts.
+const manyGroups = 90
+
+func BenchmarkHostReport(b *testing.B) {
+	v, _ := fleetOf(manyGroups)
+	b.ReportAllocs()
+	now := time.Duration(0)
+	for b.Loop() {
+		now++
+		v.HostReport(at(now), report("h045-3", now))
+	}
+}
+
+func BenchmarkTick(b *testing.B) {
+	v, _ := fleetOf(manyGroups)
+	v.SetDealer(half{})
+	b.ReportAllocs()
+	now := time.Duration(0)
+	var out step.Out
+	for b.Loop() {
+		now++
+		out.Effects = out.Effects[:0]
+		v.Tick(at(now), &out)
+	}
+}
+
+func BenchmarkConfigChanged(b *testing.B) {
+	v, _ := fleetOf(manyGroups)
+	b.ReportAllocs()
+	for b.Loop() {
+		v.ConfigChanged(at(1))
+	}
+}
--- a/internal/core/fleet/probe.go
+++ b/internal/core/fleet/probe.go
@@ -54,9 +54,15 @@
 	if !r.supersedes(&h.Report) {
 		return
 	}
+	if r.OK && r.Incarnation != h.Report.Incarnation && h.Report.Incarnation != "" {
+		h.previous = h.Report.Incarnation
+	}
+	if !r.OK {
+		r.Incarnation = h.Report.Incarnation // the last that was known
+	}
 	h.Report = r
 	for _, t := range h.targets {
-		v.judge(now.Mono, t)
+		v.judge(now, t)
 		if len(t.members) > 0 && t.members[0] == h && r.OK {
 			t.Reported, t.ReportedTokens, t.ReportedAt = r.InFlight, r.Tokens, r.Sent
 		}
@@ -81,7 +87,7 @@
 	if len(digest.Reports) > 0 && len(v.live) > 1 {
 		out.Add(step.SendPeer{Message: digest})
 	}
-	v.share()
+	v.share(now)
 }
 
 // deal decides which hosts this daemon probes, whenever the membership has changed.
@@ -121,18 +127,11 @@
 	return h.unpassed && (h.changed || now-h.passedAt >= refreshEvery)
 }
 
-// share sets each target's Limit to this daemon's part of the warm limit.
-func (v *View) share() {
-	live := max(1, len(v.live))
+// share sets each target's limit anew.
+func (v *View) share(now step.Time) {
 	for _, name := range v.names {
-		t := v.targets[name]
-		warm := 0
-		if m, ok := v.config.Model(t.Model); ok && t.Model != "" {
-			warm = m.WarmLimit
-		}
-		if s, ok := v.config.Service(t.Service); ok && t.Service != "" {
-			warm = s.WarmLimit
+		if t := v.targets[name]; t.routable {
+			v.limit(now, t)
 		}
-		t.Limit = (warm + live - 1) / live
 	}
 }
--- a/internal/core/fleet/target.go
+++ b/internal/core/fleet/target.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/coldstart"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
 )
 
@@ -40,6 +41,12 @@
 	freshUntil time.Duration
 	pool       *pool
 	peers      map[string]step.Load // by daemon, what PeerInFlight sums up
+	warmth     coldstart.Warmth
+	rising     bool          // not warm yet
+	limitAt    time.Duration // when a warm target's limit was last set
+	returnedAt time.Duration // when the target was taken back in
+	ramp       time.Duration // over which its load returns; 0 if never out
+	serving    string        // incarnation of a plain service's last answer
 }
 
 // Free is the number of further requests that this daemon may send there now.
--- a/internal/core/fleet/view.go
+++ b/internal/core/fleet/view.go
@@ -12,6 +12,7 @@
 	self    string
 	config  Config
 	members Members
+	dealer  Dealer
 
 	hosts     map[string]*Host
 	hostNames []string // sorted
@@ -98,11 +99,49 @@
 	}
 	t.InFlight = max(0, t.InFlight-1)
 	t.Tokens = max(0, t.Tokens-tokens)
+	v.learn(now, t, ending, incarnation)
 	if !t.wanted && t.InFlight == 0 {
 		v.forget(t)
 	}
 }
 
+// learn counts whole answers and looks whether another run than the known one answered.
+func (v *View) learn(now step.Time, t *Target, ending step.Ending, incarnation string) {
+	if len(t.members) == 0 {
+		return
+	}
+	if incarnation != "" {
+		v.answeredBy(now, t, incarnation)
+	}
+	if ending == step.EndedWhole && t.routable {
+		t.warmth.Answered()
+		if t.rising {
+			v.limit(now, t)
+		}
+	}
+}
+
+// answeredBy takes up the incarnation that answered. A new one means that the target
+// was started anew without notice: a group is out of routing until its members'
+// reports say otherwise, a plain service is cold.
+func (v *View) answeredBy(now step.Time, t *Target, incarnation string) {
+	h := t.members[0]
+	switch {
+	case !h.Service && incarnation != h.Report.Incarnation && incarnation != h.previous:
+		h.Report.OK = false
+		for _, t := range h.targets {
+			v.judge(now, t)
+		}
+	case h.Service && incarnation != t.serving:
+		if t.serving != "" && incarnation != h.previous {
+			t.warmth.Reset(t.identity(), h.Report.Answered)
+			v.limit(now, t)
+			h.previous = t.serving
+		}
+		t.serving = incarnation
+	}
+}
+
 // Loads returns this daemon's requests in flight by target, sorted, for its heartbeat.
 func (v *View) Loads() []step.Load {
 	var loads []step.Load
@@ -145,8 +184,8 @@
 }
 
 // judge decides anew whether a target is routable at now.
-func (v *View) judge(now time.Duration, t *Target) {
-	until, ok := t.provenUntil(now)
+func (v *View) judge(now step.Time, t *Target) {
+	until, ok := t.provenUntil(now.Mono)
 	if !ok {
 		if t.routable {
 			t.routable = false
@@ -154,12 +193,14 @@
 		}
 		return
 	}
+	returned := !t.routable
 	t.freshUntil = until
 	t.pool.expiry = min(t.pool.expiry, until)
-	if !t.routable {
+	if returned {
 		t.routable = true
 		t.pool.add(t)
 	}
+	v.warm(now, t, returned)
 }
 
 // provenUntil returns until when the reports at hand prove that every member
@@ -188,6 +229,9 @@
 		t.pool.remove(t)
 	}
 	delete(v.targets, t.Name)
+	if v.dealer != nil {
+		v.dealer.Forget(t.Name)
+	}
 	if at, found := slices.BinarySearch(v.names, t.Name); found {
 		v.names = slices.Delete(v.names, at, at+1)
 	}
--- a/internal/core/step/event.go
+++ b/internal/core/step/event.go
@@ -179,7 +179,11 @@
 }
 
 // DaemonList names the daemons that have joined in the platform and not left.
-type DaemonList struct{ Names []string }
+type DaemonList struct {
+	Names []string
+	// Replaced says that this daemon's own object was another run's.
+	Replaced bool
+}
 
 // HostList is the platform's list of hosts.
 type HostList struct{ Hosts []platformapi.Host }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -146,7 +146,7 @@
 	g.Go(func() error { return serve(servers.operators, listeners.operators) })
 	g.Go(func() error { return d.mesh.Run(listeners.peers) })
 	g.Go(func() error {
-		platform.NewFollower(d.platform, d.seed(), d.Post).Run(ctx)
+		platform.NewFollower(d.platform, d.seed(), func() time.Duration { return d.now().Mono }, d.Post).Run(ctx)
 		return nil
 	})
 	g.Go(func() error {
--- a/internal/daemon/registry.go
+++ b/internal/daemon/registry.go
@@ -62,8 +62,10 @@
 		return err
 	}
 	d.mesh.SetPeers(peers)
-	d.Post(step.DaemonList{Names: names})
-	if v, ok := own.Value.(*object.Daemon); ok && v.Incarnation == d.incarnation {
+	v, registered := own.Value.(*object.Daemon)
+	replaced := registered && v.Incarnation != d.incarnation
+	d.Post(step.DaemonList{Names: names, Replaced: replaced})
+	if registered && !replaced && !v.Leaving {
 		return nil
 	}
 	_, err = d.platform.Put(ctx, d.set.Daemon, own.Version, d.registration())
--- a/internal/platform/follower.go
+++ b/internal/platform/follower.go
@@ -32,6 +32,7 @@
 type Follower struct {
 	client *Client
 	emit   func(step.Event)
+	clock  func() time.Duration
 	// jitter is shared by the two goroutines.
 	mu     sync.Mutex
 	jitter *rand.Rand
@@ -43,8 +44,9 @@
 }
 
 // NewFollower returns a follower. The seed spreads the pauses of daemons: give each its own.
-func NewFollower(client *Client, seed uint64, emit func(step.Event)) *Follower {
-	return &Follower{client: client, emit: emit, jitter: rand.New(rand.NewPCG(seed, seed))}
+// Clock tells the daemon's monotonic time.
+func NewFollower(client *Client, seed uint64, clock func() time.Duration, emit func(step.Event)) *Follower {
+	return &Follower{client: client, clock: clock, emit: emit, jitter: rand.New(rand.NewPCG(seed, seed))}
 }
 
 // Run follows until the context ends.
@@ -58,7 +60,7 @@
 func (f *Follower) followObjects(ctx context.Context) {
 	failures := 0
 	for ctx.Err() == nil {
-		started := time.Now()
+		started, sent := time.Now(), f.clock()
 		err := f.advance(ctx)
 		if ctx.Err() != nil {
 			return
@@ -68,7 +70,7 @@
 			sleep(ctx, f.backoff(1))
 			continue
 		}
-		f.tell(err == nil)
+		f.tell(err == nil, sent)
 		if err != nil {
 			failures++
 			sleep(ctx, f.backoff(failures))
@@ -111,12 +113,12 @@
 }
 
 // tell says whether the platform is heard: on change and with every renewal.
-func (f *Follower) tell(reachable bool) {
+func (f *Follower) tell(reachable bool, sent time.Duration) {
 	if f.told && !reachable && !f.reachable {
 		return
 	}
 	f.told, f.reachable = true, reachable
-	f.emit(step.PlatformState{Reachable: reachable})
+	f.emit(step.PlatformState{Reachable: reachable, Sent: sent})
 }
 
 func (f *Follower) followHosts(ctx context.Context) {
