--- a/internal/core/fleet/build.go
+++ b/internal/core/fleet/build.go
@@ -176,7 +176,7 @@
 
 func (v *View) setService(now step.Time, name string, s *object.Service) {
 	for _, st := range s.Targets {
-		t := v.target(name+"/"+st.Host, poolOf(v.services, name))
+		t := v.target(ServiceTarget(name, st.Host), poolOf(v.services, name))
 		t.Model, t.Service, t.DataCentre = "", name, st.DataCentre
 		t.wanted = true
 		wasOut := t.out
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -55,3 +55,6 @@
 
 // HostKey is the rendezvous key of the duty to probe a host.
 func HostKey(host string) string { return "host/" + host }
+
+// ServiceTarget is the name of the target that a host of a plain service is.
+func ServiceTarget(service, host string) string { return service + "/" + host }
--- /dev/null
+++ b/internal/core/group/session_test.go
@@ -0,0 +1,5 @@
+package group
+
+import "github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
+
+func (n *node) note(step.Effect) {}
--- a/internal/object/record.go
+++ b/internal/object/record.go
@@ -8,6 +8,11 @@
 	// at each change of holder.
 	Holder string `json:"holder,omitempty"`
 	Fence  uint64 `json:"fence"`
+	// Run is the holder's incarnation.
+	Run string `json:"run,omitempty"`
+	// Last is the highest generation given out in this domain. Generations are unique
+	// within it, so that a group of an old name is never taken for a later one.
+	Last uint64 `json:"last,omitempty"`
 	// Groups are the domain's groups, by name.
 	Groups map[string]Group `json:"groups,omitempty"`
 	// Pins hold, for hosts whose engines do not check fencing numbers, the only
