--- a/internal/core/step/event.go
+++ b/internal/core/step/event.go
@@ -179,10 +179,18 @@
 type ObjectRead struct{ Object object.Object }
 
 // PlatformState says whether the watch is heard; it comes on change and with every renewal.
-type PlatformState struct{ Reachable bool }
+type PlatformState struct {
+	Reachable bool
+	// Sent is when the call was sent that proves the configuration current.
+	Sent time.Duration
+}
 
 // DaemonList names the daemons that have joined in the platform and not left.
-type DaemonList struct{ Names []string }
+type DaemonList struct {
+	Names []string
+	// Replaced says that this daemon's own object was another run's.
+	Replaced bool
+}
 
 // HostList is the platform's list of hosts.
 type HostList struct{ Hosts []platformapi.Host }
