--- a/internal/stub/load/caller.go
+++ b/internal/stub/load/caller.go
@@ -22,6 +22,7 @@
 const (
 	headerOutcome        = "X-Outcome"
 	headerAttemptOutcome = "X-Attempt-Outcome"
+	headerRequestID      = "X-Request-Id"
 	headerTimeout        = "X-Timeout-Ms"
 	maxEventBytes        = 1 << 20
 	// graceAfterDeadline is how long a caller waits past the deadline it gave.
@@ -32,6 +33,7 @@
 type Result struct {
 	Address string
 	Key     string
+	Request string // the daemon's ID of the request, if it answered
 	Sent    time.Time
 	// Status is zero if no answer came.
 	Status         int
@@ -135,6 +137,7 @@
 
 func (r *Result) head(response *http.Response) {
 	r.Status = response.StatusCode
+	r.Request = response.Header.Get(headerRequestID)
 	r.Outcome = object.Outcome(response.Header.Get(headerOutcome))
 	r.AttemptOutcome = object.Outcome(response.Header.Get(headerAttemptOutcome))
 }
