Control groups from the daemon; settle a repeated key after the write it rests on

Cause: make demo showed a key repeated right after its call answered 'running': the outcome waited to be written, and the repeat was settled from the older copy. Change: the group controller is part of the reducer; what a batch of claim changes settles is told only once the batch is written; a stop hands back leases, bounded by 5 s.

--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -231,7 +231,7 @@
 	// Default: "24h". Bounds: 1m to 168h.
 	Retention Duration `json:"retention" bounds:"1m..168h"`
 	// Window is the span of mint times that share one record per shard.
-	// Default: "2s". Bounds: 1s to 24h.
+	// Default: "500ms". Bounds: 100ms to 24h.
 	Window Duration `json:"window" bounds:"100ms..24h"`
 	// Shards is the number of records per window. All daemons of a cluster must
 	// agree on it.
--- a/internal/core/claim/manager.go
+++ b/internal/core/claim/manager.go
@@ -149,11 +149,12 @@
 		return
 	}
 	s.queue = nil
-	m.settle(s.claims, settled, out)
 	if len(write) == 0 {
+		m.settle(s.claims, settled, out)
 		return
 	}
-	s.sent = write
+	// What is settled by a change of the same batch stands only once that is written.
+	s.sent = append(write, settled...)
 	s.next = next
 	s.wroteAt = now.Mono
 	s.op = m.nextOp()
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -13,6 +13,7 @@
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/coldstart"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/conf"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/fleet"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/group"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/member"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/poison"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/request"
@@ -29,6 +30,7 @@
 	Daemon      string
 	Incarnation string
 	DataCentre  string
+	Groups      group.Settings
 	Claims      claim.Settings
 	Poison      poison.Settings
 	Retry       retry.Settings
@@ -44,7 +46,7 @@
 func Defaults(daemon, incarnation, dataCentre string) Settings {
 	return Settings{
 		Daemon: daemon, Incarnation: incarnation, DataCentre: dataCentre,
-		Claims: claim.Defaults(), Poison: poison.Defaults(), Retry: retry.Defaults(), Admit: admit.Defaults(),
+		Groups: group.Defaults(), Claims: claim.Defaults(), Poison: poison.Defaults(), Retry: retry.Defaults(), Admit: admit.Defaults(),
 		StopGrace: defaultStopGrace, Member: member.Defaults(),
 	}
 }
@@ -58,6 +60,7 @@
 	fleet    *fleet.View
 	dealer   *coldstart.Dealer
 	reaper   *coldstart.Reaper
+	groups   *group.Controller
 	claims   *claim.Manager
 	poison   *poison.Book
 	requests *request.Manager
@@ -73,6 +76,10 @@
 	s.dealer = coldstart.NewDealer(set.Daemon, set.Incarnation)
 	s.reaper = coldstart.NewReaper(set.Daemon, s.dealer)
 	s.fleet.SetDealer(s.dealer)
+	s.groups = group.New(set.Groups, group.Parts{
+		Daemon: set.Daemon, Incarnation: set.Incarnation,
+		Config: s.config, Members: s.members, Fleet: s.fleet, Next: s.nextOp,
+	})
 	s.claims = claim.New(set.Claims, owners{s}, s.nextOp)
 	s.poison = poison.New(set.Poison)
 	s.requests = request.New(request.Parts{
@@ -133,6 +140,7 @@
 	case step.HostReport:
 		s.onReport(now, e, out)
 	case step.OrderReply:
+		s.groups.OnOrderReply(now, e, out)
 	case step.PeerUp:
 		s.members.Up(e, out)
 	case step.PeerDown:
@@ -160,6 +168,7 @@
 	}, out)
 	s.reaper.Tick(now.Mono, s.config, s.members, s.nextOp, out)
 	s.fleet.Tick(now, out)
+	s.groups.Tick(now, out)
 	s.claims.Tick(now, out)
 	s.poison.Tick(now)
 	s.requests.Tick(now, out)
@@ -175,7 +184,10 @@
 }
 
 func (s *State) onReply(now step.Time, r step.PlatformReply, out *step.Out) {
-	s.claims.OnReply(now, r, out)
+	if s.claims.OnReply(now, r, out) {
+		return
+	}
+	s.groups.OnReply(now, r, out)
 }
 
 func (s *State) onPlatform(e step.PlatformState, out *step.Out) {
--- a/internal/core/life.go
+++ b/internal/core/life.go
@@ -16,9 +16,16 @@
 	stopping bool
 	closeAt  time.Duration // when a stopping daemon takes nothing new any more
 	closed   bool
-	exited   bool
+	// doneBy is when a stopping daemon with nothing in flight ends, even if the
+	// platform has not taken everything back; zero while requests are in flight.
+	doneBy time.Duration
+	exited bool
 }
 
+// farewell is how long a daemon with nothing in flight waits for the platform to
+// take back what it holds.
+const farewell = 5 * time.Second
+
 // stop begins a graceful stop. Readiness goes first; what the balancer still sends
 // until it has noticed is served, then nothing new is taken, and what is in flight
 // finishes whole.
@@ -45,8 +52,15 @@
 		l.closed = true
 		s.requests.Close(step.CodeShuttingDown)
 		s.claims.Hurry()
+		s.groups.Stop()
+	}
+	if s.requests.Len() > 0 {
+		return
+	}
+	if l.doneBy == 0 {
+		l.doneBy = now.Mono + farewell
 	}
-	if s.requests.Len() > 0 || s.claims.Pending() > 0 {
+	if now.Mono < l.doneBy && !(s.claims.Pending() == 0 && s.groups.Released()) {
 		return
 	}
 	l.exited = true
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -38,6 +38,8 @@
 	tickEvery = 50 * time.Millisecond
 	// eventQueue is the number of events that may wait for the reducer.
 	eventQueue = 4096
+	// renewalsPerLease is how often a lease is renewed while it lasts.
+	renewalsPerLease = 3
 	// farewell bounds what a stopping daemon says to the platform and its peers.
 	farewell = 3 * time.Second
 )
@@ -118,6 +120,8 @@
 
 func coreSettings(set *config.Settings, incarnation string) core.Settings {
 	s := core.Defaults(set.Daemon, incarnation, set.DataCentre)
+	s.Groups.Lease = set.Lease.Duration.D()
+	s.Groups.Renew = s.Groups.Lease / renewalsPerLease
 	s.Claims.Shards = uint64(set.Claims.Shards)
 	s.Claims.Window = set.Claims.Window.D()
 	s.Claims.Retention = set.Claims.Retention.D()
--- a/test/sessions/sessions_test.go
+++ b/test/sessions/sessions_test.go
@@ -55,11 +55,26 @@
 				require.NoError(t, os.WriteFile(file, got, 0o644))
 				return
 			}
-			require.Equal(t, string(want), string(got), "run 'go test ./test/sessions -update' and read the difference")
+			compare(t, strings.Split(string(want), "\n"), strings.Split(string(got), "\n"))
 		})
 	}
 }
 
+// compare shows the first line that differs, since a whole session is long.
+func compare(t *testing.T, want, got []string) {
+	for i := range max(len(want), len(got)) {
+		w, g := lineAt(want, i), lineAt(got, i)
+		require.Equal(t, w, g, "line %d: run 'go test ./test/sessions -update' and read the difference", i+1)
+	}
+}
+
+func lineAt(lines []string, i int) string {
+	if i < len(lines) {
+		return lines[i]
+	}
+	return "(end)"
+}
+
 type session struct {
 	t     *testing.T
 	state *core.State
@@ -178,7 +193,7 @@
 
 // events are the events and messages that a session may name.
 var events = index(
-	step.Request{}, step.CallerGone{}, step.AttemptEnded{}, step.PlatformState{}, step.DaemonList{},
+	step.Wake{}, step.Request{}, step.CallerGone{}, step.AttemptEnded{}, step.PlatformState{}, step.DaemonList{},
 	step.HostList{}, step.HostReport{}, step.OrderReply{}, step.PeerUp{}, step.PeerDown{}, step.Stop{},
 	step.Heartbeat{}, step.ConfigAsk{}, step.Digest{}, step.Suspect{}, step.ClaimAsk{}, step.ClaimReply{}, step.Goodbye{},
 )
