Start no work after a pause or in isolation before others have vouched for the configuration

Cause: a daemon that was frozen, or is cut off from the platform and its peers, goes on with the configuration it knows while an accepted change is in force elsewhere. Change: after a gap of peers.silence between two steps requests wait until a peer has answered a question with a nonce asked since, or the platform a call sent since. A daemon that hears neither the platform nor a peer that does, and is not of the larger part of the daemons, goes not ready and refuses with 'isolated'. Ruled out: taking the first heartbeat or watch answer after the pause, since these may have waited in a buffer; refusing at once after a pause, since proof takes milliseconds.

--- a/internal/core/conf/delta.go
+++ b/internal/core/conf/delta.go
@@ -13,9 +13,10 @@
 )
 
 // Answer sends a peer what it lacks: a delta, or a snapshot where deletions that it
-// may have missed are forgotten. Nothing is sent to a peer that lacks nothing.
+// may have missed are forgotten. A peer that lacks nothing is answered only if it gave
+// a nonce.
 func (t *Table) Answer(from string, ask step.ConfigAsk, out *step.Out) {
-	if ask.Applied >= t.applied && ask.Applied >= t.newest {
+	if ask.Nonce == 0 && ask.Applied >= t.applied && ask.Applied >= t.newest {
 		return
 	}
 	d, err := t.Delta(ask.Applied)
@@ -23,6 +24,7 @@
 		out.Log(event.ConfigRefused, event.F("reason", err))
 		return
 	}
+	d.Nonce = ask.Nonce
 	out.Add(step.SendPeer{To: from, Message: d})
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -99,6 +99,7 @@
 func (s *State) Reduce(now step.Time, ev step.Event) []step.Effect {
 	out := &step.Out{}
 	s.members.Advance(now.Mono, out)
+	s.requests.Hold(!s.members.MayServe())
 	switch e := ev.(type) {
 	case step.Tick:
 		s.tick(now, out)
@@ -190,9 +191,10 @@
 		s.members.Heartbeat(from, m)
 		s.fleet.Heartbeat(now, from, m)
 	case step.ConfigAsk:
-		s.config.Answer(from, m, out)
+		s.onConfigAsk(from, m, out)
 	case step.ConfigDelta:
 		s.configured(now, s.config.ApplyDelta(from, m, out), out)
+		s.members.Proven(m.Nonce)
 	case step.Digest:
 		s.onDigest(now, from, m, out)
 	case step.Suspect:
@@ -207,6 +209,15 @@
 	}
 }
 
+// onConfigAsk answers a peer. One that asks for proof is answered only by a daemon that
+// may serve itself.
+func (s *State) onConfigAsk(from string, ask step.ConfigAsk, out *step.Out) {
+	if ask.Nonce != 0 && !s.members.MayServe() {
+		return
+	}
+	s.config.Answer(from, ask, out)
+}
+
 func (s *State) onDigest(now step.Time, from string, d step.Digest, out *step.Out) {
 	s.fleet.Digest(now, from, d)
 	for _, r := range d.Reports {
--- a/internal/core/life.go
+++ b/internal/core/life.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"strings"
 	"time"
 
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/request"
@@ -17,6 +18,7 @@
 	closeAt  time.Duration // when a stopping daemon takes nothing new any more
 	closed   bool
 	exited   bool
+	cutOff   bool // as last told to the requests
 }
 
 // stop begins a graceful stop. Readiness goes first; what the balancer still sends
@@ -33,7 +35,8 @@
 
 // advance tells readiness and ends the daemon once nothing is left to do.
 func (l *life) advance(s *State, now step.Time, out *step.Out) {
-	ready := s.config.Applied() > 0 && !l.stopping
+	l.isolate(s, out)
+	ready := s.config.Applied() > 0 && !l.stopping && !l.cutOff
 	if ready != l.ready {
 		l.ready = ready
 		out.Add(step.SetReady{Ready: ready})
@@ -54,6 +57,28 @@
 	out.Add(step.Exit{})
 }
 
+// isolate stops taking new work while nobody can tell this daemon of a change.
+func (l *life) isolate(s *State, out *step.Out) {
+	cutOff := s.members.CutOff()
+	if cutOff == l.cutOff {
+		return
+	}
+	l.cutOff = cutOff
+	if cutOff {
+		out.Log(event.DaemonIsolated, event.F("unheard", strings.Join(s.members.Unknown(), ",")))
+	} else {
+		out.Log(event.DaemonRejoined)
+	}
+	if l.closed {
+		return
+	}
+	code := step.Code("")
+	if cutOff {
+		code = step.CodeIsolated
+	}
+	s.requests.Close(code)
+}
+
 // Admit admits everything.
 func (unlimited) Admit(step.Time, string, *object.Contract, int64) request.Refusal {
 	return request.Refusal{}
--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -5,6 +5,7 @@
 package member
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -59,6 +60,7 @@
 	sentAny  bool
 	asked    time.Duration
 	platform bool
+	proof    proof
 	// watermark is the highest lowest revision seen.
 	watermark object.Version
 }
@@ -111,11 +113,11 @@
 
 // Advance sets the time and lets silent daemons go.
 func (t *Table) Advance(now time.Duration, out *step.Out) {
-	if now-t.now >= t.lateAfter(t.set.Silence) {
-		// After a pause every heartbeat is old news.
-		t.changed = now
-	}
+	gap := now - t.now
 	t.now = max(t.now, now)
+	if gap >= t.set.Silence {
+		t.pause(gap, out)
+	}
 	var silent []string
 	for _, name := range t.live {
 		if p, ok := t.peers[name]; ok && t.now-p.heard > t.silentAfter(p) {
@@ -188,7 +190,12 @@
 }
 
 // SetPlatform says whether this daemon hears the platform.
-func (t *Table) SetPlatform(s step.PlatformState) { t.platform = s.Reachable }
+func (t *Table) SetPlatform(s step.PlatformState) {
+	t.platform = s.Reachable
+	if s.Reachable && s.Asked > t.proof.paused {
+		t.proof.wanted = false
+	}
+}
 
 // SetListed takes up the daemons that the platform lists as running. One that is
 // listed but not live is unknown: it may be serving unseen.
@@ -226,6 +233,22 @@
 	lowest, _ := t.Lowest()
 	t.watermark = max(t.watermark, lowest)
 	t.ask(out)
+	t.seekProof(out)
+}
+
+// linked returns the daemons with an open link, those first that the rendezvous hash
+// assigns to this daemon.
+func (t *Table) linked() []string {
+	var names []string
+	for name, p := range t.peers {
+		if p.linked {
+			names = append(names, name)
+		}
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		return cmp.Or(cmp.Compare(score(b, t.self), score(a, t.self)), cmp.Compare(a, b))
+	})
+	return names
 }
 
 // ask asks one peer for what this daemon lacks.
--- a/internal/core/member/member_test.go
+++ b/internal/core/member/member_test.go
@@ -90,6 +90,63 @@
 	require.True(t, v.Isolated())
 }
 
+// pause lets time pass while the daemon does not run.
+func (v *view) pause(d time.Duration) {
+	v.at += d
+	v.Advance(v.at, &v.out)
+	v.out.Effects = nil
+}
+
+func TestNoWorkAfterAPauseWithoutProof(t *testing.T) {
+	v := newView("a", "b")
+	v.SetPlatform(step.PlatformState{Reachable: true})
+	v.run(5*time.Second, step.Heartbeat{Platform: true}, "b")
+	require.True(t, v.MayServe())
+	before := v.at
+	v.pause(5 * time.Second)
+	require.False(t, v.MayServe())
+	v.beat("b", step.Heartbeat{Platform: true})
+	v.SetPlatform(step.PlatformState{Reachable: true, Asked: before})
+	require.False(t, v.MayServe(), "what was under way before the pause proves nothing")
+	v.run(tick, step.Heartbeat{Platform: true}, "b")
+	ask, ok := v.sent("b")[0].(step.ConfigAsk)
+	require.True(t, ok)
+	v.pause(5 * time.Second)
+	v.Proven(ask.Nonce)
+	require.False(t, v.MayServe(), "an answer to a question from before another pause")
+	v.run(proofEvery, step.Heartbeat{Platform: true}, "b")
+	ask, ok = v.sent("b")[0].(step.ConfigAsk)
+	require.True(t, ok)
+	v.Proven(ask.Nonce)
+	require.True(t, v.MayServe())
+	v.pause(5 * time.Second)
+	v.SetPlatform(step.PlatformState{Reachable: true, Asked: v.at + 1})
+	require.True(t, v.MayServe(), "the platform answered a call made after the pause")
+}
+
+func TestOutageWithoutProofEnds(t *testing.T) {
+	for name, peers := range map[string][]string{"alone": nil, "all were paused": {"b", "c"}} {
+		v := newView("a", peers...)
+		v.pause(5 * time.Second)
+		v.run(time.Second, step.Heartbeat{}, peers...)
+		require.False(t, v.MayServe(), name)
+		v.run(10*time.Second, step.Heartbeat{}, peers...)
+		require.True(t, v.MayServe(), name)
+	}
+}
+
+func TestCutOffDaemonTakesNoWork(t *testing.T) {
+	v := newView("a", "b", "c")
+	v.SetPlatform(step.PlatformState{Reachable: true})
+	v.run(5*time.Second, step.Heartbeat{Platform: true}, "b", "c")
+	v.SetPlatform(step.PlatformState{})
+	require.True(t, v.MayServe(), "the peers hear the platform")
+	v.run(5*time.Second, step.Heartbeat{Platform: true})
+	require.False(t, v.MayServe())
+	v.up("b")
+	require.True(t, v.MayServe(), "two of three serve on in an outage")
+}
+
 func TestGoodbyeLeavesNobodyUnknown(t *testing.T) {
 	v := newView("a", "b")
 	v.run(5*time.Second, step.Heartbeat{}, "b")
--- a/internal/core/request/place.go
+++ b/internal/core/request/place.go
@@ -73,6 +73,9 @@
 
 // tryStart sends the request to a free target; it reports false if there is none.
 func (m *Manager) tryStart(now step.Time, c *call, out *step.Out) bool {
+	if m.held {
+		return false
+	}
 	q := route.Query{
 		Prefix: c.req.Prefix, Seed: c.req.Fingerprint + uint64(c.arrived),
 		DataCentre: m.DataCentre, Tried: c.tried,
@@ -191,6 +194,9 @@
 }
 
 func (m *Manager) noPlace(now step.Time, c *call) step.Answer {
+	if m.held {
+		return step.Answer{Status: 503, Code: step.CodeIsolated, RetryAfter: comeBack, Message: closedMessage(step.CodeIsolated)}
+	}
 	if len(m.candidates(now, c)) == 0 {
 		return step.Answer{
 			Status: 503, Code: step.CodeNoTarget, RetryAfter: comeBack,
@@ -221,7 +227,7 @@
 	switch r.Verdict {
 	case claim.Granted:
 		c.claim = c.attempt
-		if now.Mono >= c.deadline {
+		if now.Mono >= c.deadline || m.held {
 			m.leave(now, c, step.EndedUnsent, "")
 			m.giveUp(now, c, m.noPlace(now, c), out)
 			return
--- a/internal/core/request/request.go
+++ b/internal/core/request/request.go
@@ -84,6 +84,8 @@
 	parked   []step.RequestID
 	// closed says why nothing new is taken, or is empty.
 	closed step.Code
+	// held keeps waiting requests waiting.
+	held bool
 }
 
 // pool names the targets that a request can go to.
@@ -144,6 +146,10 @@
 // Close makes the manager refuse new requests with a code; an empty code opens it.
 func (m *Manager) Close(code step.Code) { m.closed = code }
 
+// Hold says whether requests wait although a target is free, since the configuration in
+// force may be old. The next tick after the end of it hands out the places.
+func (m *Manager) Hold(held bool) { m.held = held }
+
 // On takes a new request.
 func (m *Manager) On(now step.Time, r step.Request, out *step.Out) {
 	c := &call{req: r, arrived: now.Mono, tokens: int64(r.PromptTokens + r.MaxTokens)}
@@ -239,7 +245,7 @@
 	case step.CodeShuttingDown:
 		return "this daemon is stopping: send the request again, to another daemon"
 	case step.CodeIsolated:
-		return "this daemon hears neither the platform nor its peers: send the request to another daemon"
+		return "this daemon can't tell whether its configuration is still in force: send the request to another daemon"
 	}
 	return "this daemon takes no new work: send the request to another daemon"
 }
--- a/internal/core/step/event.go
+++ b/internal/core/step/event.go
@@ -176,7 +176,11 @@
 type ObjectRead struct{ Object object.Object }
 
 // PlatformState says whether the watch is heard; it comes on change and with every renewal.
-type PlatformState struct{ Reachable bool }
+type PlatformState struct {
+	Reachable bool
+	// Asked is when the call was sent whose answer tells so.
+	Asked time.Duration
+}
 
 // DaemonList names the daemons that have joined in the platform and not left.
 type DaemonList struct{ Names []string }
--- a/internal/core/step/message.go
+++ b/internal/core/step/message.go
@@ -35,6 +35,9 @@
 // ConfigAsk asks for what changed after a revision.
 type ConfigAsk struct {
 	Applied object.Version `cbor:"1,keyasint"`
+	// Nonce is repeated in the answer; unless it is zero, a peer that may serve
+	// answers also when nothing changed.
+	Nonce uint64 `cbor:"2,keyasint,omitempty"`
 }
 
 // ConfigDelta brings watched objects that changed between two revisions. A full
@@ -44,6 +47,7 @@
 	From    object.Version  `cbor:"2,keyasint"`
 	To      object.Version  `cbor:"3,keyasint"`
 	Objects []EncodedObject `cbor:"4,keyasint,omitempty"`
+	Nonce   uint64          `cbor:"5,keyasint,omitempty"` // of the ask
 }
 
 // EncodedObject is an object with its value as JSON; an empty value is a deletion.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -154,6 +154,7 @@
 	g.Go(func() error {
 		follow := platform.FollowSettings{
 			Wait: d.set.Platform.WatchWait.D(), HostsEvery: d.set.Platform.HostListInterval.D(),
+			Now: func() time.Duration { return d.now().Mono },
 		}
 		platform.NewFollower(d.platform, follow, d.seed(), d.Post).Run(ctx)
 		return nil
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -22,6 +22,9 @@
 	PeerLost           ID = 6002
 	PeerSilent         ID = 6003
 	PeerRefused        ID = 6004
+	DaemonPaused       ID = 6005
+	DaemonIsolated     ID = 6006
+	DaemonRejoined     ID = 6007
 	PlatformLost       ID = 8001
 	PlatformBack       ID = 8002
 )
@@ -44,6 +47,9 @@
 	{PeerLost, slog.LevelWarn, "link to another daemon lost", "If it persists, look at the daemon named and the network between."},
 	{PeerSilent, slog.LevelWarn, "daemon not heard within the silence bound", "If it persists, look at the daemon named and the network between."},
 	{PeerRefused, slog.LevelError, "link to another daemon refused", "Give both daemons the same cluster name, shared key and release."},
+	{DaemonPaused, slog.LevelWarn, "daemon did not run for a while; it starts no work before a peer or the platform has answered", "If it persists, look at the daemon's host: it is overloaded, or the process was stopped."},
+	{DaemonIsolated, slog.LevelError, "daemon hears neither the platform nor enough peers and takes no new work", "Look at the network between this daemon, the platform and the daemons named."},
+	{DaemonRejoined, slog.LevelInfo, "daemon hears the platform or enough peers again", ""},
 	{PlatformLost, slog.LevelWarn, "platform not heard; serving on what is known", "Look at the platform's object API; see docs/operations/platform-outage.md."},
 	{PlatformBack, slog.LevelInfo, "platform heard again", ""},
 }
--- a/internal/platform/follower.go
+++ b/internal/platform/follower.go
@@ -27,6 +27,8 @@
 	Wait time.Duration
 	// HostsEvery is the interval between two reads of the host list.
 	HostsEvery time.Duration
+	// Now is the clock of PlatformState.Asked; nil leaves it zero.
+	Now func() time.Duration
 }
 
 // DefaultFollow returns the default times.
@@ -67,7 +69,7 @@
 func (f *Follower) followObjects(ctx context.Context) {
 	failures := 0
 	for ctx.Err() == nil {
-		started := time.Now()
+		started, asked := time.Now(), f.now()
 		err := f.advance(ctx)
 		if ctx.Err() != nil {
 			return
@@ -77,7 +79,7 @@
 			sleep(ctx, f.backoff(1))
 			continue
 		}
-		f.tell(err == nil)
+		f.tell(step.PlatformState{Reachable: err == nil, Asked: asked})
 		if err != nil {
 			failures++
 			sleep(ctx, f.backoff(failures))
@@ -119,13 +121,20 @@
 	return nil
 }
 
+func (f *Follower) now() time.Duration {
+	if f.set.Now == nil {
+		return 0
+	}
+	return f.set.Now()
+}
+
 // tell says whether the platform is heard: on change and with every renewal.
-func (f *Follower) tell(reachable bool) {
-	if f.told && !reachable && !f.reachable {
+func (f *Follower) tell(state step.PlatformState) {
+	if f.told && !state.Reachable && !f.reachable {
 		return
 	}
-	f.told, f.reachable = true, reachable
-	f.emit(step.PlatformState{Reachable: reachable})
+	f.told, f.reachable = true, state.Reachable
+	f.emit(state)
 }
 
 func (f *Follower) followHosts(ctx context.Context) {
--- a/test/process/cluster_test.go
+++ b/test/process/cluster_test.go
@@ -152,7 +152,10 @@
 	require.NoError(c.t, err)
 	path := filepath.Join(c.t.TempDir(), name+".json")
 	require.NoError(c.t, os.WriteFile(path, text, 0o600))
-	return &daemon{cluster: c, name: name, settings: path, callers: s.Callers.Listen, operators: s.Operators.Listen, peers: s.Peers.Listen}
+	return &daemon{
+		cluster: c, name: name, settings: path,
+		callers: s.Callers.Listen, operators: s.Operators.Listen, peers: s.Peers.Listen,
+	}
 }
 
 // freeAddress returns a loopback address below the ports that the system gives to
--- a/test/process/config_test.go
+++ b/test/process/config_test.go
@@ -1,6 +1,7 @@
 package process
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"slices"
@@ -14,7 +15,9 @@
 	"github.com/rhubarbswitch/rhubarbswitch/internal/object"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/operatorapi"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/stub/cutter"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/stub/load"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/stub/platform"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/stub/service"
 )
 
 var (
@@ -71,27 +74,27 @@
 // configCluster is a cluster whose last daemon reaches the platform through a relay.
 type configCluster struct {
 	*cluster
-	relay *stub
-	last  *daemon
-	drawn int
+	relay   *stub
+	control string // address of the relay's control interface
+	last    *daemon
+	drawn   int
 }
 
 func newConfigCluster(t *testing.T) *configCluster {
 	t.Helper()
 	c := &configCluster{cluster: newCluster(t)}
 	c.relay = startStub(t, "relay", "cutter", "--to", c.platform.address)
-	control := c.relay.line()
+	c.control = c.relay.line()
 	for range *configDaemons - 1 {
 		c.addDaemon("a", productionTimes(c.platform.address))
 	}
 	c.last = c.addDaemon("a", productionTimes(c.relay.address))
-	c.relay.address = control
 	c.waitServing(0)
 	return c
 }
 
 func (c *configCluster) cut(mode cutter.Mode) {
-	send(c.t, "POST", c.relay.address, cutter.PathCut, cutter.Cut{Existing: mode, New: mode})
+	send(c.t, "POST", c.control, cutter.PathCut, cutter.Cut{Existing: mode, New: mode})
 }
 
 // change writes an object and returns its revision.
@@ -187,6 +190,68 @@
 	return lowest
 }
 
+const (
+	// callsAtFrozen is the number of calls that wait at a daemon while it is frozen.
+	callsAtFrozen = 20
+	// cutOffBound is how long a daemon that nobody reaches may take new work: a watch
+	// and its grace, and the silence of its peers.
+	cutOffBound = 8 * time.Second
+)
+
+// TestWokenDaemonSendsNothingWhereItMayNot takes a data centre out while a daemon is
+// frozen and callers wait there.
+func TestWokenDaemonSendsNothingWhereItMayNot(t *testing.T) {
+	c := newConfigCluster(t)
+	c.putContract()
+	c.addServices(2, []string{"a", dataCentreOut})
+	c.waitServing(2)
+	caller := load.NewCaller(callerKey, 10*time.Second)
+	defer caller.Close()
+	c.last.pause()
+	var wg sync.WaitGroup
+	results := make([]load.Result, callsAtFrozen)
+	for i := range results {
+		call := load.Call{Service: serviceName, Method: "GET", Path: fmt.Sprintf("/entries/%d", i)}
+		wg.Go(func() { results[i] = caller.Call(context.Background(), c.last.callers, call) })
+	}
+	time.Sleep(freezeTime / 2)
+	c.put(object.KindDataCentre, dataCentreOut, &object.DataCentre{Out: true})
+	time.Sleep(freezeTime / 2)
+	before := get[service.Stats](t, c.services[1].address, service.PathStats).Runs
+	c.last.wake()
+	woken := time.Now()
+	wg.Wait()
+	t.Logf("%d calls answered within %v of its waking", callsAtFrozen, time.Since(woken).Round(time.Millisecond))
+	require.Equal(t, before, get[service.Stats](t, c.services[1].address, service.PathStats).Runs, "runs in the data centre that is out")
+	for _, r := range results {
+		require.NoError(t, r.Err)
+		require.Equal(t, 200, r.Status, "the calls wait for proof and go elsewhere: %s", r.Code)
+	}
+}
+
+// TestDaemonCutOffFromEverybodyTakesNoWork silences the platform for one daemon and
+// all its peers, then brings them back.
+func TestDaemonCutOffFromEverybodyTakesNoWork(t *testing.T) {
+	c := newConfigCluster(t)
+	others := c.daemons[:len(c.daemons)-1]
+	began := time.Now()
+	c.cut(cutter.Swallow)
+	for _, d := range others {
+		d.pause()
+	}
+	until(t, "not ready", func() bool { return !c.last.ready() })
+	took := time.Since(began)
+	t.Logf("not ready %v after it was cut off", took.Round(time.Millisecond))
+	require.Less(t, took, cutOffBound)
+	for _, d := range others {
+		d.wake()
+	}
+	until(t, "ready by its peers", c.last.ready)
+	for _, d := range others {
+		until(t, "the others are ready", d.ready)
+	}
+}
+
 // TestDaemonStartsInAnOutage gives a new daemon the configuration from its peers.
 func TestDaemonStartsInAnOutage(t *testing.T) {
 	c := newCluster(t)
--- a/test/sessions/sessions_test.go
+++ b/test/sessions/sessions_test.go
@@ -180,7 +180,7 @@
 var events = index(
 	step.Request{}, step.CallerGone{}, step.AttemptEnded{}, step.PlatformState{}, step.DaemonList{},
 	step.HostList{}, step.HostReport{}, step.OrderReply{}, step.PeerUp{}, step.PeerDown{}, step.Stop{},
-	step.Heartbeat{}, step.ConfigAsk{}, step.Digest{}, step.Suspect{}, step.ClaimAsk{}, step.ClaimReply{}, step.Goodbye{},
+	step.Heartbeat{}, step.ConfigAsk{}, step.ConfigDelta{}, step.Digest{}, step.Suspect{}, step.ClaimAsk{}, step.ClaimReply{}, step.Goodbye{},
 )
 
 func index(values ...any) map[string]reflect.Type {
