--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -114,6 +114,7 @@
 	out := &step.Out{}
 	s.members.Advance(now.Mono, out)
 	s.dealer.Advance(now.Mono)
+	s.requests.Hold(!s.members.MayServe())
 	switch e := ev.(type) {
 	case step.Tick:
 		s.tick(now, out)
@@ -193,7 +194,7 @@
 func (s *State) onPlatform(e step.PlatformState, out *step.Out) {
 	s.members.SetPlatform(e)
 	if e.Reachable {
-		s.dealer.Confirm(e.Sent)
+		s.dealer.Confirm(e.Asked)
 	}
 	if e.Reachable == s.life.platform {
 		return
@@ -227,9 +228,10 @@
 		s.fleet.Heartbeat(now, from, m)
 		s.dealer.Heartbeat(from, m)
 	case step.ConfigAsk:
-		s.config.Answer(from, m, out)
+		s.onConfigAsk(from, m, out)
 	case step.ConfigDelta:
 		s.configured(now, s.config.ApplyDelta(from, m, out), out)
+		s.members.Proven(m.Nonce)
 	case step.Digest:
 		s.onDigest(now, from, m, out)
 	case step.Suspect:
@@ -245,6 +247,15 @@
 	}
 }
 
+// onConfigAsk answers a peer. One that asks for proof is answered only by a daemon that
+// may serve itself.
+func (s *State) onConfigAsk(from string, ask step.ConfigAsk, out *step.Out) {
+	if ask.Nonce != 0 && !s.members.MayServe() {
+		return
+	}
+	s.config.Answer(from, ask, out)
+}
+
 func (s *State) onDigest(now step.Time, from string, d step.Digest, out *step.Out) {
 	s.fleet.Digest(now, from, d)
 	for _, r := range d.Reports {
