Retry only where a target was heard since, and let suspects hold up nobody

Cause: process tests with dying engines and swallowed connections. (1) A request whose untried targets were full of other suspects went back, within a millisecond, to the target that had just broken it, and spent its attempts there. (2) A suspected request that could not be placed stood at the head of the queue and stopped every request behind it. (3) A request once suspected stayed so after a report had shown its target alive, so that after a mass of silent connections the retries ran one at a time per target. (4) Returning a popped request left its customer charged for it, at each tick, and put it behind others that came at the same time. Ruled out: taking the target out of routing for everybody at a broken answer; a service that truncates 2 % of its answers would be out most of the time. Change: a request goes again to a target that broke or could not be dialled only after a report sent after the failure; requests that may not go everywhere are passed over; suspicion is looked up at each placing; Return gives back order and charge.

--- a/internal/core/admit/queue.go
+++ b/internal/core/admit/queue.go
@@ -84,14 +84,22 @@
 	if now.Mono+wait+q.rate.running() > it.Deadline {
 		return max(wait, time.Second), false
 	}
-	q.insert(it)
+	q.insert(it, func(other Item) bool { return other.Queued > it.Queued })
 	return 0, true
 }
 
-// Return puts a request back that found no place after all, in its old order.
-func (q *Queue) Return(it Item) { q.insert(it) }
+// Return puts a request back that was popped and found no place after all: in its
+// old order, and with the service that Pop charged for it given back. Several go
+// back in the reverse of the order in which they were popped.
+func (q *Queue) Return(it Item) {
+	l := q.insert(it, func(other Item) bool { return other.Queued >= it.Queued })
+	l.finish -= it.share()
+}
+
+func (it Item) share() float64 { return it.Cost / float64(max(it.Weight, 1)) }
 
-func (q *Queue) insert(it Item) {
+// insert adds a request to its customer's line, before the last ones that it goes ahead of.
+func (q *Queue) insert(it Item, ahead func(other Item) bool) *line {
 	l := q.lines[it.Customer]
 	if l == nil {
 		l = &line{}
@@ -104,11 +112,12 @@
 		l.finish = max(l.finish, q.virtual)
 	}
 	at := len(l.items)
-	for at > 0 && l.items[at-1].Queued > it.Queued {
+	for at > 0 && ahead(l.items[at-1]) {
 		at--
 	}
 	l.items = slices.Insert(l.items, at, it)
 	q.size++
+	return l
 }
 
 // Pop takes the request whose turn it is.
@@ -130,7 +139,7 @@
 	it := l.items[0]
 	q.removeAt(best, l, 0)
 	q.virtual = max(q.virtual, l.finish)
-	l.finish += it.Cost / float64(max(it.Weight, 1))
+	l.finish += it.share()
 	return it, true
 }
 
--- /dev/null
+++ b/internal/core/admit/queue_test.go
@@ -0,0 +1,56 @@
+package admit
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
+)
+
+func item(id, customer string) Item {
+	return Item{ID: step.RequestID(id), Customer: customer, Deadline: time.Hour, Cost: 100}
+}
+
+func push(t *testing.T, q *Queue, items ...Item) {
+	t.Helper()
+	for _, it := range items {
+		_, ok := q.Push(step.Time{}, it, 1)
+		require.True(t, ok)
+	}
+}
+
+func pop(t *testing.T, q *Queue) Item {
+	t.Helper()
+	it, ok := q.Pop(step.Time{})
+	require.True(t, ok)
+	return it
+}
+
+// TestReturnCostsNothing pops and returns a request often, as a queue without free
+// places does at each tick: the customer's turn must not suffer.
+func TestReturnCostsNothing(t *testing.T) {
+	q := NewQueue(Defaults())
+	push(t, q, item("a1", "a"), item("b1", "b"), item("a2", "a"))
+	for range 100 {
+		q.Return(pop(t, q))
+	}
+	require.Zero(t, q.lines["a"].finish)
+	var order []step.RequestID
+	for q.Len() > 0 {
+		order = append(order, pop(t, q).ID)
+	}
+	require.Equal(t, []step.RequestID{"a1", "b1", "a2"}, order)
+}
+
+func TestReturnKeepsOrderOfEqualArrivals(t *testing.T) {
+	q := NewQueue(Defaults())
+	push(t, q, item("a1", "a"), item("a2", "a"), item("a3", "a"))
+	first, second := pop(t, q), pop(t, q)
+	q.Return(second)
+	q.Return(first)
+	for _, want := range []step.RequestID{"a1", "a2", "a3"} {
+		require.Equal(t, want, pop(t, q).ID)
+	}
+}
--- a/internal/core/request/end.go
+++ b/internal/core/request/end.go
@@ -82,7 +82,9 @@
 		return
 	}
 	c.tried = append(c.tried, c.target)
-	c.suspect = m.Poison.Suspected(c.req.Fingerprint)
+	if e.Ending == step.EndedBroken || e.Ending == step.EndedUnsent {
+		c.doubts = append(c.doubts, doubt{target: c.target, since: now.Mono})
+	}
 	if left, condemned := m.Poison.Condemned(now, c.req.Fingerprint); condemned {
 		m.quarantine(now, c, answer, left, out)
 		return
--- a/internal/core/request/place.go
+++ b/internal/core/request/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/admit"
@@ -77,8 +78,11 @@
 		Prefix: c.req.Prefix, Seed: c.req.Fingerprint + uint64(c.arrived),
 		DataCentre: m.DataCentre, Tried: c.tried,
 	}
-	if c.suspect {
-		q.Avoid = func(name string) bool { return m.suspects[name] > 0 }
+	c.suspect = m.Poison.Suspected(c.req.Fingerprint)
+	if c.choosy() {
+		q.Avoid = func(t *fleet.Target) bool {
+			return c.suspect && m.suspects[t.Name] > 0 || c.doubted(t)
+		}
 	}
 	t := route.Pick(m.candidates(now, c), q)
 	if t == nil {
@@ -101,6 +105,9 @@
 	return true
 }
 
+// choosy reports whether the request may not go to every free target.
+func (c *call) choosy() bool { return c.suspect || len(c.doubts) > 0 }
+
 func (c *call) mustClaim() bool { return c.req.Key != "" && !c.idempotent }
 
 func (m *Manager) dispatch(now step.Time, c *call, out *step.Out) {
@@ -131,23 +138,28 @@
 	}
 }
 
-// pump gives free places to waiting requests, in the queue's order.
+// pump gives free places to waiting requests, in the queue's order. A request that
+// may not go to every target holds up none behind it.
 func (m *Manager) pump(now step.Time, p pool, out *step.Out) {
 	q := m.pools[p]
-	for q.Len() > 0 {
+	var passed []admit.Item
+	for {
 		it, ok := q.Pop(now)
 		if !ok {
-			return
+			break
 		}
 		c := m.calls[it.ID]
-		if c == nil || c.phase != waiting {
+		if c == nil || c.phase != waiting || m.tryStart(now, c, out) {
 			continue
 		}
-		if !m.tryStart(now, c, out) {
-			q.Return(it)
-			return
+		passed = append(passed, it)
+		if !c.choosy() {
+			break
 		}
 	}
+	for _, it := range slices.Backward(passed) {
+		q.Return(it)
+	}
 }
 
 // unpark places the requests whose case is decided.
@@ -171,7 +183,6 @@
 			m.quarantine(now, c, step.Answer{Outcome: object.Unknown}, left, out)
 			continue
 		}
-		c.suspect = m.Poison.Suspected(c.req.Fingerprint)
 		m.place(now, c, out)
 	}
 }
--- a/internal/core/request/request.go
+++ b/internal/core/request/request.go
@@ -111,9 +111,10 @@
 	tokens   int64
 	// idempotent work may run more than once.
 	idempotent bool
-	suspect    bool
-	gone       bool // the caller left
-	ran        bool // some attempt may have run
+	// suspect tells that the running attempt is one of a suspected request.
+	suspect bool
+	gone    bool // the caller left
+	ran     bool // some attempt may have run
 
 	attempts    int
 	attempt     step.AttemptID
@@ -123,10 +124,28 @@
 	incarnation string
 	started     time.Duration
 	tried       []string
+	doubts      []doubt
 	delivered   int
 	used        Used
 }
 
+// doubt is a target that failed a request in a way that it may be dead. The
+// request goes there again only after a report from after the failure.
+type doubt struct {
+	target string
+	since  time.Duration
+}
+
+// doubted reports whether the target failed this request and has not been heard since.
+func (c *call) doubted(t *fleet.Target) bool {
+	for _, d := range c.doubts {
+		if d.target == t.Name && t.ReportedAt <= d.since {
+			return true
+		}
+	}
+	return false
+}
+
 // New returns a manager without requests.
 func New(p Parts) *Manager {
 	return &Manager{
@@ -181,7 +200,6 @@
 			Message: fmt.Sprintf("targets died running this request, so it is refused for %s: change it before sending it again", left.Round(time.Second)),
 		}
 	}
-	c.suspect = m.Poison.Suspected(c.req.Fingerprint)
 	limit := m.Limits.Admit(now, c.req.Customer, contract, c.tokens)
 	if limit.Message != "" {
 		return &step.Answer{Status: 429, Code: step.CodeLimit, Message: limit.Message, RetryAfter: limit.RetryAfter}
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -28,7 +28,7 @@
 	// Tried are targets that failed this request; they come last.
 	Tried []string
 	// Avoid are targets that must not be used, or nil.
-	Avoid func(name string) bool
+	Avoid func(t *fleet.Target) bool
 }
 
 // Free reports whether a target has a place for one more request of this daemon.
@@ -58,7 +58,7 @@
 	for _, t := range targets {
 		load := Load(t)
 		sum += load
-		if !Free(t) || contains(tried, t.Name) || q.Avoid != nil && q.Avoid(t.Name) {
+		if !Free(t) || contains(tried, t.Name) || q.Avoid != nil && q.Avoid(t) {
 			continue
 		}
 		cost := load
