--- a/internal/stub/load/run.go
+++ b/internal/stub/load/run.go
@@ -40,11 +40,14 @@
 	Prompts     int // distinct prompts
 	MaxInFlight int // arrivals beyond it are counted and not sent
 	Seed        uint64
+	// Pick chooses the daemon of request n as a balancer would, instead of taking
+	// Addresses in turn. An empty answer skips the request.
+	Pick func(n int) string
 }
 
 // Run sends the load and returns what became of each request.
 func Run(ctx context.Context, o Options) (Report, []Result, error) {
-	if len(o.Addresses) == 0 || o.Rate <= 0 {
+	if len(o.Addresses) == 0 && o.Pick == nil || o.Rate <= 0 {
 		return Report{}, nil, errors.New("give at least one address and a rate above 0")
 	}
 	s := newSender(o)
@@ -84,6 +87,11 @@
 
 func (s *sender) launch(ctx context.Context, n int) {
 	prompt := s.draw.IntN(max(s.options.Prompts, 1))
+	address := s.options.address(n)
+	if address == "" {
+		s.skipped++
+		return
+	}
 	select {
 	case s.slots <- struct{}{}:
 	default:
@@ -91,7 +99,7 @@
 		return
 	}
 	s.running.Go(func() {
-		result := s.send(ctx, n, prompt)
+		result := s.send(ctx, address, n, prompt)
 		<-s.slots
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -99,9 +107,8 @@
 	})
 }
 
-func (s *sender) send(ctx context.Context, n, prompt int) Result {
+func (s *sender) send(ctx context.Context, address string, n, prompt int) Result {
 	o := s.options
-	address := o.Addresses[n%len(o.Addresses)]
 	switch o.Kind {
 	case Keyed:
 		key, err := uuid.NewV7()
@@ -122,6 +129,13 @@
 	})
 }
 
+func (o Options) address(n int) string {
+	if o.Pick != nil {
+		return o.Pick(n)
+	}
+	return o.Addresses[n%len(o.Addresses)]
+}
+
 // Prompt returns distinct prompt n of a seed.
 func Prompt(seed uint64, n int) string {
 	return fmt.Sprintf("Seed %d, topic %d: write a summary of the records of this month.", seed, n)
--- a/test/process/cluster_test.go
+++ b/test/process/cluster_test.go
@@ -47,6 +47,7 @@
 	platform *stub
 	daemons  []*daemon
 	services []*stub
+	engines  []*engineHost
 	key      string // path of the file with the peers' key
 }
 
--- a/test/process/process_test.go
+++ b/test/process/process_test.go
@@ -78,7 +78,6 @@
 	log     string // path of its standard error
 	lines   *bufio.Reader
 	ended   chan struct{}
-	paused  bool
 }
 
 // spawn starts a program.
