--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -10,6 +10,7 @@
 
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/admit"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/claim"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/coldstart"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/conf"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/fleet"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/member"
@@ -18,10 +19,13 @@
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/retry"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/event"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/object"
 )
 
 // Settings are what the reducer needs to know of its daemon.
 type Settings struct {
+	// Member are the times of heartbeats and silence.
+	Member      member.Settings
 	Daemon      string
 	Incarnation string
 	DataCentre  string
@@ -41,7 +45,7 @@
 	return Settings{
 		Daemon: daemon, Incarnation: incarnation, DataCentre: dataCentre,
 		Claims: claim.Defaults(), Poison: poison.Defaults(), Retry: retry.Defaults(), Admit: admit.Defaults(),
-		StopGrace: defaultStopGrace,
+		StopGrace: defaultStopGrace, Member: member.Defaults(),
 	}
 }
 
@@ -52,6 +56,8 @@
 	config   *conf.Table
 	members  *member.Table
 	fleet    *fleet.View
+	dealer   *coldstart.Dealer
+	reaper   *coldstart.Reaper
 	claims   *claim.Manager
 	poison   *poison.Book
 	requests *request.Manager
@@ -62,8 +68,11 @@
 func New(set Settings) *State {
 	s := &State{set: set}
 	s.config = conf.New()
-	s.members = member.New(set.Daemon)
+	s.members = member.New(set.Daemon, set.Member)
 	s.fleet = fleet.New(set.Daemon, s.config, s.members)
+	s.dealer = coldstart.NewDealer(set.Daemon, set.Incarnation)
+	s.reaper = coldstart.NewReaper(set.Daemon, s.dealer)
+	s.fleet.SetDealer(s.dealer)
 	s.claims = claim.New(set.Claims, owners{s}, s.nextOp)
 	s.poison = poison.New(set.Poison)
 	s.requests = request.New(request.Parts{
@@ -97,9 +106,12 @@
 func (s *State) Reduce(now step.Time, ev step.Event) []step.Effect {
 	out := &step.Out{}
 	s.members.Advance(now.Mono, out)
+	s.dealer.Advance(now.Mono)
 	switch e := ev.(type) {
 	case step.Tick:
 		s.tick(now, out)
+	case step.Wake:
+		s.claims.Wake(now, out)
 	case step.Request:
 		s.requests.On(now, e, out)
 	case step.CallerGone:
@@ -110,10 +122,12 @@
 		s.onReply(now, e, out)
 	case step.ConfigBatch:
 		s.configured(now, s.config.ApplyBatch(e, out), out)
+	case step.ObjectRead:
+		s.configured(now, s.config.Learn(e.Object, out), out)
 	case step.PlatformState:
 		s.onPlatform(e, out)
 	case step.DaemonList:
-		s.members.SetListed(e.Names)
+		s.onDaemons(e)
 	case step.HostList:
 		s.fleet.HostList(now, e)
 	case step.HostReport:
@@ -124,6 +138,7 @@
 	case step.PeerDown:
 		s.members.Down(e, out)
 		s.fleet.PeerDown(e.Daemon)
+		s.dealer.PeerDown(e.Daemon)
 	case step.PeerMessage:
 		s.onMessage(now, e.From, e.Message, out)
 	case step.Stop:
@@ -141,7 +156,9 @@
 		Newest:      s.config.Newest(),
 		Leaving:     s.life.stopping,
 		Loads:       s.fleet.Loads(),
+		Held:        s.dealer.Held(),
 	}, out)
+	s.reaper.Tick(now.Mono, s.config, s.members, s.nextOp, out)
 	s.fleet.Tick(now, out)
 	s.claims.Tick(now, out)
 	s.poison.Tick(now)
@@ -149,6 +166,7 @@
 }
 
 func (s *State) configured(now step.Time, changed bool, out *step.Out) {
+	s.dealer.SetDaemons(s.config.Applied(), s.config.Objects(object.KindDaemon))
 	if !changed {
 		return
 	}
@@ -162,6 +180,9 @@
 
 func (s *State) onPlatform(e step.PlatformState, out *step.Out) {
 	s.members.SetPlatform(e)
+	if e.Reachable {
+		s.dealer.Confirm(e.Sent)
+	}
 	if e.Reachable == s.life.platform {
 		return
 	}
@@ -173,6 +194,13 @@
 	}
 }
 
+func (s *State) onDaemons(e step.DaemonList) {
+	s.members.SetListed(e.Names)
+	if e.Replaced {
+		s.dealer.Replaces()
+	}
+}
+
 func (s *State) onReport(now step.Time, r step.HostReport, out *step.Out) {
 	s.fleet.HostReport(now, r)
 	if r.OK {
@@ -185,6 +213,7 @@
 	case step.Heartbeat:
 		s.members.Heartbeat(from, m)
 		s.fleet.Heartbeat(now, from, m)
+		s.dealer.Heartbeat(from, m)
 	case step.ConfigAsk:
 		s.config.Answer(from, m, out)
 	case step.ConfigDelta:
@@ -200,6 +229,7 @@
 	case step.Goodbye:
 		s.members.Goodbye(from, m)
 		s.fleet.PeerDown(from)
+		s.dealer.PeerDown(from)
 	}
 }
 
--- a/internal/core/step/event.go
+++ b/internal/core/step/event.go
@@ -28,6 +28,9 @@
 // Tick comes at a fixed interval; everything that waits is looked at on a tick.
 type Tick struct{}
 
+// Wake comes at the time that SetWake asked for.
+type Wake struct{}
+
 // RequestID names one caller's request; it is unique over all daemons.
 type RequestID string
 
@@ -171,11 +174,23 @@
 	Reason  string // names the remedy
 }
 
+// ObjectRead is an object that this daemon read from or wrote to the platform for an
+// operator: it is in force here, and passed on to peers, ahead of the watch.
+type ObjectRead struct{ Object object.Object }
+
 // PlatformState says whether the watch is heard; it comes on change and with every renewal.
-type PlatformState struct{ Reachable bool }
+type PlatformState struct {
+	Reachable bool
+	// Sent is when the call was sent that proves the configuration current.
+	Sent time.Duration
+}
 
 // DaemonList names the daemons that have joined in the platform and not left.
-type DaemonList struct{ Names []string }
+type DaemonList struct {
+	Names []string
+	// Replaced says that this daemon's own object was another run's.
+	Replaced bool
+}
 
 // HostList is the platform's list of hosts.
 type HostList struct{ Hosts []platformapi.Host }
@@ -221,12 +236,14 @@
 type Stop struct{}
 
 func (Tick) event()          {}
+func (Wake) event()          {}
 func (Request) event()       {}
 func (CallerGone) event()    {}
 func (AttemptEnded) event()  {}
 func (PlatformReply) event() {}
 func (ConfigBatch) event()   {}
 func (PlatformState) event() {}
+func (ObjectRead) event()    {}
 func (DaemonList) event()    {}
 func (HostList) event()      {}
 func (HostReport) event()    {}
--- a/internal/core/step/message.go
+++ b/internal/core/step/message.go
@@ -16,11 +16,15 @@
 	Applied     object.Version `cbor:"2,keyasint"` // revision of the configuration in force
 	Platform    bool           `cbor:"3,keyasint"` // whether the sender hears the platform
 	Leaving     bool           `cbor:"4,keyasint"`
+	// Held says that the sender took the place of a run of the same name that may still
+	// go on: its word that it has applied a revision does not speak for that run.
+	Held bool `cbor:"9,keyasint,omitempty"`
 	// Loads are the sender's requests in flight by target.
 	Loads []Load `cbor:"5,keyasint,omitempty"`
 	// Newest is the highest version of any watched object that the sender knows.
 	Newest object.Version `cbor:"6,keyasint,omitempty"`
-	// Every is the sender's interval between heartbeats, which grows with the cluster.
+	// Every is the sender's interval between heartbeats where it has grown with the
+	// cluster; zero means the configured one.
 	Every time.Duration `cbor:"7,keyasint,omitempty"`
 }
 
@@ -81,7 +85,8 @@
 	Alone       bool          `cbor:"5,keyasint"` // nothing else was running there from the sender
 }
 
-// ClaimAsk asks the receiver to write a claim with its next batch of the shard.
+// ClaimAsk asks the receiver to write a claim with its next batch of the shard, its
+// outcome if the claim has one, or its release.
 type ClaimAsk struct {
 	Shard   string       `cbor:"1,keyasint"` // name of the claim object
 	Key     string       `cbor:"2,keyasint"`
@@ -97,6 +102,9 @@
 	Attempt string       `cbor:"3,keyasint"` // the asker's
 	Stands  object.Claim `cbor:"4,keyasint"`
 	Unknown bool         `cbor:"5,keyasint,omitempty"`
+	// Release and Finish tell which change is answered; neither is a claim.
+	Release bool `cbor:"6,keyasint,omitempty"`
+	Finish  bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Goodbye says that the sender stops; its slices and slots are free.
