Let daemons find one another by the watch instead of by reading lists

Change: the reducer writes the daemon's own object, follows the others' by the watch and takes its own back on a stop; what links and the membership know follows. Measured: make demo, before: 'in force on 1 daemons' of 2; after: waits for both, 202 ms. Reads of daemon objects a second at rest: 0.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -30,11 +30,13 @@
 	Daemon      string
 	Incarnation string
 	DataCentre  string
-	Groups      group.Settings
-	Claims      claim.Settings
-	Poison      poison.Settings
-	Retry       retry.Settings
-	Admit       admit.Settings
+	// Registration is what the others find of this daemon; the incarnation is added.
+	Registration object.Daemon
+	Groups       group.Settings
+	Claims       claim.Settings
+	Poison       poison.Settings
+	Retry        retry.Settings
+	Admit        admit.Settings
 	// StopGrace is how long a stopping daemon still takes new requests after it
 	// turned its readiness off.
 	StopGrace time.Duration
@@ -64,6 +66,7 @@
 	claims   *claim.Manager
 	poison   *poison.Book
 	requests *request.Manager
+	enlisted enlisted
 	life     life
 }
 
@@ -134,8 +137,6 @@
 		s.configured(now, s.config.Learn(e.Object, out), out)
 	case step.PlatformState:
 		s.onPlatform(e, out)
-	case step.DaemonList:
-		s.onDaemons(e)
 	case step.HostList:
 		s.fleet.HostList(now, e)
 	case step.HostReport:
@@ -167,6 +168,7 @@
 		Loads:       s.fleet.Loads(),
 		Held:        s.dealer.Held(),
 	}, out)
+	s.enlist(now, out)
 	s.reaper.Tick(now.Mono, s.config, s.members, s.nextOp, out)
 	s.fleet.Tick(now, out)
 	s.groups.Tick(now, out)
@@ -176,16 +178,17 @@
 }
 
 func (s *State) configured(now step.Time, changed bool, out *step.Out) {
-	s.dealer.SetDaemons(s.config.Applied(), s.config.Objects(object.KindDaemon))
 	if !changed {
+		s.dealer.SetDaemons(s.config.Applied(), s.config.Objects(object.KindDaemon))
 		return
 	}
+	s.onDaemons(out)
 	s.fleet.ConfigChanged(now)
 	s.requests.Tick(now, out)
 }
 
 func (s *State) onReply(now step.Time, r step.PlatformReply, out *step.Out) {
-	if s.claims.OnReply(now, r, out) {
+	if s.claims.OnReply(now, r, out) || s.onEnlisted(r) {
 		return
 	}
 	s.groups.OnReply(now, r, out)
@@ -207,13 +210,6 @@
 	}
 }
 
-func (s *State) onDaemons(e step.DaemonList) {
-	s.members.SetListed(e.Names)
-	if e.Replaced {
-		s.dealer.Replaces()
-	}
-}
-
 func (s *State) onReport(now step.Time, r step.HostReport, out *step.Out) {
 	s.fleet.HostReport(now, r)
 	if r.OK {
--- a/internal/core/life.go
+++ b/internal/core/life.go
@@ -63,7 +63,8 @@
 	if l.doneBy == 0 {
 		l.doneBy = now.Mono + farewell
 	}
-	if now.Mono < l.doneBy && !(s.claims.Pending() == 0 && s.groups.Released()) {
+	returned := s.claims.Pending() == 0 && s.groups.Released() && s.delist(now, out)
+	if now.Mono < l.doneBy && !returned {
 		return
 	}
 	l.exited = true
--- a/internal/core/step/effect.go
+++ b/internal/core/step/effect.go
@@ -153,6 +153,15 @@
 	Message Message
 }
 
+// Peer is a daemon that the platform lists and where it takes links.
+type Peer struct {
+	Daemon  string
+	Address string
+}
+
+// SetPeers names the daemons to link with.
+type SetPeers struct{ Peers []Peer }
+
 // DropConnections closes every pooled connection to an address.
 type DropConnections struct{ Address string }
 
@@ -184,6 +193,7 @@
 func (Probe) effect()           {}
 func (SendOrder) effect()       {}
 func (SendPeer) effect()        {}
+func (SetPeers) effect()        {}
 func (DropConnections) effect() {}
 func (SetWake) effect()         {}
 func (SetReady) effect()        {}
--- a/internal/core/step/event.go
+++ b/internal/core/step/event.go
@@ -185,13 +185,6 @@
 	Asked time.Duration
 }
 
-// DaemonList names the daemons that have joined in the platform and not left.
-type DaemonList struct {
-	Names []string
-	// Replaced says that this daemon's own object was another run's.
-	Replaced bool
-}
-
 // HostList is the platform's list of hosts.
 type HostList struct{ Hosts []platformapi.Host }
 
@@ -244,7 +237,6 @@
 func (ConfigBatch) event()   {}
 func (PlatformState) event() {}
 func (ObjectRead) event()    {}
-func (DaemonList) event()    {}
 func (HostList) event()      {}
 func (HostReport) event()    {}
 func (OrderReply) event()    {}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/member"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/event"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/object"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/peer"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/platform"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/target"
@@ -120,6 +121,10 @@
 
 func coreSettings(set *config.Settings, incarnation string) core.Settings {
 	s := core.Defaults(set.Daemon, incarnation, set.DataCentre)
+	s.Registration = object.Daemon{
+		Address: set.Peers.AdvertiseOr(), API: set.Operators.AdvertiseOr(),
+		DataCentre: set.DataCentre, StartedUnix: time.Now().Unix(),
+	}
 	s.Groups.Lease = set.Lease.Duration.D()
 	s.Groups.Renew = s.Groups.Lease / renewalsPerLease
 	s.Claims.Shards = uint64(set.Claims.Shards)
@@ -173,10 +178,6 @@
 		platform.NewFollower(d.platform, follow, d.seed(), d.Post).Run(ctx)
 		return nil
 	})
-	g.Go(func() error {
-		d.keepRegistered(ctx)
-		return nil
-	})
 	for _, seed := range d.set.Peers.Seeds {
 		d.mesh.Connect(seed)
 	}
@@ -266,7 +267,6 @@
 	ctx, cancel := context.WithTimeout(context.Background(), farewell)
 	defer cancel()
 	_ = s.callers.Shutdown(ctx)
-	d.unregister(ctx)
 	d.mesh.Stop(ctx)
 	_ = s.operators.Close()
 	_ = s.callers.Close()
--- a/internal/daemon/effects.go
+++ b/internal/daemon/effects.go
@@ -9,6 +9,7 @@
 	"github.com/rhubarbswitch/rhubarbswitch/internal/event"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/logging"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/object"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/peer"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/platform"
 )
 
@@ -37,6 +38,8 @@
 		if err := d.mesh.Send(e.To, e.Message); err != nil {
 			d.log.Debug("message not sent", "to", e.To, "error", err)
 		}
+	case step.SetPeers:
+		d.setPeers(e.Peers)
 	case step.DropConnections:
 		d.targets.Drop(e.Address)
 	case step.SetWake:
@@ -87,3 +90,11 @@
 	logging.Event(d.log, id, fields...)
 	d.traces.add(d.set.Daemon, id, fields)
 }
+
+func (d *Daemon) setPeers(peers []step.Peer) {
+	addresses := make([]peer.Address, len(peers))
+	for i, p := range peers {
+		addresses[i] = peer.Address{Name: p.Daemon, Address: p.Address}
+	}
+	d.mesh.SetPeers(addresses)
+}
--- a/test/sessions/sessions_test.go
+++ b/test/sessions/sessions_test.go
@@ -193,7 +193,7 @@
 
 // events are the events and messages that a session may name.
 var events = index(
-	step.Wake{}, step.Request{}, step.CallerGone{}, step.AttemptEnded{}, step.PlatformState{}, step.DaemonList{},
+	step.Wake{}, step.Request{}, step.CallerGone{}, step.AttemptEnded{}, step.PlatformState{},
 	step.HostList{}, step.HostReport{}, step.OrderReply{}, step.PeerUp{}, step.PeerDown{}, step.Stop{},
 	step.Heartbeat{}, step.ConfigAsk{}, step.ConfigDelta{}, step.Digest{}, step.Suspect{}, step.ClaimAsk{}, step.ClaimReply{}, step.Goodbye{},
 )
