Enlist as soon as the platform is heard, also when it is empty

Cause: process tests on an empty platform: enlisting waited for a revision, which waited for the first write. Change: the first word of the platform is enough.

--- a/internal/core/enlist.go
+++ b/internal/core/enlist.go
@@ -41,7 +41,7 @@
 // marked as leaving while the daemon is not.
 func (s *State) enlist(now step.Time, out *step.Out) {
 	e := &s.enlisted
-	if s.life.stopping || s.config.Applied() == 0 || e.op != 0 || e.tried && now.Mono-e.triedAt < enlistEvery {
+	if s.life.stopping || !s.life.platform || e.op != 0 || e.tried && now.Mono-e.triedAt < enlistEvery {
 		return
 	}
 	own, _ := s.config.Object(object.KindDaemon, s.set.Daemon)
