--- a/internal/core/step/message.go
+++ b/internal/core/step/message.go
@@ -111,6 +111,21 @@
 	Slice    string       `cbor:"2,keyasint"` // the slice it belongs to
 	Sequence uint64       `cbor:"3,keyasint"`
 	Usage    object.Usage `cbor:"4,keyasint"`
+	// Attempts are the sender's writes whose answers were lost: if the slice stands
+	// at the sequence number of one, its part of Usage is settled already.
+	Attempts []HandoffAttempt `cbor:"5,keyasint,omitempty"`
+}
+
+// HandoffAttempt is a write whose answer was lost and what it would have settled.
+type HandoffAttempt struct {
+	Sequence uint64       `cbor:"1,keyasint"`
+	Usage    object.Usage `cbor:"2,keyasint"`
+}
+
+// UsageTaken answers UsageHandoff: the receiver settles the usage from here on.
+type UsageTaken struct {
+	Account string `cbor:"1,keyasint"`
+	Slice   string `cbor:"2,keyasint"`
 }
 
 func (Heartbeat) message()    {}
@@ -122,3 +137,4 @@
 func (ClaimReply) message()   {}
 func (Goodbye) message()      {}
 func (UsageHandoff) message() {}
+func (UsageTaken) message()   {}
--- a/internal/peer/wire.go
+++ b/internal/peer/wire.go
@@ -25,12 +25,14 @@
 	numGoodbye      number = 8
 	numUsageHandoff number = 9
 	numAddresses    number = 10
-	numbers         number = 11
+	numUsageTaken   number = 11
+	numbers         number = 12
 )
 
 var numberNames = [numbers]string{
 	"keepalive", "heartbeat", "config_ask", "config_delta", "digest", "suspect",
 	"claim_ask", "claim_reply", "goodbye", "usage_handoff", "addresses",
+	"usage_taken",
 }
 
 // envelope is one message on the wire, as an array.
@@ -60,6 +62,8 @@
 		return numGoodbye, nil
 	case step.UsageHandoff:
 		return numUsageHandoff, nil
+	case step.UsageTaken:
+		return numUsageTaken, nil
 	}
 	return 0, errors.Errorf("message %T has no number: give it one in package peer", m)
 }
@@ -114,6 +118,8 @@
 		return decodeAs[step.Goodbye](payload)
 	case numUsageHandoff:
 		return decodeAs[step.UsageHandoff](payload)
+	case numUsageTaken:
+		return decodeAs[step.UsageTaken](payload)
 	}
 	return nil, nil
 }
