Age peers' digests by how long they were on their way

Ruled out: a fixed time of distrust after a pause (a stalled link does the same without a pause here). Change: digests carry the sender's clock; the receiver keeps the least difference seen and adds what exceeds it to every report's age.

--- a/internal/core/fleet/probe.go
+++ b/internal/core/fleet/probe.go
@@ -43,13 +43,39 @@
 
 // Digest takes up what a peer's probes saw.
 func (v *View) Digest(now step.Time, from string, d step.Digest) {
+	late := v.late(now.Mono, from, d.Sent)
 	for _, m := range d.Reports {
 		if h, ok := v.hosts[m.Host]; ok {
-			v.take(now, h, fromPeer(now.Mono, from, m))
+			v.take(now, h, fromPeer(now.Mono-late, from, m))
 		}
 	}
 }
 
+// clock is how a peer's monotonic clock stands to this daemon's.
+type clock struct {
+	sent   time.Duration // the peer's time on its last digest
+	at     time.Duration // when that was taken up
+	offset time.Duration // the least difference seen between the two
+}
+
+// driftPart is the part of the time that has passed by which two clocks may have
+// drifted apart: 200 parts in a million.
+const driftPart = 5000
+
+// late returns how much longer than the fastest a peer's digest was on its way. One
+// that waited while this daemon or the link stood still must not pass for fresh.
+func (v *View) late(now time.Duration, from string, sent time.Duration) time.Duration {
+	offset := now - sent
+	c, ok := v.clocks[from]
+	if !ok || sent < c.sent {
+		v.clocks[from] = clock{sent, now, offset} // another run of the peer
+		return 0
+	}
+	least := min(offset, c.offset+(now-c.at)/driftPart)
+	v.clocks[from] = clock{sent, now, least}
+	return offset - least
+}
+
 func (v *View) take(now step.Time, h *Host, r Report) {
 	if !r.supersedes(&h.Report) {
 		return
@@ -85,6 +111,7 @@
 		}
 	}
 	if len(digest.Reports) > 0 && len(v.live) > 1 {
+		digest.Sent = now.Mono
 		out.Add(step.SendPeer{Message: digest})
 	}
 	v.share(now)
--- a/internal/core/fleet/view.go
+++ b/internal/core/fleet/view.go
@@ -21,8 +21,9 @@
 	names     []string // of the targets, sorted
 	models    map[string]*pool
 	services  map[string]*pool
-	held      map[string]bool // domains that this daemon controls
-	live      []string        // as of the last tick
+	held      map[string]bool  // domains that this daemon controls
+	clocks    map[string]clock // by peer
+	live      []string         // as of the last tick
 }
 
 // New returns a view that knows no target.
@@ -37,6 +38,7 @@
 		models:   make(map[string]*pool),
 		services: make(map[string]*pool),
 		held:     make(map[string]bool),
+		clocks:   make(map[string]clock),
 	}
 }
 
@@ -155,7 +157,7 @@
 
 // Heartbeat takes up a peer's loads in place of those that it told before.
 func (v *View) Heartbeat(now step.Time, from string, h step.Heartbeat) {
-	v.PeerDown(from)
+	v.clearLoads(from)
 	for _, load := range h.Loads {
 		t, ok := v.targets[load.Target]
 		if !ok {
@@ -170,8 +172,13 @@
 	}
 }
 
-// PeerDown forgets the loads that a daemon told.
+// PeerDown forgets what a daemon told and how its clock stood.
 func (v *View) PeerDown(daemon string) {
+	delete(v.clocks, daemon)
+	v.clearLoads(daemon)
+}
+
+func (v *View) clearLoads(daemon string) {
 	for _, t := range v.targets {
 		load, ok := t.peers[daemon]
 		if !ok {
--- a/internal/core/step/message.go
+++ b/internal/core/step/message.go
@@ -58,6 +58,9 @@
 
 // Digest passes on what a prober saw.
 type Digest struct {
+	// Sent is the sender's monotonic time, from which the receiver tells how long the
+	// message was on its way beyond the usual.
+	Sent    time.Duration  `cbor:"2,keyasint"`
 	Reports []MemberReport `cbor:"1,keyasint,omitempty"`
 }
 
