--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -150,10 +150,6 @@
 	// anew. At least twice heartbeat.
 	// Default: "2s". Bounds: 200ms to 1m.
 	Silence Duration `json:"silence" bounds:"200ms..1m"`
-	// MaxLinks is the largest number of links that this daemon opens. Where the
-	// cluster has more daemons than that, what they say is passed on.
-	// Default: 16. Bounds: 2 to 512.
-	MaxLinks int `json:"maxLinks" bounds:"2..512"`
 }
 
 // Platform is the platform's object API and host list.
@@ -235,15 +231,15 @@
 	// Default: "24h". Bounds: 1m to 168h.
 	Retention Duration `json:"retention" bounds:"1m..168h"`
 	// Window is the span of mint times that share one record per shard.
-	// Default: "2s". Bounds: 1s to 24h.
-	Window Duration `json:"window" bounds:"1s..24h"`
+	// Default: "500ms". Bounds: 100ms to 24h.
+	Window Duration `json:"window" bounds:"100ms..24h"`
 	// Shards is the number of records per window. All daemons of a cluster must
 	// agree on it.
 	// Default: 8. Bounds: 1 to 4096.
 	Shards int `json:"shards" bounds:"1..4096"`
 	// MaxRecordedBytes is the largest answer in bytes that is kept with its key and
 	// repeated to a caller who sends the key again.
-	// Default: 4096. Bounds: 0 to 65536.
+	// Default: 1024. Bounds: 0 to 65536.
 	MaxRecordedBytes int `json:"maxRecordedBytes" bounds:"0..65536"`
 }
 
@@ -254,7 +250,7 @@
 	// Default: 2. Bounds: 1 to 10.
 	Targets int `json:"targets" bounds:"1..10"`
 	// Expiry is how long such a request is refused.
-	// Default: "15m". Bounds: 1s to 24h.
+	// Default: "10m". Bounds: 1s to 24h.
 	Expiry Duration `json:"expiry" bounds:"1s..24h"`
 }
 
--- a/internal/core/conf/delta.go
+++ b/internal/core/conf/delta.go
@@ -13,9 +13,10 @@
 )
 
 // Answer sends a peer what it lacks: a delta, or a snapshot where deletions that it
-// may have missed are forgotten. Nothing is sent to a peer that is as far.
+// may have missed are forgotten. A peer that lacks nothing is answered only if it gave
+// a nonce.
 func (t *Table) Answer(from string, ask step.ConfigAsk, out *step.Out) {
-	if ask.Applied >= t.applied {
+	if ask.Nonce == 0 && ask.Applied >= t.applied && ask.Applied >= t.newest {
 		return
 	}
 	d, err := t.Delta(ask.Applied)
@@ -23,11 +24,13 @@
 		out.Log(event.ConfigRefused, event.F("reason", err))
 		return
 	}
+	d.Nonce = ask.Nonce
 	out.Add(step.SendPeer{To: from, Message: d})
 }
 
 // Delta returns what changed after a revision, by version; a snapshot if the table
-// can't tell deletions from there on.
+// can't tell deletions from there on. Either may hold objects above the revision that it
+// completes, which this daemon learned ahead of the watch.
 func (t *Table) Delta(after object.Version) (step.ConfigDelta, error) {
 	d := step.ConfigDelta{Full: after < t.floor, From: after, To: t.applied}
 	if d.Full {
--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -5,6 +5,7 @@
 package member
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -17,29 +18,37 @@
 )
 
 const (
-	// HeartbeatEvery is the interval between a daemon's heartbeats in a cluster of up
-	// to 100 daemons; beyond, heartbeatShare per live daemon bounds the traffic.
-	HeartbeatEvery = time.Second
-	heartbeatShare = 10 * time.Millisecond
-	// A daemon is late, and membership unsure, after lateBeats of its intervals; it
-	// is no longer live after silentBeats.
-	lateBeats   = 2
+	// heartbeatShare is the least part of the interval between heartbeats for each
+	// live daemon. It bounds the traffic of a large cluster.
+	heartbeatShare = 15 * time.Millisecond
+	// silentBeats is for how many of its own intervals a daemon may at least be silent.
 	silentBeats = 3
-	// settleBeats is for how many intervals membership stays unsure after a change. It
-	// exceeds silentBeats, so that the other side of a cut link has seen the change too.
-	settleBeats = 4
-	// pauseBound is the time between two steps from which this daemon counts as
-	// having been paused.
-	pauseBound = 2 * time.Second
+	// lateBound is the share of the silence bound after which a heartbeat is late.
+	lateBound = 2.0 / 3
 	// askAfter leaves the watch time to bring what a peer already has.
 	askAfter = 300 * time.Millisecond
 	// askEvery is the least time between two asks for a delta.
 	askEvery = time.Second
 )
 
+// Settings are the membership's times.
+type Settings struct {
+	// Heartbeat is the interval between this daemon's heartbeats; in a large cluster
+	// it is longer.
+	Heartbeat time.Duration
+	// Silence is how long a daemon counts as live without a heartbeat.
+	Silence time.Duration
+}
+
+// Defaults returns the default times.
+func Defaults() Settings {
+	return Settings{Heartbeat: 500 * time.Millisecond, Silence: 2 * time.Second}
+}
+
 // Table is the membership as one daemon sees it. The zero value is not usable; see New.
 type Table struct {
 	self  string
+	set   Settings
 	peers map[string]*peer
 	// known are the daemons that may be serving, live or not, with the reason.
 	known    map[string]bool
@@ -51,6 +60,7 @@
 	sentAny  bool
 	asked    time.Duration
 	platform bool
+	proof    proof
 	// watermark is the highest lowest revision seen.
 	watermark object.Version
 }
@@ -67,9 +77,10 @@
 }
 
 // New returns the membership of a daemon that has met nobody.
-func New(self string) *Table {
+func New(self string, set Settings) *Table {
 	return &Table{
 		self:  self,
+		set:   set,
 		peers: make(map[string]*peer),
 		known: map[string]bool{self: true},
 		live:  []string{self},
@@ -78,27 +89,38 @@
 
 // Interval returns the time between this daemon's heartbeats.
 func (t *Table) Interval() time.Duration {
-	return max(HeartbeatEvery, time.Duration(len(t.live))*heartbeatShare)
+	return max(t.set.Heartbeat, time.Duration(len(t.live))*heartbeatShare)
 }
 
-// every returns the time between a peer's heartbeats.
-func (t *Table) every(p *peer) time.Duration {
-	if p.beat.Every == 0 {
-		return t.Interval()
+// silentAfter returns how long a peer may be silent before it is no longer live.
+func (t *Table) silentAfter(p *peer) time.Duration {
+	if p.beat.Incarnation == "" {
+		return max(t.set.Silence, silentBeats*t.Interval())
 	}
-	return max(HeartbeatEvery, p.beat.Every)
+	return max(t.set.Silence, silentBeats*p.beat.Every)
+}
+
+// lateAfter returns the age of a heartbeat from which membership is unsure.
+func (*Table) lateAfter(silence time.Duration) time.Duration {
+	return time.Duration(float64(silence) * lateBound)
+}
+
+// settle returns how long membership stays unsure after a change: long enough for the
+// other side of a cut link to have seen the change too.
+func (t *Table) settle() time.Duration {
+	return max(t.set.Silence, silentBeats*t.Interval()) + t.Interval()
 }
 
 // Advance sets the time and lets silent daemons go.
 func (t *Table) Advance(now time.Duration, out *step.Out) {
-	if now-t.now >= pauseBound {
-		// After a pause every heartbeat is old news.
-		t.changed = now
-	}
+	gap := now - t.now
 	t.now = max(t.now, now)
+	if gap >= t.set.Silence {
+		t.pause(gap, out)
+	}
 	var silent []string
 	for _, name := range t.live {
-		if p, ok := t.peers[name]; ok && t.now-p.heard > silentBeats*t.every(p) {
+		if p, ok := t.peers[name]; ok && t.now-p.heard > t.silentAfter(p) {
 			silent = append(silent, name)
 		}
 	}
@@ -168,7 +190,12 @@
 }
 
 // SetPlatform says whether this daemon hears the platform.
-func (t *Table) SetPlatform(s step.PlatformState) { t.platform = s.Reachable }
+func (t *Table) SetPlatform(s step.PlatformState) {
+	t.platform = s.Reachable
+	if s.Reachable && s.Asked > t.proof.paused {
+		t.proof.wanted = false
+	}
+}
 
 // SetListed takes up the daemons that the platform lists as running. One that is
 // listed but not live is unknown: it may be serving unseen.
@@ -188,10 +215,16 @@
 // The heartbeat's Platform and Every are filled in here.
 func (t *Table) Tick(own step.Heartbeat, out *step.Out) {
 	own.Platform = t.platform
-	own.Every = t.Interval()
-	due := !t.sentAny || t.now-t.sent >= own.Every || own.Newest > t.own.Newest ||
+	interval := t.Interval()
+	if interval > t.set.Heartbeat {
+		own.Every = interval
+	}
+	due := !t.sentAny || t.now-t.sent >= interval || own.Newest > t.own.Newest ||
 		own.Platform != t.own.Platform || own.Leaving != t.own.Leaving
-	t.own.Applied = own.Applied
+	if own.Applied > t.own.Applied || own.Newest > t.own.Newest {
+		t.asked = 0 // an answer came
+	}
+	t.own.Applied, t.own.Newest = own.Applied, own.Newest
 	if due {
 		t.own = own
 		t.sent, t.sentAny = t.now, true
@@ -200,6 +233,22 @@
 	lowest, _ := t.Lowest()
 	t.watermark = max(t.watermark, lowest)
 	t.ask(out)
+	t.seekProof(out)
+}
+
+// linked returns the daemons with an open link, those first that the rendezvous hash
+// assigns to this daemon.
+func (t *Table) linked() []string {
+	var names []string
+	for name, p := range t.peers {
+		if p.linked {
+			names = append(names, name)
+		}
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		return cmp.Or(cmp.Compare(score(b, t.self), score(a, t.self)), cmp.Compare(a, b))
+	})
+	return names
 }
 
 // ask asks one peer for what this daemon lacks.
@@ -210,7 +259,7 @@
 		if p == nil {
 			continue
 		}
-		if p.beat.Newest <= t.own.Applied {
+		if !t.isAhead(p) {
 			p.ahead = false
 			continue
 		}
@@ -231,12 +280,20 @@
 	out.Add(step.SendPeer{To: best, Message: step.ConfigAsk{Applied: t.own.Applied}})
 }
 
-// better reports whether a is a better peer to ask than b: further on or, among
-// equals, the one that the rendezvous hash assigns, which spreads the asks.
+// isAhead reports whether a peer has an object or a revision of use to this daemon.
+func (t *Table) isAhead(p *peer) bool {
+	return p.beat.Newest > t.own.Applied && (p.beat.Applied > t.own.Applied || p.beat.Newest > t.own.Newest)
+}
+
+// better reports whether a is a better peer to ask than b: one that knows newer
+// objects, is further on or, among equals, the one that the rendezvous hash assigns, which spreads the asks.
 func (t *Table) better(a, b string) bool {
-	x, y := t.peers[a].beat.Applied, t.peers[b].beat.Applied
-	if x != y {
-		return x > y
+	x, y := t.peers[a].beat, t.peers[b].beat
+	if x.Newest != y.Newest {
+		return x.Newest > y.Newest
+	}
+	if x.Applied != y.Applied {
+		return x.Applied > y.Applied
 	}
 	return score(a, t.self) > score(b, t.self)
 }
--- a/internal/core/request/request.go
+++ b/internal/core/request/request.go
@@ -84,6 +84,8 @@
 	parked   []step.RequestID
 	// closed says why nothing new is taken, or is empty.
 	closed step.Code
+	// held keeps waiting requests waiting.
+	held bool
 }
 
 // pool names the targets that a request can go to.
@@ -111,9 +113,10 @@
 	tokens   int64
 	// idempotent work may run more than once.
 	idempotent bool
-	suspect    bool
-	gone       bool // the caller left
-	ran        bool // some attempt may have run
+	// suspect tells that the running attempt is one of a suspected request.
+	suspect bool
+	gone    bool // the caller left
+	ran     bool // some attempt may have run
 
 	attempts    int
 	attempt     step.AttemptID
@@ -123,10 +126,28 @@
 	incarnation string
 	started     time.Duration
 	tried       []string
+	doubts      []doubt
 	delivered   int
 	used        Used
 }
 
+// doubt is a target that failed a request in a way that it may be dead. The
+// request goes there again only after a report from after the failure.
+type doubt struct {
+	target string
+	since  time.Duration
+}
+
+// doubted reports whether the target failed this request and has not been heard since.
+func (c *call) doubted(t *fleet.Target) bool {
+	for _, d := range c.doubts {
+		if d.target == t.Name && t.ReportedAt <= d.since {
+			return true
+		}
+	}
+	return false
+}
+
 // New returns a manager without requests.
 func New(p Parts) *Manager {
 	return &Manager{
@@ -144,6 +165,10 @@
 // Close makes the manager refuse new requests with a code; an empty code opens it.
 func (m *Manager) Close(code step.Code) { m.closed = code }
 
+// Hold says whether requests wait although a target is free, since the configuration in
+// force may be old. The next tick after the end of it hands out the places.
+func (m *Manager) Hold(held bool) { m.held = held }
+
 // On takes a new request.
 func (m *Manager) On(now step.Time, r step.Request, out *step.Out) {
 	c := &call{req: r, arrived: now.Mono, tokens: int64(r.PromptTokens + r.MaxTokens)}
@@ -181,7 +206,6 @@
 			Message: fmt.Sprintf("targets died running this request, so it is refused for %s: change it before sending it again", left.Round(time.Second)),
 		}
 	}
-	c.suspect = m.Poison.Suspected(c.req.Fingerprint)
 	limit := m.Limits.Admit(now, c.req.Customer, contract, c.tokens)
 	if limit.Message != "" {
 		return &step.Answer{Status: 429, Code: step.CodeLimit, Message: limit.Message, RetryAfter: limit.RetryAfter}
@@ -239,7 +263,7 @@
 	case step.CodeShuttingDown:
 		return "this daemon is stopping: send the request again, to another daemon"
 	case step.CodeIsolated:
-		return "this daemon hears neither the platform nor its peers: send the request to another daemon"
+		return "this daemon can't tell whether its configuration is still in force: send the request to another daemon"
 	}
 	return "this daemon takes no new work: send the request to another daemon"
 }
--- a/internal/core/step/message.go
+++ b/internal/core/step/message.go
@@ -23,7 +23,8 @@
 	Loads []Load `cbor:"5,keyasint,omitempty"`
 	// Newest is the highest version of any watched object that the sender knows.
 	Newest object.Version `cbor:"6,keyasint,omitempty"`
-	// Every is the sender's interval between heartbeats, which grows with the cluster.
+	// Every is the sender's interval between heartbeats where it has grown with the
+	// cluster; zero means the configured one.
 	Every time.Duration `cbor:"7,keyasint,omitempty"`
 }
 
@@ -37,6 +38,9 @@
 // ConfigAsk asks for what changed after a revision.
 type ConfigAsk struct {
 	Applied object.Version `cbor:"1,keyasint"`
+	// Nonce is repeated in the answer; unless it is zero, a peer that may serve
+	// answers also when nothing changed.
+	Nonce uint64 `cbor:"2,keyasint,omitempty"`
 }
 
 // ConfigDelta brings watched objects that changed between two revisions. A full
@@ -46,6 +50,7 @@
 	From    object.Version  `cbor:"2,keyasint"`
 	To      object.Version  `cbor:"3,keyasint"`
 	Objects []EncodedObject `cbor:"4,keyasint,omitempty"`
+	Nonce   uint64          `cbor:"5,keyasint,omitempty"` // of the ask
 }
 
 // EncodedObject is an object with its value as JSON; an empty value is a deletion.
@@ -87,7 +92,8 @@
 	Alone       bool          `cbor:"5,keyasint"` // nothing else was running there from the sender
 }
 
-// ClaimAsk asks the receiver to write a claim with its next batch of the shard.
+// ClaimAsk asks the receiver to write a claim with its next batch of the shard, its
+// outcome if the claim has one, or its release.
 type ClaimAsk struct {
 	Shard   string       `cbor:"1,keyasint"` // name of the claim object
 	Key     string       `cbor:"2,keyasint"`
@@ -103,6 +109,9 @@
 	Attempt string       `cbor:"3,keyasint"` // the asker's
 	Stands  object.Claim `cbor:"4,keyasint"`
 	Unknown bool         `cbor:"5,keyasint,omitempty"`
+	// Release and Finish tell which change is answered; neither is a claim.
+	Release bool `cbor:"6,keyasint,omitempty"`
+	Finish  bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Goodbye says that the sender stops; its slices and slots are free.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"github.com/rhubarbswitch/rhubarbswitch/internal/api/operator"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/config"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/member"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/event"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/peer"
@@ -37,6 +38,8 @@
 	tickEvery = 50 * time.Millisecond
 	// eventQueue is the number of events that may wait for the reducer.
 	eventQueue = 4096
+	// renewalsPerLease is how often a lease is renewed while it lasts.
+	renewalsPerLease = 3
 	// farewell bounds what a stopping daemon says to the platform and its peers.
 	farewell = 3 * time.Second
 )
@@ -64,16 +67,26 @@
 
 	// work counts the effects that are being carried out.
 	work sync.WaitGroup
+	// wake fires at wakeAt, a monotonic time; zero if it is not set.
+	wake   *time.Timer
+	wakeAt time.Duration
 	// fresh tells that the configuration in force changed during this step.
 	fresh bool
 }
 
+// Option changes what the reducer is set to, for measurements of ways not taken.
+type Option func(*core.Settings)
+
 // New returns a daemon that has opened nothing yet.
-func New(set *config.Settings, log *slog.Logger) (*Daemon, error) {
+func New(set *config.Settings, log *slog.Logger, options ...Option) (*Daemon, error) {
 	key, err := set.Peers.Key.Read()
 	if err != nil {
 		return nil, errors.Wrap(err, "peers.key")
 	}
+	dial, err := tlsreload.ClientConfig(set.Peers.TLS)
+	if err != nil {
+		return nil, errors.Wrap(err, "peers.tls")
+	}
 	id, err := uuid.NewV7()
 	if err != nil {
 		return nil, errors.Wrap(err, "mint the incarnation")
@@ -84,7 +97,11 @@
 		queries: make(chan func(*core.State)),
 		exit:    make(chan struct{}),
 	}
-	d.state = core.New(coreSettings(set, d.incarnation))
+	reducer := coreSettings(set, d.incarnation)
+	for _, o := range options {
+		o(&reducer)
+	}
+	d.state = core.New(reducer)
 	d.directory.Store(d.state.Directory())
 	d.platform = platform.New(set.Platform.Address, platform.WithCallBound(set.Platform.CallTimeout.D()))
 	d.targets = target.New(targetSettings(set))
@@ -93,7 +110,7 @@
 		Address: set.Peers.AdvertiseOr(), DataCentre: set.DataCentre, Key: key,
 		Seed: d.seed(), Emit: d.Post,
 		Refused:   func(r *peer.Refused) { d.record(event.PeerRefused, event.F("error", r)) },
-		KeepAlive: set.Peers.Heartbeat.D(),
+		KeepAlive: set.Peers.Heartbeat.D(), Silence: set.Peers.Silence.D(), TLS: dial,
 	})
 	return d, nil
 }
@@ -103,10 +120,13 @@
 
 func coreSettings(set *config.Settings, incarnation string) core.Settings {
 	s := core.Defaults(set.Daemon, incarnation, set.DataCentre)
+	s.Groups.Lease = set.Lease.Duration.D()
+	s.Groups.Renew = s.Groups.Lease / renewalsPerLease
 	s.Claims.Shards = uint64(set.Claims.Shards)
 	s.Claims.Window = set.Claims.Window.D()
 	s.Claims.Retention = set.Claims.Retention.D()
 	s.Claims.BodyBytes = set.Claims.MaxRecordedBytes
+	s.Member = member.Settings{Heartbeat: set.Peers.Heartbeat.D(), Silence: set.Peers.Silence.D()}
 	s.Poison.Targets = set.Poison.Targets
 	s.Poison.Expiry = set.Poison.Expiry.D()
 	s.Retry.Share = set.Retry.BudgetShare
@@ -146,7 +166,11 @@
 	g.Go(func() error { return serve(servers.operators, listeners.operators) })
 	g.Go(func() error { return d.mesh.Run(listeners.peers) })
 	g.Go(func() error {
-		platform.NewFollower(d.platform, d.seed(), func() time.Duration { return d.now().Mono }, d.Post).Run(ctx)
+		follow := platform.FollowSettings{
+			Wait: d.set.Platform.WatchWait.D(), HostsEvery: d.set.Platform.HostListInterval.D(),
+			Now: func() time.Duration { return d.now().Mono },
+		}
+		platform.NewFollower(d.platform, follow, d.seed(), d.Post).Run(ctx)
 		return nil
 	})
 	g.Go(func() error {
@@ -215,7 +239,7 @@
 		},
 		operators: &http.Server{
 			Handler: operator.New(operator.Options{
-				Store: d.platform, Inspector: d, Keys: keys, Ready: d.readiness, Pprof: d.set.Pprof,
+				Store: store{d.platform, d.Post}, Inspector: d, Keys: keys, Ready: d.readiness, Pprof: d.set.Pprof,
 			}),
 			ReadHeaderTimeout: callers.ReadHeaderTimeout.D(),
 		},
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -41,14 +41,13 @@
 	queued    int // bytes
 	heartbeat *frame
 	work      chan struct{} // holds one token while there is something to write
-	used      time.Time     // last message that is not a sign of life
 }
 
 func newLink(h hello, conn *websocket.Conn, dialled bool) *link {
 	now := time.Now()
 	ctx, stop := context.WithCancel(context.Background())
 	return &link{
-		ctx: ctx, stop: stop, peer: h, conn: conn, dialled: dialled, since: now, used: now,
+		ctx: ctx, stop: stop, peer: h, conn: conn, dialled: dialled, since: now,
 		done: make(chan struct{}), work: make(chan struct{}, 1),
 	}
 }
@@ -67,7 +66,6 @@
 	default:
 		l.queue = append(l.queue, f)
 		l.queued += len(f.bytes)
-		l.used = time.Now()
 	}
 	l.mu.Unlock()
 	select {
@@ -95,12 +93,6 @@
 	return len(l.queue) == 0 && l.heartbeat == nil
 }
 
-func (l *link) idleSince() time.Time {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.used
-}
-
 // close ends the link; the close frame is tried in the background since the
 // connection may be dead.
 func (l *link) close(code websocket.StatusCode, reason string) {
@@ -122,14 +114,14 @@
 
 // write sends what is queued, and a sign of life when nothing was sent for a while,
 // which is announced whenever it changes.
-func (l *link) write(interval func() time.Duration) {
+func (l *link) write(interval func() time.Duration, silence time.Duration) {
 	every := interval()
 	ticker := time.NewTicker(every)
 	defer ticker.Stop()
 	frames := []frame{keepAlive(every)}
 	for {
 		for _, f := range frames {
-			if err := l.writeFrame(f, silentSigns*every); err != nil {
+			if err := l.writeFrame(f, max(silence, silentSigns*every)); err != nil {
 				l.close(0, "")
 				return
 			}
@@ -159,10 +151,10 @@
 
 // read hands on messages until the link ends or is silent for longer than the
 // announced interval allows.
-func (l *link) read(interval time.Duration, handle func(step.Message), learn func([]Address)) {
-	every := interval
+func (l *link) read(silence time.Duration, handle func(step.Message), learn func([]Address)) {
+	bound := silence
 	for {
-		e, err := l.readEnvelope(silentSigns * every)
+		e, err := l.readEnvelope(bound)
 		if err != nil {
 			l.close(0, "")
 			return
@@ -171,7 +163,7 @@
 		case numKeepAlive:
 			var announced time.Duration
 			if cbor.Unmarshal(e.Payload, &announced) == nil {
-				every = min(max(interval, announced), KeepAliveMost)
+				bound = max(silence, silentSigns*min(announced, KeepAliveMost))
 			}
 		case numAddresses:
 			var known []Address
@@ -193,7 +185,6 @@
 	if m == nil {
 		return // of a newer release
 	}
-	l.touch(e.Number)
 	handle(m)
 }
 
@@ -211,12 +202,3 @@
 	received.count(e.Number, len(b))
 	return e, nil
 }
-
-func (l *link) touch(n number) {
-	if n == numHeartbeat {
-		return
-	}
-	l.mu.Lock()
-	l.used = time.Now()
-	l.mu.Unlock()
-}
--- a/internal/platform/follower.go
+++ b/internal/platform/follower.go
@@ -13,11 +13,6 @@
 )
 
 const (
-	// WatchWait is the longest wait of one watch; a dead connection is seen within
-	// WatchWait and WatchGrace.
-	WatchWait = 3 * time.Second
-	// HostsEvery is the interval between two reads of the host list.
-	HostsEvery = 10 * time.Second
 	// backoffBase and backoffMost bound the pause after a failure, which doubles.
 	backoffBase = 200 * time.Millisecond
 	backoffMost = 5 * time.Second
@@ -26,13 +21,28 @@
 	leastWatch = 50 * time.Millisecond
 )
 
+// FollowSettings are a follower's times. Both are spread by a fifth.
+type FollowSettings struct {
+	// Wait is the longest wait of one watch; a dead connection is seen within it and WatchGrace.
+	Wait time.Duration
+	// HostsEvery is the interval between two reads of the host list.
+	HostsEvery time.Duration
+	// Now is the clock of PlatformState.Asked; nil leaves it zero.
+	Now func() time.Duration
+}
+
+// DefaultFollow returns the default times.
+func DefaultFollow() FollowSettings {
+	return FollowSettings{Wait: 5 * time.Second, HostsEvery: 2 * time.Second}
+}
+
 // Follower follows the watched objects and the host list. It hands ConfigBatch,
 // PlatformState and HostList events to a callback, from two goroutines. A batch
 // connects to the one before or is full.
 type Follower struct {
 	client *Client
+	set    FollowSettings
 	emit   func(step.Event)
-	clock  func() time.Duration
 	// jitter is shared by the two goroutines.
 	mu     sync.Mutex
 	jitter *rand.Rand
@@ -44,9 +54,8 @@
 }
 
 // NewFollower returns a follower. The seed spreads the pauses of daemons: give each its own.
-// Clock tells the daemon's monotonic time.
-func NewFollower(client *Client, seed uint64, clock func() time.Duration, emit func(step.Event)) *Follower {
-	return &Follower{client: client, clock: clock, emit: emit, jitter: rand.New(rand.NewPCG(seed, seed))}
+func NewFollower(client *Client, set FollowSettings, seed uint64, emit func(step.Event)) *Follower {
+	return &Follower{client: client, set: set, emit: emit, jitter: rand.New(rand.NewPCG(seed, seed))}
 }
 
 // Run follows until the context ends.
@@ -60,7 +69,7 @@
 func (f *Follower) followObjects(ctx context.Context) {
 	failures := 0
 	for ctx.Err() == nil {
-		started, sent := time.Now(), f.clock()
+		started, asked := time.Now(), f.now()
 		err := f.advance(ctx)
 		if ctx.Err() != nil {
 			return
@@ -70,7 +79,7 @@
 			sleep(ctx, f.backoff(1))
 			continue
 		}
-		f.tell(err == nil, sent)
+		f.tell(step.PlatformState{Reachable: err == nil, Asked: asked})
 		if err != nil {
 			failures++
 			sleep(ctx, f.backoff(failures))
@@ -86,7 +95,7 @@
 	if !f.listed {
 		return f.list(ctx)
 	}
-	b, err := f.client.Watch(ctx, object.WatchedKinds, f.revision, f.around(WatchWait))
+	b, err := f.client.Watch(ctx, object.WatchedKinds, f.revision, f.around(f.set.Wait))
 	if err != nil {
 		return err
 	}
@@ -112,13 +121,20 @@
 	return nil
 }
 
+func (f *Follower) now() time.Duration {
+	if f.set.Now == nil {
+		return 0
+	}
+	return f.set.Now()
+}
+
 // tell says whether the platform is heard: on change and with every renewal.
-func (f *Follower) tell(reachable bool, sent time.Duration) {
-	if f.told && !reachable && !f.reachable {
+func (f *Follower) tell(state step.PlatformState) {
+	if f.told && !state.Reachable && !f.reachable {
 		return
 	}
-	f.told, f.reachable = true, reachable
-	f.emit(step.PlatformState{Reachable: reachable, Sent: sent})
+	f.told, f.reachable = true, state.Reachable
+	f.emit(state)
 }
 
 func (f *Follower) followHosts(ctx context.Context) {
@@ -135,7 +151,7 @@
 		}
 		failures = 0
 		f.emit(step.HostList{Hosts: hosts})
-		sleep(ctx, f.around(HostsEvery))
+		sleep(ctx, f.around(f.set.HostsEvery))
 	}
 }
 
