--- a/internal/core/group/domain.go
+++ b/internal/core/group/domain.go
@@ -42,7 +42,9 @@
 	drainUntil time.Duration
 	joined     time.Duration // when all members held the generation, zero before
 	served     bool
-	waiting    bool // a log line has said that the group waits
+	broken     bool // a log line has said that the group is out of service
+	waiting    bool // one has said that it waits for a member
+	draining   bool // one has said that it drains
 }
 
 func (c *Controller) names() []string {
@@ -96,8 +98,12 @@
 			continue
 		}
 		ch := &change{generation: g.Generation, orderFrom: now + routingStop, drainUntil: now + c.set.Drain}
-		if old != nil && d.brokenIn(old.Groups[name]) {
-			ch.drainUntil = ch.orderFrom // what was in flight is lost with the member
+		if since, broken := d.brokenSince(old, name); broken {
+			// Every daemon has seen the member's last report age, and what was in flight
+			// is lost. A daemon that still reaches the member sends with the old
+			// generation, which the others refuse before running.
+			ch.orderFrom = max(now, since+routingStop)
+			ch.drainUntil = ch.orderFrom
 		}
 		d.changes[name] = ch
 	}
@@ -108,14 +114,21 @@
 	}
 }
 
-// brokenIn reports whether a member of the group is known to be down.
-func (d *domain) brokenIn(g object.Group) bool {
-	for _, member := range g.Members {
-		if s, ok := d.hosts[member]; ok && s.known && !s.up {
-			return true
+// brokenSince returns since when a member of the group, as it stood, is down.
+func (d *domain) brokenSince(old *object.Domain, name string) (since time.Duration, broken bool) {
+	if old == nil {
+		return 0, false
+	}
+	for _, member := range old.Groups[name].Members {
+		s, ok := d.hosts[member]
+		if !ok || !s.known || s.up {
+			continue
+		}
+		if !broken || s.since < since {
+			since, broken = s.since, true
 		}
 	}
-	return false
+	return since, broken
 }
 
 // write sends a new state of the domain, which takes effect only over the known one.
--- a/internal/core/group/order.go
+++ b/internal/core/group/order.go
@@ -86,15 +86,16 @@
 	loading := c.loading(d)
 	for _, name := range c.byUrgency(d) {
 		g := d.value.Groups[name]
-		if now < d.changes[name].orderFrom && !c.fresh(d, g) {
-			continue
-		}
 		need := c.missing(d, name, g)
 		need = slices.DeleteFunc(need, func(host string) bool {
 			h, ok := c.Fleet.Host(host)
 			return !ok || !answers(now, h)
 		})
-		if len(need) == 0 || !c.drained(now, d, name, g) {
+		if !c.mayChange(now, d, name, g, out) {
+			// Hosts that are in no group serve nobody: they may load meanwhile.
+			need = slices.DeleteFunc(need, func(host string) bool { return !c.idle(host) })
+		}
+		if len(need) == 0 {
 			continue
 		}
 		if loading > 0 && loading+len(need) > room {
@@ -116,16 +117,25 @@
 	return names
 }
 
-// fresh reports whether no member is in any group yet: nothing needs to stop first.
-func (c *Controller) fresh(d *domain, g object.Group) bool {
-	for _, member := range g.Members {
-		if h, ok := c.Fleet.Host(member); !ok || h.ConnStatus.Group != "" {
-			return false
-		}
+// mayChange reports whether members that hold another group or generation may be
+// told to change: routing to what they hold has stopped, and what was in flight is done.
+func (c *Controller) mayChange(now time.Duration, d *domain, name string, g object.Group, out *step.Out) bool {
+	if now < d.changes[name].orderFrom {
+		return false
+	}
+	if !c.drained(now, d, name, g) {
+		d.changes[name].drain(name, out)
+		return false
 	}
 	return true
 }
 
+// idle reports whether a host's engine holds no group.
+func (c *Controller) idle(host string) bool {
+	h, ok := c.Fleet.Host(host)
+	return ok && h.ConnStatus.Group == ""
+}
+
 // missing returns the members that do not hold the group at its generation.
 func (c *Controller) missing(_ *domain, name string, g object.Group) []string {
 	var hosts []string
@@ -138,12 +148,12 @@
 	return hosts
 }
 
-// loading counts the hosts that hold a group and are not ready.
+// loading counts the hosts that hold a group and have not loaded its weights.
 func (c *Controller) loading(d *domain) int {
 	n := 0
 	for _, host := range c.Fleet.HostsOf(d.name) {
 		h, _ := c.Fleet.Host(host)
-		if st := &h.ConnStatus; d.host(host).up && st.Group != "" && !st.Ready {
+		if st := &h.ConnStatus; d.host(host).up && st.Group != "" && !st.Loaded {
 			n++
 		}
 	}
@@ -176,6 +186,14 @@
 	return true
 }
 
+// drain says once that a group finishes what is in flight.
+func (ch *change) drain(name string, out *step.Out) {
+	if !ch.draining {
+		ch.draining = true
+		out.Log(event.GroupDraining, event.F("group", name), event.F("generation", ch.generation))
+	}
+}
+
 // join sends a member the order to join its group.
 func (c *Controller) join(now time.Duration, d *domain, name string, g object.Group, host string, out *step.Out) {
 	h, ok := c.Fleet.Host(host)
--- a/internal/core/group/plan.go
+++ b/internal/core/group/plan.go
@@ -148,15 +148,33 @@
 		if len(l.planned)+len(l.down) == 0 {
 			continue
 		}
+		before := p.changed
 		if !p.replace(l) && p.overdue(l) {
 			stuck = append(stuck, l)
 		}
+		if p.changed == before {
+			p.wait(l)
+		}
 	}
 	if len(stuck) > 0 {
 		p.consolidate(stuck)
 	}
 }
 
+// wait says once that a group waits for its members.
+func (p *plan) wait(l loss) {
+	ch, ok := p.d.changes[l.name]
+	if !ok || ch.waiting {
+		return
+	}
+	ch.waiting = true
+	var hosts []string
+	for _, rank := range append(slices.Clone(l.planned), l.down...) {
+		hosts = append(hosts, p.next.Groups[l.name].Members[rank])
+	}
+	p.log(event.GroupWaiting, event.F("group", l.name), event.F("for", hosts))
+}
+
 func (p *plan) lost(name string) loss {
 	l := loss{name: name}
 	for rank, member := range p.next.Groups[name].Members {
@@ -198,7 +216,7 @@
 		g.Members[rank] = spares[i]
 	}
 	p.setGroup(l.name, g)
-	p.log(event.GroupRepaired, event.F("group", l.name), event.F("generation", g.Generation), event.F("spares", spares))
+	p.log(event.GroupRepaired, event.F("group", l.name), event.F("generation", p.next.Groups[l.name].Generation), event.F("spares", spares))
 	return true
 }
 
--- a/internal/core/group/watch.go
+++ b/internal/core/group/watch.go
@@ -60,23 +60,24 @@
 	if ch.joined > 0 && !ch.served {
 		d.load(g.Model).add(now - ch.joined)
 	}
-	ch.joined, ch.served, ch.waiting = 0, true, false
+	ch.joined, ch.served = 0, true
+	ch.broken, ch.waiting, ch.draining = false, false, false
 }
 
 func (c *Controller) nowBroken(d *domain, name string, ch *change, out *step.Out) {
-	if ch.served && !ch.waiting {
-		ch.waiting = true
+	if ch.served && !ch.broken {
+		ch.broken = true
 		out.Log(event.GroupBroken, event.F("domain", d.name), event.F("group", name), event.F("generation", ch.generation))
 	}
 	ch.joined = 0
 }
 
-// blameSlowest counts a loss against the members that are not ready while others are.
-// If none is ready the reports do not tell which one holds the group up.
+// blameSlowest leaves out the members that have not loaded their weights while others
+// have. If none has, the weight store is slow, not a member.
 func (c *Controller) blameSlowest(now time.Duration, d *domain, g object.Group, out *step.Out) {
 	var slow []string
 	for _, member := range g.Members {
-		if h, ok := c.Fleet.Host(member); ok && !h.Report.Ready {
+		if h, ok := c.Fleet.Host(member); ok && !h.ConnStatus.Loaded {
 			slow = append(slow, member)
 		}
 	}
--- a/internal/core/group/world_test.go
+++ b/internal/core/group/world_test.go
@@ -30,6 +30,8 @@
 	nodes    []*node
 	queue    []delivery
 	broken   string // the first breach of an invariant
+	trace    func(format string, args ...any)
+	set      func(*Settings)
 	conns    uint64
 }
 
@@ -47,6 +49,7 @@
 type engine struct {
 	host     platformapi.Host
 	listed   bool
+	slower   time.Duration // added to loading
 	checks   bool
 	run      int
 	dead     bool
@@ -97,7 +100,7 @@
 		e.first = this
 		if e.group != o.Group || e.gen != o.Generation {
 			if e.group == "" {
-				e.loadedAt = w.now + loadTime
+				e.loadedAt = w.now + loadTime + e.slower
 			}
 			e.group, e.gen, e.members = o.Group, o.Generation, o.Members
 		}
@@ -122,7 +125,7 @@
 func (w *world) status(e *engine) engineapi.Status {
 	return engineapi.Status{
 		Host: e.host.Name, Incarnation: e.incarnation(), Group: e.group, Generation: e.gen, Model: "m",
-		Ready: w.ready(e), Fence: e.fence, ChecksFencing: e.checks,
+		Loaded: e.group != "" && w.now >= e.loadedAt, Ready: w.ready(e), Fence: e.fence, ChecksFencing: e.checks,
 	}
 }
 
@@ -151,7 +154,7 @@
 	seen   map[key]object.Object // configuration in force
 	inbox  []func()
 	conns  map[uint64]string // connection to the incarnation at its end
-	log    []string          // effects, for golden sessions
+	said   map[string]string // last report of each host, for sessions
 }
 
 func (n *node) time() step.Time {
@@ -231,8 +234,10 @@
 	return h.Sum32()
 }
 
-func newWorld(nodes int) *world {
-	w := &world{objects: map[key]object.Object{}, engines: map[string]*engine{}, storeUp: true}
+func newWorld(nodes int) *world { return newWorldWith(nodes, nil) }
+
+func newWorldWith(nodes int, set func(*Settings)) *world {
+	w := &world{set: set, objects: map[key]object.Object{}, engines: map[string]*engine{}, storeUp: true}
 	for i := range nodes {
 		w.nodes = append(w.nodes, nil)
 		w.start(i)
@@ -246,11 +251,14 @@
 	if old := w.nodes[i]; old != nil {
 		run = old.run + 1
 	}
-	n := &node{w: w, name: fmt.Sprintf("d%d", i), run: run, skew: time.Duration(i) * time.Minute, seen: map[key]object.Object{}, conns: map[uint64]string{}}
+	n := &node{w: w, name: fmt.Sprintf("d%d", i), run: run, skew: time.Duration(i) * time.Minute, seen: map[key]object.Object{}, conns: map[uint64]string{}, said: map[string]string{}}
 	n.view = fleet.New(n.name, config{n}, n)
 	set := Defaults()
 	set.Lease, set.Renew = 4*time.Second, time.Second
 	set.Load, set.Return, set.Restart, set.Drain = 4*time.Second, 20*time.Second, 2*time.Second, 5*time.Second
+	if w.set != nil {
+		w.set(&set)
+	}
 	n.ctl = New(set, Parts{
 		Daemon: n.name, Incarnation: fmt.Sprintf("%s#%d", n.name, run), Config: config{n}, Members: n, Fleet: n.view,
 		Next: func() step.OpID { n.ops++; return n.ops },
@@ -393,7 +401,10 @@
 	} else if e.up() {
 		r.OK, r.Status, r.Conn = true, n.w.status(e), n.connTo(e)
 	}
-	n.later(wait, func(*step.Out) { n.view.HostReport(n.time(), r) })
+	n.later(wait, func(*step.Out) {
+		n.view.HostReport(n.time(), r)
+		n.heard(r)
+	})
 }
 
 // connTo returns this daemon's connection to the engine's present incarnation.
@@ -420,13 +431,19 @@
 		if !e.dead && n.conns[o.Conn] == e.incarnation() {
 			reply.Report, reply.Status = n.w.take(e, o.Order)
 		}
-		n.later(0, func(out *step.Out) { n.ctl.OnOrderReply(n.time(), reply, out) })
+		n.later(0, func(out *step.Out) {
+			n.answered("OrderReply "+o.Host, reply.Status)
+			n.ctl.OnOrderReply(n.time(), reply, out)
+		})
 	})
 }
 
 func (n *node) call(e step.Effect) {
 	reply := n.serve(e)
-	n.later(0, func(out *step.Out) { n.ctl.OnReply(n.time(), reply, out) })
+	n.later(0, func(out *step.Out) {
+		n.answered("PlatformReply", reply.Status)
+		n.ctl.OnReply(n.time(), reply, out)
+	})
 }
 
 // serve is the store's answer to a call.
--- a/internal/engineapi/engineapi.go
+++ b/internal/engineapi/engineapi.go
@@ -39,6 +39,9 @@
 	Generation uint64 `json:"generation,omitempty"`
 	Model      string `json:"model,omitempty"`
 	Rank       int    `json:"rank"`
+	// Loaded is true once the weights are loaded, whether or not the other members are
+	// there.
+	Loaded bool `json:"loaded"`
 	// Ready is true once weights are loaded and all members are connected.
 	Ready bool `json:"ready"`
 	// Fence is the highest fencing number seen; ChecksFencing says whether an
--- a/internal/stub/engine/engine.go
+++ b/internal/stub/engine/engine.go
@@ -125,6 +125,7 @@
 	status := i.State.report(time.Now())
 	status.Host = e.options.Host
 	status.Incarnation = i.ID
+	status.Loaded = i.State.isLoaded()
 	status.ChecksFencing = e.options.ChecksFencing
 	if e.options.KeepsFence {
 		e.mu.Lock()
