--- a/internal/core/group/group.go
+++ b/internal/core/group/group.go
@@ -47,9 +47,6 @@
 	// group of more hosts than that loads alone.
 	LoadsPerDomain int
 	LoadsInAll     int
-	// SwapAtOnce replaces a lost member by a spare without waiting for its return.
-	// Tests compare with it.
-	SwapAtOnce bool
 }
 
 // Defaults returns the settings for engines that load in about a minute.
--- a/internal/core/group/plan.go
+++ b/internal/core/group/plan.go
@@ -142,6 +142,10 @@
 // repair replaces members that leave at once and members that are lost when that is
 // sooner than their return.
 func (p *plan) repair() {
+	if baselinePolicy {
+		p.dissolveBroken()
+		return
+	}
 	var stuck []loss
 	for _, name := range sorted(p.next.Groups) {
 		l := p.lost(name)
@@ -161,6 +165,16 @@
 	}
 }
 
+// dissolveBroken is the baseline: a group that lost a member ends, and a new one is
+// formed when enough hosts are free.
+func (p *plan) dissolveBroken() {
+	for _, name := range sorted(p.next.Groups) {
+		if l := p.lost(name); len(l.planned)+len(l.down) > 0 {
+			p.dissolve(name, "a member is lost")
+		}
+	}
+}
+
 // wait says once that a group waits for its members.
 func (p *plan) wait(l loss) {
 	ch, ok := p.d.changes[l.name]
@@ -225,9 +239,6 @@
 // back as another incarnation loads its weights like a spare does.
 func (p *plan) giveUpWaiting(l loss) bool {
 	d, set := p.d, p.c.set
-	if set.SwapAtOnce {
-		return true
-	}
 	g := p.next.Groups[l.name]
 	swap := set.Load
 	if m, ok := d.loads[g.Model]; ok {
--- /dev/null
+++ b/internal/core/group/policy_baseline.go
@@ -0,0 +1,5 @@
+//go:build baseline
+
+package group
+
+const baselinePolicy = true
--- a/test/process/process_test.go
+++ b/test/process/process_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"flag"
 	"fmt"
 	"os"
 	"os/exec"
@@ -41,7 +42,11 @@
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
 	binaries = dir
+	flag.Parse()
 	args := []string{"build", "-o", dir + string(filepath.Separator)}
+	if *baseline {
+		args = append(args, "-tags", "baseline")
+	}
 	if raceEnabled {
 		args = append(args, "-race")
 	}
