--- a/internal/core/group/plan.go
+++ b/internal/core/group/plan.go
@@ -142,21 +142,53 @@
 // repair replaces members that leave at once and members that are lost when that is
 // sooner than their return.
 func (p *plan) repair() {
+	if baselinePolicy {
+		p.dissolveBroken()
+		return
+	}
 	var stuck []loss
 	for _, name := range sorted(p.next.Groups) {
 		l := p.lost(name)
 		if len(l.planned)+len(l.down) == 0 {
 			continue
 		}
+		before := p.changed
 		if !p.replace(l) && p.overdue(l) {
 			stuck = append(stuck, l)
 		}
+		if p.changed == before {
+			p.wait(l)
+		}
 	}
 	if len(stuck) > 0 {
 		p.consolidate(stuck)
 	}
 }
 
+// dissolveBroken is the baseline: a group that lost a member ends, and a new one is
+// formed when enough hosts are free.
+func (p *plan) dissolveBroken() {
+	for _, name := range sorted(p.next.Groups) {
+		if l := p.lost(name); len(l.planned)+len(l.down) > 0 {
+			p.dissolve(name, "a member is lost")
+		}
+	}
+}
+
+// wait says once that a group waits for its members.
+func (p *plan) wait(l loss) {
+	ch, ok := p.d.changes[l.name]
+	if !ok || ch.waiting {
+		return
+	}
+	ch.waiting = true
+	var hosts []string
+	for _, rank := range append(slices.Clone(l.planned), l.down...) {
+		hosts = append(hosts, p.next.Groups[l.name].Members[rank])
+	}
+	p.log(event.GroupWaiting, event.F("group", l.name), event.F("for", hosts))
+}
+
 func (p *plan) lost(name string) loss {
 	l := loss{name: name}
 	for rank, member := range p.next.Groups[name].Members {
@@ -198,7 +230,7 @@
 		g.Members[rank] = spares[i]
 	}
 	p.setGroup(l.name, g)
-	p.log(event.GroupRepaired, event.F("group", l.name), event.F("generation", g.Generation), event.F("spares", spares))
+	p.log(event.GroupRepaired, event.F("group", l.name), event.F("generation", p.next.Groups[l.name].Generation), event.F("spares", spares))
 	return true
 }
 
@@ -207,9 +239,6 @@
 // back as another incarnation loads its weights like a spare does.
 func (p *plan) giveUpWaiting(l loss) bool {
 	d, set := p.d, p.c.set
-	if set.SwapAtOnce {
-		return true
-	}
 	g := p.next.Groups[l.name]
 	swap := set.Load
 	if m, ok := d.loads[g.Model]; ok {
