--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -192,7 +192,7 @@
 // SetPlatform says whether this daemon hears the platform.
 func (t *Table) SetPlatform(s step.PlatformState) {
 	t.platform = s.Reachable
-	if s.Reachable && s.Asked > t.proof.paused {
+	if s.Reachable && s.Sent > t.proof.paused {
 		t.proof.wanted = false
 	}
 }
--- a/internal/core/member/member_test.go
+++ b/internal/core/member/member_test.go
@@ -106,7 +106,7 @@
 	v.pause(5 * time.Second)
 	require.False(t, v.MayServe())
 	v.beat("b", step.Heartbeat{Platform: true})
-	v.SetPlatform(step.PlatformState{Reachable: true, Asked: before})
+	v.SetPlatform(step.PlatformState{Reachable: true, Sent: before})
 	require.False(t, v.MayServe(), "what was under way before the pause proves nothing")
 	v.run(tick, step.Heartbeat{Platform: true}, "b")
 	ask, ok := v.sent("b")[0].(step.ConfigAsk)
@@ -120,7 +120,7 @@
 	v.Proven(ask.Nonce)
 	require.True(t, v.MayServe())
 	v.pause(5 * time.Second)
-	v.SetPlatform(step.PlatformState{Reachable: true, Asked: v.at + 1})
+	v.SetPlatform(step.PlatformState{Reachable: true, Sent: v.at + 1})
 	require.True(t, v.MayServe(), "the platform answered a call made after the pause")
 }
 
--- a/internal/core/step/event.go
+++ b/internal/core/step/event.go
@@ -28,6 +28,9 @@
 // Tick comes at a fixed interval; everything that waits is looked at on a tick.
 type Tick struct{}
 
+// Wake comes at the time that SetWake asked for.
+type Wake struct{}
+
 // RequestID names one caller's request; it is unique over all daemons.
 type RequestID string
 
@@ -178,12 +181,16 @@
 // PlatformState says whether the watch is heard; it comes on change and with every renewal.
 type PlatformState struct {
 	Reachable bool
-	// Asked is when the call was sent whose answer tells so.
-	Asked time.Duration
+	// Sent is when the call was sent that proves the configuration current.
+	Sent time.Duration
 }
 
 // DaemonList names the daemons that have joined in the platform and not left.
-type DaemonList struct{ Names []string }
+type DaemonList struct {
+	Names []string
+	// Replaced says that this daemon's own object was another run's.
+	Replaced bool
+}
 
 // HostList is the platform's list of hosts.
 type HostList struct{ Hosts []platformapi.Host }
@@ -229,6 +236,7 @@
 type Stop struct{}
 
 func (Tick) event()          {}
+func (Wake) event()          {}
 func (Request) event()       {}
 func (CallerGone) event()    {}
 func (AttemptEnded) event()  {}
--- a/internal/platform/follower.go
+++ b/internal/platform/follower.go
@@ -27,8 +27,6 @@
 	Wait time.Duration
 	// HostsEvery is the interval between two reads of the host list.
 	HostsEvery time.Duration
-	// Now is the clock of PlatformState.Asked; nil leaves it zero.
-	Now func() time.Duration
 }
 
 // DefaultFollow returns the default times.
@@ -43,6 +41,7 @@
 	client *Client
 	set    FollowSettings
 	emit   func(step.Event)
+	clock  func() time.Duration
 	// jitter is shared by the two goroutines.
 	mu     sync.Mutex
 	jitter *rand.Rand
@@ -54,8 +53,9 @@
 }
 
 // NewFollower returns a follower. The seed spreads the pauses of daemons: give each its own.
-func NewFollower(client *Client, set FollowSettings, seed uint64, emit func(step.Event)) *Follower {
-	return &Follower{client: client, set: set, emit: emit, jitter: rand.New(rand.NewPCG(seed, seed))}
+// Clock tells the daemon's monotonic time.
+func NewFollower(client *Client, set FollowSettings, seed uint64, clock func() time.Duration, emit func(step.Event)) *Follower {
+	return &Follower{client: client, set: set, clock: clock, emit: emit, jitter: rand.New(rand.NewPCG(seed, seed))}
 }
 
 // Run follows until the context ends.
@@ -69,7 +69,7 @@
 func (f *Follower) followObjects(ctx context.Context) {
 	failures := 0
 	for ctx.Err() == nil {
-		started, asked := time.Now(), f.now()
+		started, sent := time.Now(), f.clock()
 		err := f.advance(ctx)
 		if ctx.Err() != nil {
 			return
@@ -79,7 +79,7 @@
 			sleep(ctx, f.backoff(1))
 			continue
 		}
-		f.tell(step.PlatformState{Reachable: err == nil, Asked: asked})
+		f.tell(err == nil, sent)
 		if err != nil {
 			failures++
 			sleep(ctx, f.backoff(failures))
@@ -121,20 +121,13 @@
 	return nil
 }
 
-func (f *Follower) now() time.Duration {
-	if f.set.Now == nil {
-		return 0
-	}
-	return f.set.Now()
-}
-
 // tell says whether the platform is heard: on change and with every renewal.
-func (f *Follower) tell(state step.PlatformState) {
-	if f.told && !state.Reachable && !f.reachable {
+func (f *Follower) tell(reachable bool, sent time.Duration) {
+	if f.told && !reachable && !f.reachable {
 		return
 	}
-	f.told, f.reachable = true, state.Reachable
-	f.emit(state)
+	f.told, f.reachable = true, reachable
+	f.emit(step.PlatformState{Reachable: reachable, Sent: sent})
 }
 
 func (f *Follower) followHosts(ctx context.Context) {
