--- a/internal/core/step/event.go
+++ b/internal/core/step/event.go
@@ -181,8 +181,8 @@
 // PlatformState says whether the watch is heard; it comes on change and with every renewal.
 type PlatformState struct {
 	Reachable bool
-	// Sent is when the call was sent that proves the configuration current.
-	Sent time.Duration
+	// Asked is when the call was sent whose answer tells so.
+	Asked time.Duration
 }
 
 // DaemonList names the daemons that have joined in the platform and not left.
