Let only listed daemons count for the larger part

Cause: a daemon that starts in an outage knows only whom it links to, so a small part could take itself for the larger; and one that stopped gracefully was missed as if it might be serving. Change: the daemons' objects in the configuration in force are the voters, without those that said that they stop.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 GO ?= go
 
-.PHONY: all build test race lint spec demo fmt
+.PHONY: all build test race lint spec demo fmt measure-config
 
 all: build lint test
 
@@ -26,3 +26,7 @@
 
 demo: build
 	bin/rhubarbstub demo
+
+measure-config:
+	$(GO) test ./test/process -v -run 'TestConfiguration|TestWoken|TestDaemonCutOff|TestDaemonStarts|TestControlTraffic' -config-daemons 9 -config-changes 20
+	$(GO) test ./internal/core/conf ./internal/core/member ./internal/peer -run '^$$' -bench . -benchmem -benchtime 3s
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -180,6 +180,7 @@
 	if !changed {
 		return
 	}
+	s.members.SetListed(s.listed())
 	s.fleet.ConfigChanged(now)
 	s.requests.Tick(now, out)
 }
@@ -207,8 +208,18 @@
 	}
 }
 
+// listed returns the daemons that have joined and not left.
+func (s *State) listed() []string {
+	var names []string
+	for _, o := range s.config.Objects(object.KindDaemon) {
+		if d, ok := o.Value.(*object.Daemon); ok && !d.Leaving {
+			names = append(names, o.Name)
+		}
+	}
+	return names
+}
+
 func (s *State) onDaemons(e step.DaemonList) {
-	s.members.SetListed(e.Names)
 	if e.Replaced {
 		s.dealer.Replaces()
 	}
--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -50,8 +50,10 @@
 	self  string
 	set   Settings
 	peers map[string]*peer
-	// known are the daemons that may be serving, live or not, with the reason.
+	// known are the daemons that may be serving, live or not; listed are those that
+	// the configuration lists.
 	known    map[string]bool
+	listed   map[string]bool
 	live     []string // sorted, with self
 	now      time.Duration
 	changed  time.Duration // when membership last changed
@@ -197,15 +199,19 @@
 	}
 }
 
-// SetListed takes up the daemons that the platform lists as running. One that is
+// SetListed takes up the daemons that the configuration in force lists. One that is
 // listed but not live is unknown: it may be serving unseen.
 func (t *Table) SetListed(names []string) {
+	t.listed = make(map[string]bool, len(names))
 	t.known = map[string]bool{t.self: true}
 	for _, name := range names {
-		t.known[name] = true
+		t.listed[name] = true
+		if t.isLive(name) || !t.leaving(name) {
+			t.known[name] = true
+		}
 	}
 	for _, name := range t.live {
-		if name != t.self && !t.leaving(name) {
+		if !t.leaving(name) {
 			t.known[name] = true
 		}
 	}
@@ -230,8 +236,7 @@
 		t.sent, t.sentAny = t.now, true
 		out.Add(step.SendPeer{Message: own})
 	}
-	lowest, _ := t.Lowest()
-	t.watermark = max(t.watermark, lowest)
+	t.watermark = max(t.watermark, t.lowest())
 	t.ask(out)
 	t.seekProof(out)
 }
--- a/internal/core/member/member_test.go
+++ b/internal/core/member/member_test.go
@@ -147,6 +147,23 @@
 	require.True(t, v.MayServe(), "two of three serve on in an outage")
 }
 
+func TestDaemonThatStartsInAnOutageCountsNobodyTwice(t *testing.T) {
+	listed := []string{"a", "b", "c"}
+	late := newView("late", "a")
+	late.SetListed(listed)
+	require.False(t, late.LargerPart(), "b and c may be serving on")
+	other := newView("b", "c")
+	other.SetListed(listed)
+	require.True(t, other.LargerPart())
+	late.up("b")
+	require.True(t, late.LargerPart())
+	other.Goodbye("c", step.Goodbye{Incarnation: "c-1"})
+	other.Down(step.PeerDown{Daemon: "c"}, &other.out)
+	require.False(t, other.LargerPart(), "one of two, and a is the first")
+	other.up("a")
+	require.True(t, other.LargerPart(), "a daemon that stopped is missed by nobody")
+}
+
 func TestGoodbyeLeavesNobodyUnknown(t *testing.T) {
 	v := newView("a", "b")
 	v.run(5*time.Second, step.Heartbeat{}, "b")
@@ -258,6 +275,8 @@
 			var larger [2]int
 			for i, self := range names {
 				v := newView(self, names...)
+				v.SetListed(names)
+				v.up("started in the outage")
 				for j, other := range names {
 					if mask>>i&1 != mask>>j&1 {
 						v.Down(step.PeerDown{Daemon: other}, &v.out)
--- a/internal/core/member/view.go
+++ b/internal/core/member/view.go
@@ -93,10 +93,7 @@
 
 // Lowest returns the lowest applied revision among the live daemons and who is there, sorted.
 func (t *Table) Lowest() (object.Version, []string) {
-	lowest, names := t.own.Applied, []string(nil)
-	for _, name := range t.live {
-		lowest = min(lowest, t.applied(name))
-	}
+	lowest, names := t.lowest(), []string(nil)
 	for _, name := range t.live {
 		if t.applied(name) == lowest {
 			names = append(names, name)
@@ -105,6 +102,14 @@
 	return lowest, names
 }
 
+func (t *Table) lowest() object.Version {
+	lowest := t.own.Applied
+	for _, name := range t.live {
+		lowest = min(lowest, t.applied(name))
+	}
+	return lowest
+}
+
 // Lagging returns the daemons that are live below a revision, or unknown, sorted.
 func (t *Table) Lagging(revision object.Version) []string {
 	names := t.Unknown()
@@ -142,21 +147,31 @@
 	return true
 }
 
-// LargerPart reports whether the live daemons are more than half of those that may be
-// serving, or exactly half with the first of them by name. In an outage of the
-// platform at most one part of a split holds this.
+// LargerPart reports whether the live daemons are more than half of those that the
+// configuration lists, or exactly half with the first of them by name. In an outage of
+// the platform at most one part of a split holds this, as long as both parts know lists
+// that differ by one daemon at most. One that started in the outage is not listed and
+// does not count.
 func (t *Table) LargerPart() bool {
-	live, first := 0, ""
-	for name := range t.known {
-		if t.isLive(name) {
+	voters := t.listed
+	if len(voters) == 0 {
+		voters = t.known
+	}
+	all, live, first := 0, 0, ""
+	for name := range voters {
+		switch {
+		case t.isLive(name):
 			live++
+		case t.leaving(name):
+			continue // it said that it stops
 		}
+		all++
 		if first == "" || name < first {
 			first = name
 		}
 	}
-	if 2*live == len(t.known) {
+	if 2*live == all {
 		return t.isLive(first)
 	}
-	return 2*live > len(t.known)
+	return 2*live > all
 }
