Answer a key asked for again with the outcome that is being written

Cause: TestOneCall, red since outcomes wait to share a write: the same key asked for again at once got 409 key_running although its call had completed. The repeat was judged by the claims before the batch that held the outcome. Change: a claim that loses to a change of its own batch is settled by that write.

--- a/internal/core/claim/shard.go
+++ b/internal/core/claim/shard.go
@@ -50,13 +50,15 @@
 }
 
 // apply works a batch of changes into a copy of the claims. It returns the copy,
-// the changes that need a write, those settled by the claim that stands, and
-// whether a fresh read is needed before anything else.
+// the changes that the write settles, those settled by the claim that stands, and
+// whether a fresh read is needed before anything else. A claim that loses to a
+// change of its own batch is settled by the write, like that change.
 func (s *shard) apply(batch []change) (next map[string]object.Claim, write, settled []change, read bool) {
 	next = maps.Clone(s.claims)
 	if next == nil {
 		next = make(map[string]object.Claim)
 	}
+	written := make(map[string]bool)
 	for _, c := range batch {
 		stands, exists := next[c.key]
 		own := exists && stands.Attempt == c.claim.Attempt
@@ -65,10 +67,13 @@
 			settled = append(settled, c)
 		case c.kind == take && exists && !c.verified:
 			return nil, nil, nil, true
+		case c.kind == take && exists && written[c.key]:
+			write = append(write, c)
 		case c.kind == take && exists:
 			settled = append(settled, c)
 		case c.kind == take:
 			next[c.key] = c.claim
+			written[c.key] = true
 			write = append(write, c)
 		case c.kind == release:
 			// A release always writes, even if the claim is not there: the new version
@@ -79,6 +84,7 @@
 			write = append(write, c)
 		case c.kind == finish && (own || !exists):
 			next[c.key] = c.claim
+			written[c.key] = true
 			write = append(write, c)
 		case c.kind == finish:
 			// Another attempt's claim stands; there is nothing to record.
