--- a/test/process/cluster_test.go
+++ b/test/process/cluster_test.go
@@ -47,8 +47,10 @@
 	platform *stub
 	daemons  []*daemon
 	services []*stub
-	engines  []*engineHost
-	key      string // path of the file with the peers' key
+	// serviceCentres are the services' data centres.
+	serviceCentres []string
+	engines        []*engineHost
+	key            string // path of the file with the peers' key
 }
 
 func newCluster(t *testing.T) *cluster {
@@ -91,6 +93,7 @@
 		host := fmt.Sprintf("s%d", i)
 		s := startStub(c.t, host, append([]string{"service", "--host", host, "--seed", fmt.Sprint(i + 1)}, args...)...)
 		c.services = append(c.services, s)
+		c.serviceCentres = append(c.serviceCentres, dataCentres[i%len(dataCentres)])
 		targets = append(targets, object.ServiceTarget{
 			Host: host, Address: s.address, DataCentre: dataCentres[i%len(dataCentres)],
 		})
