Free a stand-in's place before its answer ends

Cause: a cold engine fell over at one request above its limit although daemons kept to it: the caller's next request came before the handler of the last one had returned. Change: engine and service leave the gate before the last bytes are sent.

--- a/internal/stub/engine/completion.go
+++ b/internal/stub/engine/completion.go
@@ -29,6 +29,8 @@
 	prompt      string
 	wrong       misbehaviour
 	answer      *writer
+	left        int  // tokens still to be generated
+	ended       bool // the place in the batch is free again
 }
 
 func (e *Engine) complete(w http.ResponseWriter, r *http.Request, chat bool) {
@@ -119,23 +121,30 @@
 	defer unhook()
 	j.ctx = ctx
 	s := j.incarnation.State
-	left := max(j.body.MaxTokens-j.from, 0)
-	s.track(j.attempt, left, cancel)
-	whole := false
-	defer func() {
-		s.untrack(j.attempt, left)
-		s.gate.Leave(whole)
-	}()
+	j.left = max(j.body.MaxTokens-j.from, 0)
+	s.track(j.attempt, j.left, cancel)
+	defer func() { j.leave(false) }()
 	j.engine.count(func(stats *Stats) {
 		stats.Runs++
 		stats.RunsByAttempt[j.attempt]++
 	})
 	j.checkGroupAtStart()
 	j.firstToken()
-	if whole = j.generate(&left); !whole {
+	j.generate()
+}
+
+// leave frees the place in the batch. A whole answer does so before its end is
+// sent, since the caller may send the next request at once.
+func (j *run) leave(whole bool) {
+	if j.ended {
 		return
 	}
-	j.engine.count(func(stats *Stats) { stats.Whole++ })
+	j.ended = true
+	j.incarnation.State.untrack(j.attempt, j.left)
+	j.incarnation.State.gate.Leave(whole)
+	if whole {
+		j.engine.count(func(stats *Stats) { stats.Whole++ })
+	}
 }
 
 // checkGroupAtStart hangs a request that reached a group without all its members.
@@ -194,9 +203,8 @@
 	panic(http.ErrAbortHandler)
 }
 
-// generate produces the tokens that are left and reports whether the answer ended
-// as it should.
-func (j *run) generate(left *int) bool {
+// generate produces the tokens that are left and ends the answer.
+func (j *run) generate() {
 	if j.body.Stream {
 		j.answer.startStream()
 	}
@@ -206,15 +214,14 @@
 			j.wait(j.engine.options.TokenGap)
 		}
 		j.checkRunning(i)
-		*left--
+		j.left--
 		j.incarnation.State.generated()
 		j.engine.count(func(s *Stats) { s.Tokens++ })
 		if j.body.Stream && !j.sendToken(i) {
-			return false
+			return
 		}
 	}
 	j.end(first)
-	return true
 }
 
 // checkRunning breaks a run off when its group has lost a member or its time to
@@ -241,6 +248,7 @@
 }
 
 func (j *run) end(first int) {
+	j.leave(!j.wrong.truncate)
 	if j.body.Stream {
 		j.answer.finish()
 		return
--- a/internal/stub/service/service.go
+++ b/internal/stub/service/service.go
@@ -118,10 +118,14 @@
 		s.refuse(w)
 		return
 	}
-	whole := false
-	defer func() { i.State.Leave(whole) }()
-	answer := s.run(r, i, body, key)
-	whole = s.send(w, i, answer, fault)
+	// The place is free before the answer leaves, since the caller may send the next
+	// call at once.
+	answer, ran := s.run(r, i, body, key)
+	i.State.Leave(ran && (fault == Sound || fault == Cross))
+	if !ran {
+		panic(http.ErrAbortHandler)
+	}
+	s.send(w, i, answer, fault)
 }
 
 // enter admits a call; false means a refusal before running.
@@ -145,8 +149,8 @@
 }
 
 // run has the call's effect, then takes the time it takes. The effect stays even
-// if the incarnation ends meanwhile.
-func (s *Service) run(r *http.Request, i *lifecycle.Incarnation[*warmth.Gate], body []byte, key string) Answer {
+// if the incarnation ends meanwhile, which is reported as false.
+func (s *Service) run(r *http.Request, i *lifecycle.Incarnation[*warmth.Gate], body []byte, key string) (Answer, bool) {
 	attempt := r.Header.Get(engineapi.HeaderAttempt)
 	runs := s.countRun(key, attempt)
 	timer := time.NewTimer(s.options.Run)
@@ -154,24 +158,24 @@
 	select {
 	case <-timer.C:
 	case <-i.Context().Done():
-		panic(http.ErrAbortHandler)
+		return Answer{}, false
 	}
 	s.waitWhilePaused(r)
 	return Answer{
 		Key: key, Attempt: attempt, Host: s.options.Host, Incarnation: i.ID,
 		Method: r.Method, Path: r.URL.Path, Run: runs, BodyDigest: Digest(body),
-	}
+	}, true
 }
 
-// send answers as the fault says and reports whether the answer was given in full.
-func (s *Service) send(w http.ResponseWriter, i *lifecycle.Incarnation[*warmth.Gate], answer Answer, fault Fault) bool {
+// send answers as the fault says.
+func (s *Service) send(w http.ResponseWriter, i *lifecycle.Incarnation[*warmth.Gate], answer Answer, fault Fault) {
 	switch fault {
 	case CrashAfter:
 		s.end(i)
 		panic(http.ErrAbortHandler)
 	case FailAfter:
 		http.Error(w, "failed", http.StatusInternalServerError)
-		return false
+		return
 	case Cross:
 		answer = s.other(answer)
 	}
@@ -187,5 +191,4 @@
 	}
 	_, _ = w.Write(text)
 	s.count(func(stats *Stats) { stats.Whole++ })
-	return true
 }
