--- a/internal/core/life.go
+++ b/internal/core/life.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"strings"
 	"time"
 
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/request"
@@ -16,9 +17,17 @@
 	stopping bool
 	closeAt  time.Duration // when a stopping daemon takes nothing new any more
 	closed   bool
-	exited   bool
+	// doneBy is when a stopping daemon with nothing in flight ends, even if the
+	// platform has not taken everything back; zero while requests are in flight.
+	doneBy time.Duration
+	exited bool
+	cutOff bool // as last told to the requests
 }
 
+// farewell is how long a daemon with nothing in flight waits for the platform to
+// take back what it holds.
+const farewell = 5 * time.Second
+
 // stop begins a graceful stop. Readiness goes first; what the balancer still sends
 // until it has noticed is served, then nothing new is taken, and what is in flight
 // finishes whole.
@@ -33,7 +42,8 @@
 
 // advance tells readiness and ends the daemon once nothing is left to do.
 func (l *life) advance(s *State, now step.Time, out *step.Out) {
-	ready := s.config.Applied() > 0 && !l.stopping
+	l.isolate(s, out)
+	ready := s.config.Applied() > 0 && !l.stopping && !l.cutOff
 	if ready != l.ready {
 		l.ready = ready
 		out.Add(step.SetReady{Ready: ready})
@@ -45,8 +55,15 @@
 		l.closed = true
 		s.requests.Close(step.CodeShuttingDown)
 		s.claims.Hurry()
+		s.groups.Stop()
+	}
+	if s.requests.Len() > 0 {
+		return
 	}
-	if s.requests.Len() > 0 || s.claims.Pending() > 0 {
+	if l.doneBy == 0 {
+		l.doneBy = now.Mono + farewell
+	}
+	if now.Mono < l.doneBy && !(s.claims.Pending() == 0 && s.groups.Released()) {
 		return
 	}
 	l.exited = true
@@ -55,6 +72,28 @@
 	out.Add(step.Exit{})
 }
 
+// isolate stops taking new work while nobody can tell this daemon of a change.
+func (l *life) isolate(s *State, out *step.Out) {
+	cutOff := s.members.CutOff()
+	if cutOff == l.cutOff {
+		return
+	}
+	l.cutOff = cutOff
+	if cutOff {
+		out.Log(event.DaemonIsolated, event.F("unheard", strings.Join(s.members.Unknown(), ",")))
+	} else {
+		out.Log(event.DaemonRejoined)
+	}
+	if l.closed {
+		return
+	}
+	code := step.Code("")
+	if cutOff {
+		code = step.CodeIsolated
+	}
+	s.requests.Close(code)
+}
+
 // Admit admits everything.
 func (unlimited) Admit(step.Time, string, *object.Contract, int64) request.Refusal {
 	return request.Refusal{}
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -159,7 +159,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		NewFollower(c, FollowSettings{Wait: time.Second, HostsEvery: time.Second}, 1, noClock, r.take).Run(ctx)
+		NewFollower(c, FollowSettings{Wait: time.Second, HostsEvery: time.Second}, 1, r.take).Run(ctx)
 	}()
 	t.Cleanup(func() { cancel(); <-done })
 	return r
@@ -211,7 +211,7 @@
 }
 
 func TestBackoffIsBoundedAndSpread(t *testing.T) {
-	f, g := NewFollower(nil, DefaultFollow(), 1, noClock, nil), NewFollower(nil, DefaultFollow(), 2, noClock, nil)
+	f, g := NewFollower(nil, DefaultFollow(), 1, nil), NewFollower(nil, DefaultFollow(), 2, nil)
 	for failures := 1; failures < 40; failures++ {
 		a, b := f.backoff(failures), g.backoff(failures)
 		require.LessOrEqual(t, max(a, b), backoffMost)
@@ -219,6 +219,3 @@
 		require.NotEqual(t, a, b)
 	}
 }
-
-// noClock stands for a daemon that has just started.
-func noClock() time.Duration { return 0 }
