Hold the cold limit until a target has answered enough

A model declares what a cold group bears and what a warm one bears, and nothing between. Change: the limit is the cold one until warmAfter answers. A declared slope may come back once a model can state one.

--- a/internal/core/coldstart/warmth.go
+++ b/internal/core/coldstart/warmth.go
@@ -1,7 +1,5 @@
 package coldstart
 
-import "math/bits"
-
 // Limits are what a target bears, in requests in flight over all daemons.
 type Limits struct {
 	Cold int // just started
@@ -40,21 +38,11 @@
 func (w *Warmth) Answered() { w.own++ }
 
 // Limit returns the limit over all daemons that the answered work has earned, and
-// whether it is the warm one. The limit doubles step by step; each step takes as
-// many answers as its limit is a part of the whole way.
+// whether it is the warm one. Nothing is declared of what a target bears between
+// cold and warm, so that it stays at the cold limit until it has answered enough.
 func (w *Warmth) Limit(l Limits) (limit int, warm bool) {
-	answers := max(w.reported, w.own)
-	if answers >= int64(l.After) || l.Cold >= l.Warm {
+	if max(w.reported, w.own) >= int64(l.After) || l.Cold >= l.Warm {
 		return l.Warm, true
 	}
-	steps := bits.Len(uint((l.Warm - 1) / l.Cold)) // doublings from cold to warm
-	whole := int64(1)<<steps - 1
-	limit = l.Cold
-	for step := 1; step < steps; step++ {
-		if answers*whole < int64(l.After)*(int64(1)<<step-1) {
-			break
-		}
-		limit *= 2
-	}
-	return min(limit, l.Warm), false
+	return l.Cold, false
 }
--- a/internal/stub/engine/faults.go
+++ b/internal/stub/engine/faults.go
@@ -2,12 +2,14 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/rhubarbswitch/rhubarbswitch/internal/stub/lifecycle"
 )
 
 // Faults is what the stand-in can be told to do wrong. Setting it replaces the
-// lasting faults; Crash and GoCold act once, at the setting. Counts run down with
+// lasting faults; GoCold acts once, at the setting, and Crash once the setting has
+// been answered. Counts run down with
 // each request that they strike.
 type Faults struct {
 	// Pause holds everything without closing connections.
@@ -42,7 +44,7 @@
 		i.State.gate.GoCold()
 	}
 	if f.Crash {
-		e.end(i)
+		time.AfterFunc(retireGrace, func() { e.end(i) })
 	}
 }
 
--- a/internal/stub/service/faults.go
+++ b/internal/stub/service/faults.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"math"
 	"net/http"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -12,6 +13,9 @@
 	"github.com/rhubarbswitch/rhubarbswitch/internal/stub/warmth"
 )
 
+// faultGrace lets the answer to a setting leave before connections close.
+const faultGrace = 20 * time.Millisecond
+
 // Fault is what goes wrong with one call.
 type Fault int
 
@@ -66,7 +70,7 @@
 	s.faults = f
 	s.mu.Unlock()
 	if i, running := s.process.Current(); running && f.Crash {
-		s.end(i)
+		time.AfterFunc(faultGrace, func() { s.end(i) })
 	}
 }
 
