Judge a broken target by reports from after the break only

A probe that was sent before the engine died was reported after it and showed the old incarnation, which cleared the suspicion, so that the request went on to a third engine and more. Change: Book.Seen is told when the report's probe was sent and passes over broken attempts from after that.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -217,7 +217,7 @@
 func (s *State) onReport(now step.Time, r step.HostReport, out *step.Out) {
 	s.fleet.HostReport(now, r)
 	if r.OK {
-		s.poison.Seen(now, r.Host, r.Status.Incarnation, out)
+		s.poison.Seen(now, r.Sent, r.Host, r.Status.Incarnation, out)
 	}
 }
 
@@ -260,7 +260,7 @@
 	s.fleet.Digest(now, from, d)
 	for _, r := range d.Reports {
 		if r.OK {
-			s.poison.Seen(now, r.Host, r.Incarnation, out)
+			s.poison.Seen(now, now.Mono-r.Age, r.Host, r.Incarnation, out)
 		}
 	}
 }
--- a/internal/core/poison/poison.go
+++ b/internal/core/poison/poison.go
@@ -69,16 +69,17 @@
 	b.open = append(b.open, open{print: print, host: host, incarnation: incarnation, at: now.Mono})
 }
 
-// Seen takes a report of the incarnation that runs on a host. Broken attempts on an
-// earlier one are now proved deaths and passed on to peers; those on this one were
-// broken by something else.
-func (b *Book) Seen(now step.Time, host, incarnation string, out *step.Out) {
+// Seen takes a report of the incarnation that runs on a host, whose probe was sent
+// at sent. Broken attempts on an earlier one are now proved deaths and passed on to
+// peers; those on this one were broken by something else. A report from before an
+// attempt broke proves neither.
+func (b *Book) Seen(now step.Time, sent time.Duration, host, incarnation string, out *step.Out) {
 	if len(b.open) == 0 || incarnation == "" {
 		return
 	}
 	kept := b.open[:0]
 	for _, o := range b.open {
-		if o.host != host {
+		if o.host != host || sent <= o.at {
 			kept = append(kept, o)
 			continue
 		}
--- a/test/process/harm_test.go
+++ b/test/process/harm_test.go
@@ -45,7 +45,7 @@
 		died += h.stats(t).Poisoned
 	}
 	t.Logf("%d engines died", died)
-	require.LessOrEqual(t, died, int64(3))
+	require.LessOrEqual(t, died, int64(2))
 	require.GreaterOrEqual(t, report.Whole, report.Sent*95/100)
 }
 
