Mark rather than delete the object of a run that took another's name

Cause: taking back the object of a daemon that replaced one of the same name and leaves at once would let its slots be dealt while the earlier run may still send. Change: while the dealer holds back, the object is marked as leaving.

--- a/internal/core/enlist.go
+++ b/internal/core/enlist.go
@@ -77,6 +77,14 @@
 		return false
 	}
 	e.op, e.triedAt = s.nextOp(), now.Mono
+	if s.dealer.Held() {
+		// An earlier run of this name may still send to cold targets: the mark makes
+		// the others wait before they deal its slots anew.
+		left := *v
+		left.Leaving = true
+		out.Add(step.PutObject{Op: e.op, Name: s.set.Daemon, IfVersion: own.Version, Value: &left})
+		return false
+	}
 	out.Add(step.DeleteObject{Op: e.op, Kind: object.KindDaemon, Name: s.set.Daemon, IfVersion: own.Version})
 	return false
 }
