--- a/internal/core/coldstart/dealer.go
+++ b/internal/core/coldstart/dealer.go
@@ -5,8 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/rendezvous"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/object"
 )
@@ -284,12 +283,13 @@
 // of their rendezvous scores, and the slots are dealt round. A daemon that joins
 // never raises another's share. Round changes the order.
 func Part(set []string, daemon, target string, round uint64, slots int) int {
-	own := scored{daemon, score(daemon, target, round)}
+	duty := rendezvous.Hash(target)
+	own := scored{daemon, rendezvous.Score(rendezvous.Hash(daemon), duty, round)}
 	found, position := false, 0
 	for _, name := range set {
 		if name == daemon {
 			found = true
-		} else if before(scored{name, score(name, target, round)}, own) < 0 {
+		} else if before(scored{name, rendezvous.Score(rendezvous.Hash(name), duty, round)}, own) < 0 {
 			position++
 		}
 	}
@@ -302,12 +302,3 @@
 func before(a, b scored) int {
 	return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.name, b.name))
 }
-
-func score(daemon, target string, round uint64) uint64 {
-	var h xxhash.Digest
-	h.ResetWithSeed(round)
-	_, _ = h.WriteString(target)
-	_, _ = h.Write([]byte{0})
-	_, _ = h.WriteString(daemon)
-	return h.Sum64()
-}
--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -10,8 +10,6 @@
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/event"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/object"
@@ -21,6 +19,8 @@
 	// heartbeatShare is the least part of the interval between heartbeats for each
 	// live daemon. It bounds the traffic of a large cluster.
 	heartbeatShare = 15 * time.Millisecond
+	// lookEvery is the interval between two looks for silent daemons.
+	lookEvery = 20 * time.Millisecond
 	// silentBeats is for how many of its own intervals a daemon may at least be silent.
 	silentBeats = 3
 	// lateBound is the share of the silence bound after which a heartbeat is late.
@@ -52,9 +52,13 @@
 	peers map[string]*peer
 	// known are the daemons that may be serving, live or not; listed are those that
 	// the configuration lists.
-	known    map[string]bool
-	listed   map[string]bool
-	live     []string // sorted, with self
+	known  map[string]bool
+	listed map[string]bool
+	live   []string // sorted, with self
+	// dutiful are the live daemons that are not leaving, which share the duties;
+	// nil when they have to be gathered anew.
+	dutiful  []dutiful
+	lookAt   time.Duration // when silent daemons are looked for again
 	now      time.Duration
 	changed  time.Duration // when membership last changed
 	own      step.Heartbeat
@@ -120,6 +124,10 @@
 	if gap >= t.set.Silence {
 		t.pause(gap, out)
 	}
+	if t.now < t.lookAt {
+		return
+	}
+	t.lookAt = t.now + lookEvery
 	var silent []string
 	for _, name := range t.live {
 		if p, ok := t.peers[name]; ok && t.now-p.heard > t.silentAfter(p) {
@@ -142,6 +150,7 @@
 		p = &peer{}
 		t.peers[u.Daemon] = p
 		t.changed = t.now
+		t.dutiful = nil
 	}
 	p.incarnation, p.address, p.dataCentre = u.Incarnation, u.Address, u.DataCentre
 	p.linked = true
@@ -174,6 +183,9 @@
 		return // of an earlier run
 	}
 	p.heard = t.now
+	if p.beat.Leaving != h.Leaving {
+		t.dutiful = nil
+	}
 	p.beat = h
 	t.known[from] = true
 	if p.linked {
@@ -188,6 +200,7 @@
 		return
 	}
 	p.beat.Leaving = true
+	t.dutiful = nil
 	delete(t.known, from)
 }
 
@@ -232,6 +245,9 @@
 	}
 	t.own.Applied, t.own.Newest = own.Applied, own.Newest
 	if due {
+		if own.Leaving != t.own.Leaving {
+			t.dutiful = nil
+		}
 		t.own = own
 		t.sent, t.sentAny = t.now, true
 		out.Add(step.SendPeer{Message: own})
@@ -310,6 +326,7 @@
 	}
 	t.live = slices.Insert(t.live, at, name)
 	t.changed = t.now
+	t.dutiful = nil
 }
 
 func (t *Table) drop(name string) {
@@ -319,6 +336,7 @@
 	}
 	t.live = slices.Delete(t.live, at, at+1)
 	t.changed = t.now
+	t.dutiful = nil
 	t.peers[name].ahead = false
 }
 
@@ -329,12 +347,3 @@
 	p := t.peers[name]
 	return p != nil && p.beat.Leaving
 }
-
-func score(name, key string) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(key)
-	_, _ = d.Write([]byte{0})
-	_, _ = d.WriteString(name)
-	return d.Sum64()
-}
--- a/internal/core/member/view.go
+++ b/internal/core/member/view.go
@@ -1,9 +1,9 @@
 package member
 
 import (
-	"cmp"
 	"slices"
 
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/rendezvous"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/object"
 )
@@ -41,36 +41,67 @@
 // none. It is only a hint: what must be exclusive is settled by conditional update.
 func (t *Table) Owner(key string) string {
 	owner, best := t.self, uint64(0)
-	for _, name := range t.live {
-		if s := score(name, key); !t.leaving(name) && s >= best {
-			owner, best = name, s
+	duty := rendezvous.Hash(key)
+	for _, d := range t.duties() {
+		if score := rendezvous.Score(d.hash, duty, 0); score >= best {
+			owner, best = d.name, score
 		}
 	}
 	return owner
 }
 
-// Owners returns up to n live daemons for a duty, the first being its Owner.
-func (t *Table) Owners(key string, n int) []string {
-	type scored struct {
-		name  string
-		score uint64
+// dutiful is a daemon that takes duties.
+type dutiful struct {
+	name string
+	hash uint64
+}
+
+// duties returns the daemons that take duties, by name.
+func (t *Table) duties() []dutiful {
+	if t.dutiful != nil {
+		return t.dutiful
 	}
-	all := make([]scored, 0, len(t.live))
 	for _, name := range t.live {
 		if !t.leaving(name) {
-			all = append(all, scored{name, score(name, key)})
+			t.dutiful = append(t.dutiful, dutiful{name, rendezvous.Hash(name)})
+		}
+	}
+	return t.dutiful
+}
+
+// Owners returns up to n live daemons for a duty, the first being its Owner.
+func (t *Table) Owners(key string, n int) []string {
+	duty := rendezvous.Hash(key)
+	best := make([]ranked, 0, n+1)
+	for _, d := range t.duties() {
+		r := ranked{d.name, rendezvous.Score(d.hash, duty, 0)}
+		if len(best) == n && !r.before(best[n-1]) {
+			continue
+		}
+		at := len(best)
+		for at > 0 && r.before(best[at-1]) {
+			at--
 		}
+		best = slices.Insert(best, at, r)
+		best = best[:min(n, len(best))]
 	}
-	slices.SortFunc(all, func(a, b scored) int {
-		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(b.name, a.name))
-	})
-	names := make([]string, 0, n)
-	for _, s := range all[:min(n, len(all))] {
-		names = append(names, s.name)
+	names := make([]string, len(best))
+	for i, r := range best {
+		names[i] = r.name
 	}
 	return names
 }
 
+// ranked is a daemon with its score for a duty.
+type ranked struct {
+	name  string
+	score uint64
+}
+
+func (r ranked) before(other ranked) bool {
+	return r.score > other.score || r.score == other.score && r.name > other.name
+}
+
 // Sure reports whether every daemon that may be serving is heard and membership has
 // been the same for a while. What is shared out by membership falls to its safe side
 // when it is not.
@@ -175,3 +206,7 @@
 	}
 	return 2*live > all
 }
+
+func score(name, key string) uint64 {
+	return rendezvous.Score(rendezvous.Hash(name), rendezvous.Hash(key), 0)
+}
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -8,6 +8,7 @@
 
 import (
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/fleet"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/rendezvous"
 )
 
 const (
@@ -65,11 +66,11 @@
 		if t.DataCentre != q.DataCentre {
 			cost += remoteCost
 		}
-		tie := mix(t.Hash ^ q.Seed)
+		tie := rendezvous.Mix(t.Hash ^ q.Seed)
 		if best == nil || cost < bestCost || cost == bestCost && tie < bestTie {
 			best, bestCost, bestTie = t, cost, tie
 		}
-		if score := mix(t.Hash ^ q.Prefix); preferred == nil || score > bestScore {
+		if score := rendezvous.Mix(t.Hash ^ q.Prefix); preferred == nil || score > bestScore {
 			preferred, bestScore = t, score
 		}
 	}
@@ -98,13 +99,3 @@
 	}
 	return false
 }
-
-// mix spreads the bits of a number (the finalizer of a 64-bit hash).
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	x ^= x >> 33
-	return x
-}
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/object"
@@ -106,3 +107,6 @@
 		}
 	}
 }
+
+// HeartbeatInterval is the time between two heartbeats of this daemon.
+func (s *State) HeartbeatInterval() time.Duration { return s.members.Interval() }
