Let the daemons form the groups of all process tests

Cause: the tests played the holder of the domain until group control was in. Change: each model asks for its groups; the tests' own orders are gone.

--- a/test/process/engines_test.go
+++ b/test/process/engines_test.go
@@ -1,14 +1,9 @@
 package process
 
 import (
-	"bytes"
-	"context"
-	"encoding/json"
 	"fmt"
 	"testing"
-	"time"
 
-	"github.com/rhubarbswitch/rhubarbswitch/internal/engineapi"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/object"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/platformapi"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/stub/engine"
@@ -58,68 +53,16 @@
 	send(c.t, "POST", c.platform.address, platform.PathHosts, update)
 }
 
-func (c *cluster) putModel(change func(*object.Model)) {
+// putModel writes the model, of which each group has one member unless changed.
+func (c *cluster) putModel(groups int, change func(*object.Model)) {
 	c.t.Helper()
-	m := &object.Model{Members: 1, Weights: "w1", ColdLimit: 32, WarmLimit: 64, WarmAfter: 5}
+	m := &object.Model{Members: 1, Groups: groups, Weights: "w1", ColdLimit: 32, WarmLimit: 64, WarmAfter: 5}
 	if change != nil {
 		change(m)
 	}
 	c.put(object.KindModel, modelName, m)
 }
 
-// assign gives each engine a group of its own and keeps it joined until the test
-// ends, in place of a domain's holder.
-func (c *cluster) assign() {
-	c.t.Helper()
-	domains := make(map[string]*object.Domain)
-	for _, h := range c.engines {
-		if domains[h.domain] == nil {
-			domains[h.domain] = &object.Domain{Fence: 1, Groups: make(map[string]object.Group)}
-		}
-		domains[h.domain].Groups["g-"+h.name] = object.Group{
-			Model: modelName, Generation: 1, Members: []string{h.name}, DataCentre: h.dataCentre,
-		}
-	}
-	for name, d := range domains {
-		c.put(object.KindDomain, name, d)
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	kept := make(chan struct{})
-	go func() {
-		defer close(kept)
-		for ctx.Err() == nil {
-			for _, h := range c.engines {
-				h.join()
-			}
-			time.Sleep(glance)
-		}
-	}()
-	c.t.Cleanup(func() {
-		cancel()
-		<-kept
-	})
-}
-
-// join orders an idle engine into its group. An engine between two incarnations is
-// ordered the next time.
-func (h *engineHost) join() {
-	status, err := tryGet[engineapi.Status](h.address, engineapi.PathStatus)
-	if err != nil || status.Group != "" {
-		return
-	}
-	body, err := json.Marshal(engineapi.Order{
-		Fence: 1, Kind: engineapi.OrderJoin, Group: "g-" + h.name, Generation: 1,
-		Model: modelName, Weights: "w1", Members: []string{h.address},
-	})
-	if err != nil {
-		return
-	}
-	response, err := control.Post("http://"+h.address+engineapi.PathOrder, "application/json", bytes.NewReader(body))
-	if err == nil {
-		_ = response.Body.Close()
-	}
-}
-
 // waitGroups waits until every daemon sees n groups serving.
 func (c *cluster) waitGroups(n int) {
 	c.t.Helper()
--- a/test/process/harm_test.go
+++ b/test/process/harm_test.go
@@ -56,7 +56,7 @@
 	c := newCluster(t)
 	c.putContract()
 	const coldLimit, warmAfter = 4, 20
-	c.putModel(func(m *object.Model) {
+	c.putModel(4, func(m *object.Model) {
 		m.ColdLimit, m.WarmLimit, m.WarmAfter = coldLimit, 40, warmAfter
 	})
 	for i := range 4 {
@@ -64,7 +64,6 @@
 			"--cold-limit", fmt.Sprint(coldLimit), "--warm-after", fmt.Sprint(warmAfter))
 	}
 	c.listHosts()
-	c.assign()
 	for range 4 {
 		c.addDaemon("a", nil)
 	}
--- a/test/process/outage_test.go
+++ b/test/process/outage_test.go
@@ -37,11 +37,10 @@
 func platformOutage(t *testing.T, mode platform.DownMode) {
 	c := newCluster(t)
 	c.putContract()
-	c.putModel(nil)
+	c.putModel(2, nil)
 	c.addEngine("h0", "f1", "a", "--tokens-per-second", "50")
 	c.addEngine("h1", "f1", "a", "--tokens-per-second", "50")
 	c.listHosts()
-	c.assign()
 	c.addServices(2, []string{"a"})
 	c.addDaemon("a", nil)
 	c.addDaemon("a", nil)
@@ -130,12 +129,11 @@
 func TestDataCentreLeavesAndReturns(t *testing.T) {
 	c := newCluster(t)
 	c.putContract()
-	c.putModel(nil)
+	c.putModel(4, nil)
 	for i, dc := range []string{"a", "a", "b", "b"} {
 		c.addEngine("h"+string(rune('0'+i)), "f-"+dc, dc, "--tokens-per-second", "50")
 	}
 	c.listHosts()
-	c.assign()
 	c.addServices(4, []string{"a", "b"})
 	for _, dc := range []string{"a", "b", "a"} {
 		c.addDaemon(dc, nil)
--- a/test/process/streams_test.go
+++ b/test/process/streams_test.go
@@ -31,12 +31,11 @@
 func streamCluster(t *testing.T, engines, daemons int, change func(*config.Settings)) *cluster {
 	c := newCluster(t)
 	c.putContract()
-	c.putModel(nil)
+	c.putModel(engines, nil)
 	for i := range engines {
 		c.addEngine(fmt.Sprintf("h%d", i), "f1", "a", "--tokens-per-second", "50")
 	}
 	c.listHosts()
-	c.assign()
 	for range daemons {
 		c.addDaemon("a", change)
 	}
@@ -219,7 +218,7 @@
 func TestStreamsLeaveSilentConnections(t *testing.T) {
 	c := newCluster(t)
 	c.putContract()
-	c.putModel(nil)
+	c.putModel(2, nil)
 	var cuts []func(cutter.Cut)
 	for i := range 2 {
 		h := c.addEngine(fmt.Sprintf("h%d", i), "f1", "a", "--tokens-per-second", "20")
@@ -228,7 +227,6 @@
 		cuts = append(cuts, cut)
 	}
 	c.listHosts()
-	c.assign()
 	c.addDaemon("a", func(s *config.Settings) { s.Targets.Silence = config.Duration(time.Second) })
 	c.waitGroups(2)
 	swallowed := make(chan struct{})
