--- a/test/process/engines_test.go
+++ b/test/process/engines_test.go
@@ -53,10 +53,13 @@
 	send(c.t, "POST", c.platform.address, platform.PathHosts, update)
 }
 
+// groups asks for a number of groups.
+func groups(n int) func(*object.Model) { return func(m *object.Model) { m.Groups = n } }
+
 // putModel writes the model, of which each group has one member unless changed.
-func (c *cluster) putModel(groups int, change func(*object.Model)) {
+func (c *cluster) putModel(change func(*object.Model)) {
 	c.t.Helper()
-	m := &object.Model{Members: 1, Groups: groups, Weights: "w1", ColdLimit: 32, WarmLimit: 64, WarmAfter: 5}
+	m := &object.Model{Members: 1, Weights: "w1", ColdLimit: 32, WarmLimit: 64, WarmAfter: 5}
 	if change != nil {
 		change(m)
 	}
--- a/test/process/groups_test.go
+++ b/test/process/groups_test.go
@@ -20,8 +20,8 @@
 func groupCluster(t *testing.T, hosts, members, groups, daemons int, args ...string) *cluster {
 	c := newCluster(t)
 	c.putContract()
-	c.putModel(groups, func(m *object.Model) {
-		m.Members = members
+	c.putModel(func(m *object.Model) {
+		m.Members, m.Groups = members, groups
 		m.ChecksFencing = strings.Contains(strings.Join(args, " "), "--checks-fencing")
 	})
 	for i := range hosts {
--- a/test/process/harm_test.go
+++ b/test/process/harm_test.go
@@ -56,7 +56,8 @@
 	c := newCluster(t)
 	c.putContract()
 	const coldLimit, warmAfter = 4, 20
-	c.putModel(4, func(m *object.Model) {
+	c.putModel(func(m *object.Model) {
+		m.Groups = 4
 		m.ColdLimit, m.WarmLimit, m.WarmAfter = coldLimit, 40, warmAfter
 	})
 	for i := range 4 {
--- a/test/process/outage_test.go
+++ b/test/process/outage_test.go
@@ -37,7 +37,7 @@
 func platformOutage(t *testing.T, mode platform.DownMode) {
 	c := newCluster(t)
 	c.putContract()
-	c.putModel(2, nil)
+	c.putModel(groups(2))
 	c.addEngine("h0", "f1", "a", "--tokens-per-second", "50")
 	c.addEngine("h1", "f1", "a", "--tokens-per-second", "50")
 	c.listHosts()
@@ -129,7 +129,7 @@
 func TestDataCentreLeavesAndReturns(t *testing.T) {
 	c := newCluster(t)
 	c.putContract()
-	c.putModel(4, nil)
+	c.putModel(groups(4))
 	for i, dc := range []string{"a", "a", "b", "b"} {
 		c.addEngine("h"+string(rune('0'+i)), "f-"+dc, dc, "--tokens-per-second", "50")
 	}
--- a/test/process/streams_test.go
+++ b/test/process/streams_test.go
@@ -31,7 +31,7 @@
 func streamCluster(t *testing.T, engines, daemons int, change func(*config.Settings)) *cluster {
 	c := newCluster(t)
 	c.putContract()
-	c.putModel(engines, nil)
+	c.putModel(groups(engines))
 	for i := range engines {
 		c.addEngine(fmt.Sprintf("h%d", i), "f1", "a", "--tokens-per-second", "50")
 	}
@@ -218,7 +218,7 @@
 func TestStreamsLeaveSilentConnections(t *testing.T) {
 	c := newCluster(t)
 	c.putContract()
-	c.putModel(2, nil)
+	c.putModel(groups(2))
 	var cuts []func(cutter.Cut)
 	for i := range 2 {
 		h := c.addEngine(fmt.Sprintf("h%d", i), "f1", "a", "--tokens-per-second", "20")
