Learn load times from loads only, and restarts from restarts

Cause: a trace of TestGroupDowntime showed a group that served being called lost each tick: its load time had been learned from a reconnection of 0.1 s, so members counted as stragglers after 0.3 s. A frozen member was waited for 10 s, the set restart time, though engines restart in one. Change: a load counts only if weights were missing; a straggler takes at least 10 s and is none once its group serves; restart times are learned.

--- a/internal/core/group/domain.go
+++ b/internal/core/group/domain.go
@@ -29,6 +29,7 @@
 	surplus  map[string]time.Duration
 	pauses   mean // of hosts that came back as the same incarnation
 	returns  mean // of hosts that came back as another
+	restarts mean // of hosts that were told to end
 	loads    map[string]*mean
 	dark     bool
 	storm    bool // half of the hosts went at once
@@ -41,6 +42,7 @@
 	orderFrom  time.Duration // routing has stopped everywhere by then
 	drainUntil time.Duration
 	joined     time.Duration // when all members held the generation, zero before
+	loading    bool          // weights were still missing at that time
 	served     bool
 	broken     bool // a log line has said that the group is out of service
 	waiting    bool // one has said that it waits for a member
--- a/internal/core/group/hosts.go
+++ b/internal/core/group/hosts.go
@@ -126,7 +126,9 @@
 	case !s.up && up:
 		if s.incarnation == inc {
 			d.pauses.add(now - s.since)
-		} else if s.incarnation != "" && !s.ending() {
+		} else if s.ending() {
+			d.restarts.add(now - s.since)
+		} else if s.incarnation != "" {
 			d.returns.add(now - s.since)
 		}
 		s.up, s.since = true, now
--- a/internal/core/group/plan.go
+++ b/internal/core/group/plan.go
@@ -257,7 +257,7 @@
 	}
 	wait += swap
 	if p.survivorsRestart(g) {
-		swap += set.Restart
+		swap += d.restarts.or(set.Restart)
 	}
 	return swap < wait
 }
--- a/internal/core/group/watch.go
+++ b/internal/core/group/watch.go
@@ -12,6 +12,9 @@
 // ready before the member that holds it up is left out.
 const stragglerAfter = 3
 
+// leastStraggle is the least time before a member counts as a straggler.
+const leastStraggle = 10 * time.Second
+
 // watchGroups learns how long groups take to load, and finds members that hold
 // theirs up.
 func (c *Controller) watchGroups(now time.Duration, d *domain, out *step.Out) {
@@ -24,8 +27,8 @@
 		case joined < len(g.Members):
 			c.nowBroken(d, name, ch, out)
 		case ch.joined == 0:
-			ch.joined = now
-		case now-ch.joined > stragglerAfter*d.load(g.Model).or(c.set.Load):
+			ch.joined, ch.loading = now, !c.allLoaded(g)
+		case now-ch.joined > max(leastStraggle, stragglerAfter*d.load(g.Model).or(c.set.Load)):
 			c.blameSlowest(now, d, g, out)
 			ch.joined = now
 		}
@@ -56,10 +59,24 @@
 	return joined, ready
 }
 
+// allLoaded reports whether every member has its weights, so that the group needs
+// only to connect.
+func (c *Controller) allLoaded(g object.Group) bool {
+	for _, member := range g.Members {
+		if h, ok := c.Fleet.Host(member); !ok || !h.ConnStatus.Loaded {
+			return false
+		}
+	}
+	return true
+}
+
 func (c *Controller) nowServing(now time.Duration, d *domain, g object.Group, ch *change) {
-	if ch.joined > 0 && !ch.served {
+	if ch.joined > 0 && ch.loading {
 		d.load(g.Model).add(now - ch.joined)
 	}
+	for _, member := range g.Members {
+		d.host(member).straggling = false
+	}
 	ch.joined, ch.served = 0, true
 	ch.broken, ch.waiting, ch.draining = false, false, false
 }
