--- a/internal/core/group/group.go
+++ b/internal/core/group/group.go
@@ -66,6 +66,8 @@
 }
 
 const (
+	// lookEvery is the interval between two looks for domains to seek.
+	lookEvery = 500 * time.Millisecond
 	// observeEvery is the interval between two looks at another holder's lease.
 	observeEvery = time.Second
 	// leaseMargin is added to another's lease for clocks that differ in rate.
@@ -131,6 +133,8 @@
 	lease    lease
 	domains  map[string]*domain
 	ops      map[step.OpID]operation
+	all      []string      // names of the domains, sorted
+	lookAt   time.Duration // when to look for domains to seek
 	stopping bool
 }
 
@@ -171,12 +175,18 @@
 // daemon is, and brings the held ones forward.
 func (c *Controller) Tick(now step.Time, out *step.Out) {
 	c.renew(now.Mono, out)
-	for _, name := range c.names() {
+	look := now.Mono >= c.lookAt
+	if look {
+		c.lookAt = now.Mono + lookEvery
+		c.all = c.names()
+	}
+	for _, name := range c.all {
 		d := c.domain(name)
 		c.adoptConfig(now.Mono, d)
-		if c.holds(d) {
+		switch {
+		case c.holds(d):
 			c.control(now, d, out)
-		} else {
+		case look:
 			c.seek(now.Mono, d, out)
 		}
 		c.Fleet.Hold(name, c.holds(d))
