--- a/internal/core/coldstart/dealer_test.go
+++ b/internal/core/coldstart/dealer_test.go
@@ -388,3 +388,24 @@
 		})
 	}
 }
+
+// TestReaperNeedsAcknowledgement lets a daemon that nobody has acknowledged meet a
+// silent one: it must leave its object alone, however long the silence.
+func TestReaperNeedsAcknowledgement(t *testing.T) {
+	for _, acknowledged := range []bool{false, true} {
+		w := &world{slots: 1, objects: map[string]object.Object{}, up: true}
+		w.put("a", &object.Daemon{Incarnation: "i"})
+		w.put("b", &object.Daemon{})
+		d := &daemon{name: "a", w: w, live: []string{"a"}, dealer: NewDealer("a", "i")}
+		d.dealer.SetDaemons(w.revision, w.sorted())
+		if acknowledged {
+			d.dealer.Heartbeat("b", step.Heartbeat{Applied: w.revision})
+		}
+		d.reaper = NewReaper("a", d.dealer)
+		for ; w.now < 2*(DeadAfter+HoldOff); w.now += time.Second {
+			d.reap()
+		}
+		_, stands := w.objects["b"]
+		require.Equal(t, !acknowledged, stands)
+	}
+}
