--- a/internal/core/account/account_test.go
+++ b/internal/core/account/account_test.go
@@ -96,6 +96,7 @@
 	w := newWorld(2, &object.Contract{RequestsPerMonth: 100}, true)
 	paused, other := w.daemons[0], w.daemons[1]
 	eventually(t, w, paused, 10)
+	eventually(t, w, paused, 10)
 	paused.feared = true // others take it for gone; it sleeps
 	w.daemons = []*node{other}
 	for range 8 {
@@ -109,9 +110,13 @@
 	paused.settle(10, object.Completed) // of the lost slice
 	w.run(2*time.Second, nil)           // it learns the loss
 	eventually(t, w, paused, 10)
+	paused.settle(10, object.Completed) // the second of the lost slice
+	book := paused.books[Name(testCustomer, testStart)]
+	require.Equal(t, amount{1, 10}, book.held)
+	require.Zero(t, book.unsettled)
 	w.closeAll(t)
 	settled, open, after := w.sums()
-	require.Equal(t, int64(9), settled.requests, "the tenth is uncertain")
+	require.Equal(t, int64(9), settled.requests, "two are uncertain")
 	require.Zero(t, open)
 	require.Equal(t, uncertain, after)
 }
@@ -134,6 +139,34 @@
 	require.Zero(t, uncertain)
 }
 
+func TestOfSeveralLostWritesTheOneThatArrivedCounts(t *testing.T) {
+	for arrives := range 3 {
+		w := newWorld(1, &object.Contract{RequestsPerMonth: 100}, true)
+		n := w.daemons[0]
+		for range 8 {
+			eventually(t, w, n, 10)
+		}
+		for i := range 3 {
+			n.settle(10, object.Completed)
+			if i > 0 {
+				n.settle(10, object.Unknown)
+			}
+			w.now += 1100 * time.Millisecond
+			n.tick()                // reads
+			w.carryOut(n, "answer") // and writes
+			w.carryOut(n, "delay")
+		}
+		w.apply(w.network[arrives])
+		for _, c := range w.network {
+			require.Equal(t, step.ReplyConflict, w.apply(c).Status)
+		}
+		w.closeAll(t)
+		settled, open, uncertain := w.sums()
+		require.Equal(t, amountOf(w.truth), settled)
+		require.Zero(t, open.plus(uncertain))
+	}
+}
+
 func TestHandoffSettlesWhatALostWriteDidNot(t *testing.T) {
 	w := newWorld(2, &object.Contract{RequestsPerMonth: 100}, true)
 	n, heir := w.daemons[0], w.daemons[1]
--- a/internal/core/account/cycle.go
+++ b/internal/core/account/cycle.go
@@ -77,8 +77,8 @@
 	switch {
 	case m.urgent(b), len(b.parcels) > 0, m.reapable(now, b):
 		return true
-	case b.idle(m, now):
-		return b.held == amount{} && !b.empty()
+	case b.idle(m, now) && b.held == amount{}:
+		return !b.empty()
 	case b.low(now):
 		return true
 	}
--- a/internal/core/step/message.go
+++ b/internal/core/step/message.go
@@ -26,6 +26,16 @@
 	// Every is the sender's interval between heartbeats where it has grown with the
 	// cluster; zero means the configured one.
 	Every time.Duration `cbor:"7,keyasint,omitempty"`
+	// Demands are what customers with limits ask of the sender.
+	Demands []Demand `cbor:"10,keyasint,omitempty"`
+}
+
+// Demand is what one customer asks of one daemon, admitted or not.
+type Demand struct {
+	Customer string  `cbor:"1,keyasint"`
+	Requests float64 `cbor:"2,keyasint,omitempty"` // a second
+	Tokens   float64 `cbor:"3,keyasint,omitempty"` // a second
+	InFlight int     `cbor:"4,keyasint,omitempty"` // wanted at the same time
 }
 
 // Load is one target's work in flight from one daemon.
