--- a/internal/core/enlist.go
+++ b/internal/core/enlist.go
@@ -27,11 +27,13 @@
 	var peers []step.Peer
 	for _, o := range objects {
 		v, ok := o.Value.(*object.Daemon)
-		if !ok || v.Leaving || o.Name == s.set.Daemon {
+		if !ok || v.Leaving {
 			continue
 		}
 		names = append(names, o.Name)
-		peers = append(peers, step.Peer{Daemon: o.Name, Address: v.Address})
+		if o.Name != s.set.Daemon {
+			peers = append(peers, step.Peer{Daemon: o.Name, Address: v.Address})
+		}
 	}
 	s.members.SetListed(names)
 	out.Add(step.SetPeers{Peers: peers})
