Join limits and accounts to the reducer

Cause: contracts' limits were checked by nothing yet. Ruled out: refusing a customer's first request on a daemon while its slice is being fetched; it waits up to 2 s for the platform and is then refused with the truth. Change: requests take their part of the allowance before they are placed; a stopping daemon settles, or hands what is unsettled to a live peer in an outage; heartbeats carry demand.

--- a/internal/core/account/admit.go
+++ b/internal/core/account/admit.go
@@ -69,6 +69,14 @@
 	}
 }
 
+// Cancel gives a reservation back as if the request had never been admitted.
+func (m *Manager) Cancel(t Ticket, tokens int64) {
+	b := m.books[t.account]
+	if b != nil && b.epoch == t.epoch {
+		b.held = b.held.minus(amount{requests: 1, tokens: tokens})
+	}
+}
+
 // Settle replaces a reservation by what was used.
 func (m *Manager) Settle(now step.Time, u Used) {
 	b := m.books[u.Ticket.account]
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -65,6 +65,7 @@
 	groups   *group.Controller
 	claims   *claim.Manager
 	poison   *poison.Book
+	limits   *limits
 	requests *request.Manager
 	enlisted enlisted
 	life     life
@@ -85,11 +86,12 @@
 	})
 	s.claims = claim.New(set.Claims, owners{s}, s.nextOp)
 	s.poison = poison.New(set.Poison)
+	s.limits = newLimits(s)
 	s.requests = request.New(request.Parts{
 		DataCentre: set.DataCentre,
 		Fleet:      s.fleet,
 		Config:     s.config,
-		Limits:     unlimited{},
+		Limits:     s.limits,
 		Claims:     s.claims,
 		Poison:     s.poison,
 		Retry:      set.Retry,
@@ -109,9 +111,6 @@
 func (o owners) Self() string            { return o.s.set.Daemon }
 func (o owners) Owner(key string) string { return o.s.members.Owner(key) }
 
-// unlimited admits everything.
-type unlimited struct{}
-
 // Reduce takes one event and returns what is to be done about it, in order.
 func (s *State) Reduce(now step.Time, ev step.Event) []step.Effect {
 	out := &step.Out{}
@@ -147,6 +146,7 @@
 		s.members.Up(e, out)
 	case step.PeerDown:
 		s.members.Down(e, out)
+		s.limits.rates.Gone(e.Daemon)
 		s.fleet.PeerDown(e.Daemon)
 		s.dealer.PeerDown(e.Daemon)
 	case step.PeerMessage:
@@ -167,6 +167,7 @@
 		Leaving:     s.life.stopping,
 		Loads:       s.fleet.Loads(),
 		Held:        s.dealer.Held(),
+		Demands:     s.limits.rates.Demands(),
 	}, out)
 	s.enlist(now, out)
 	s.reaper.Tick(now.Mono, s.config, s.members, s.nextOp, out)
@@ -174,6 +175,7 @@
 	s.groups.Tick(now, out)
 	s.claims.Tick(now, out)
 	s.poison.Tick(now)
+	s.limits.tick(now, out)
 	s.requests.Tick(now, out)
 }
 
@@ -191,6 +193,10 @@
 	if s.claims.OnReply(now, r, out) || s.onEnlisted(r) {
 		return
 	}
+	if s.limits.accounts.OnReply(now, r, out) {
+		s.requests.Reserve(now, out)
+		return
+	}
 	s.groups.OnReply(now, r, out)
 }
 
@@ -223,6 +229,7 @@
 		s.members.Heartbeat(from, m)
 		s.fleet.Heartbeat(now, from, m)
 		s.dealer.Heartbeat(from, m)
+		s.limits.rates.Heard(from, m.Demands)
 	case step.ConfigAsk:
 		s.onConfigAsk(from, m, out)
 	case step.ConfigDelta:
@@ -236,8 +243,13 @@
 		s.claims.OnAsk(now, from, m, out)
 	case step.ClaimReply:
 		s.claims.OnAnswer(now, m, out)
+	case step.UsageHandoff:
+		s.limits.accounts.OnHandoff(from, m, out)
+	case step.UsageTaken:
+		s.limits.accounts.OnTaken(m)
 	case step.Goodbye:
 		s.members.Goodbye(from, m)
+		s.limits.rates.Gone(from)
 		s.fleet.PeerDown(from)
 		s.dealer.PeerDown(from)
 	}
--- a/internal/core/life.go
+++ b/internal/core/life.go
@@ -4,10 +4,8 @@
 	"strings"
 	"time"
 
-	"github.com/rhubarbswitch/rhubarbswitch/internal/core/request"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/event"
-	"github.com/rhubarbswitch/rhubarbswitch/internal/object"
 )
 
 // life is where the daemon stands between its start and its end.
@@ -57,13 +55,16 @@
 		s.claims.Hurry()
 		s.groups.Stop()
 	}
+	if s.requests.Len() == 0 {
+		s.limits.accounts.Close()
+	}
 	if s.requests.Len() > 0 {
 		return
 	}
 	if l.doneBy == 0 {
 		l.doneBy = now.Mono + farewell
 	}
-	returned := s.claims.Pending() == 0 && s.groups.Released() && s.delist(now, out)
+	returned := s.limits.leave(s, now, out) && s.claims.Pending() == 0 && s.groups.Released() && s.delist(now, out)
 	if now.Mono < l.doneBy && !returned {
 		return
 	}
@@ -94,11 +95,3 @@
 	}
 	s.requests.Close(code)
 }
-
-// Admit admits everything.
-func (unlimited) Admit(step.Time, string, *object.Contract, int64) request.Refusal {
-	return request.Refusal{}
-}
-
-// Settle keeps no account.
-func (unlimited) Settle(step.Time, request.Used) {}
--- a/internal/core/request/end.go
+++ b/internal/core/request/end.go
@@ -191,7 +191,9 @@
 	if c.phase == waiting {
 		m.queue(c).Remove(c.req.Customer, c.req.ID)
 	}
-	m.Limits.Settle(now, c.used)
+	if c.reserved {
+		m.Limits.Settle(now, c.used)
+	}
 	out.Log(event.RequestAnswered, event.F("request", c.req.ID), event.F("customer", c.req.Customer),
 		event.F("outcome", c.used.Outcome), event.F("target", c.target), event.F("attempts", c.attempts),
 		event.F("millis", (now.Mono-c.arrived).Milliseconds()))
@@ -215,7 +217,7 @@
 		m.leave(now, c, step.EndedUnsent, "")
 		m.giveUp(now, c, answer, out)
 		m.pump(now, c.pool(), out)
-	case waiting, parked:
+	case waiting, parked, reserving:
 		m.giveUp(now, c, answer, out)
 	}
 }
--- a/internal/core/request/place.go
+++ b/internal/core/request/place.go
@@ -193,6 +193,7 @@
 // Tick gives up what can't be whole in time any more and hands out places that
 // became free without an answer, such as those of a target that warmed up.
 func (m *Manager) Tick(now step.Time, out *step.Out) {
+	m.Reserve(now, out)
 	m.unpark(now, out)
 	for _, p := range m.order {
 		for _, it := range m.pools[p].Expired(now) {
--- a/internal/core/request/request.go
+++ b/internal/core/request/request.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"time"
 
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/account"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/admit"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/claim"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/fleet"
@@ -36,7 +37,7 @@
 // Limits reserves and settles a customer's allowance.
 type Limits interface {
 	// Admit reserves for one request; a refusal names the remedy and when to come back.
-	Admit(now step.Time, customer string, c *object.Contract, tokens int64) Refusal
+	Admit(now step.Time, customer string, c *object.Contract, tokens int64) (account.Ticket, Refusal)
 	// Settle replaces the reservation by what was used.
 	Settle(now step.Time, u Used)
 }
@@ -45,11 +46,16 @@
 type Refusal struct {
 	Message    string
 	RetryAfter time.Duration
+	// Later says that the allowance is being renewed: the request may wait for it.
+	Later bool
+	// Outage says that the allowance can't be renewed since the platform does not answer.
+	Outage bool
 }
 
 // Used is what one finished request used, and how well it was served.
 type Used struct {
 	Customer string
+	Ticket   account.Ticket
 	Reserved int64 // tokens estimated at admission
 	Tokens   int64 // tokens counted by the engine, or delivered
 	Outcome  object.Outcome
@@ -82,6 +88,8 @@
 	order    []pool         // pools in order of first use
 	suspects map[string]int // suspected requests in flight by target
 	parked   []step.RequestID
+	// reserving are the requests that wait for the allowance of their customer.
+	reserving []step.RequestID
 	// closed says why nothing new is taken, or is empty.
 	closed step.Code
 	// held keeps waiting requests waiting.
@@ -97,10 +105,11 @@
 type phase uint8
 
 const (
-	waiting  phase = iota + 1 // for a free place at a target
-	claiming                  // a place is held; the claim is being written
-	running                   // an attempt is in flight
-	parked                    // it may have ended targets; the proof is awaited
+	waiting   phase = iota + 1 // for a free place at a target
+	claiming                   // a place is held; the claim is being written
+	running                    // an attempt is in flight
+	parked                     // it may have ended targets; the proof is awaited
+	reserving                  // the customer's allowance is being renewed
 )
 
 // call is one request on its way.
@@ -117,6 +126,8 @@
 	suspect bool
 	gone    bool // the caller left
 	ran     bool // some attempt may have run
+	// reserved says that the customer's allowance covers the request.
+	reserved bool
 
 	attempts    int
 	attempt     step.AttemptID
@@ -176,9 +187,8 @@
 		m.refuse(c, *refusal, out)
 		return
 	}
-	m.budget.Started()
 	m.calls[r.ID] = c
-	m.place(now, c, out)
+	m.reserve(now, c, out)
 }
 
 // check runs every check that needs no target. It returns the refusal, or nil.
@@ -206,11 +216,6 @@
 			Message: fmt.Sprintf("targets died running this request, so it is refused for %s: change it before sending it again", left.Round(time.Second)),
 		}
 	}
-	limit := m.Limits.Admit(now, c.req.Customer, contract, c.tokens)
-	if limit.Message != "" {
-		return &step.Answer{Status: 429, Code: step.CodeLimit, Message: limit.Message, RetryAfter: limit.RetryAfter}
-	}
-	c.used = Used{Customer: c.req.Customer, Reserved: c.tokens}
 	return nil
 }
 
