Charge a repeated key where it ran

Cause: make demo showed a call answered from an earlier sending's claim; it was settled as completed once more. Change: a sending that did not run is not charged, whatever its request's outcome.

--- a/internal/core/limits.go
+++ b/internal/core/limits.go
@@ -74,7 +74,11 @@
 // Settle replaces a reservation by what was used.
 func (l *limits) Settle(now step.Time, u request.Used) {
 	l.rates.Done(u.Customer, u.Reserved, u.Tokens)
-	l.accounts.Settle(now, account.Used{Ticket: u.Ticket, Reserved: u.Reserved, Tokens: u.Tokens, Outcome: u.Outcome})
+	outcome := u.Outcome
+	if u.Attempt == object.NotRun {
+		outcome = object.NotRun // charged where it ran, if it did
+	}
+	l.accounts.Settle(now, account.Used{Ticket: u.Ticket, Reserved: u.Reserved, Tokens: u.Tokens, Outcome: outcome})
 }
 
 // tick deals shares anew and renews slices.
--- a/internal/core/request/end.go
+++ b/internal/core/request/end.go
@@ -144,7 +144,7 @@
 		a.Outcome = object.Unknown
 	}
 	m.closeClaim(now, c, &a, out)
-	c.used.Outcome = a.Outcome
+	c.used.Outcome, c.used.Attempt = a.Outcome, a.Attempt
 	c.used.Faulted = a.Code != step.CodeCancelled && a.Code != step.CodeKeyRunning && a.Code != step.CodeKeyDone
 	out.Add(a)
 	m.forget(now, c, out)
--- a/internal/core/request/request.go
+++ b/internal/core/request/request.go
@@ -59,6 +59,9 @@
 	Reserved int64 // tokens estimated at admission
 	Tokens   int64 // tokens counted by the engine, or delivered
 	Outcome  object.Outcome
+	// Attempt speaks of this sending alone, where more is known of it: one that was
+	// answered from an earlier sending's claim did not run.
+	Attempt object.Outcome
 	// Whole, FirstToken and WorstGap are what the objectives look at.
 	Whole      bool
 	FirstToken time.Duration
