Let every setting take effect

Cause: an audit found five settings that no code read: region, the probe interval, freshness, the bound of connections and the shutdown timeout. Ruled out: settings for freshness and probes: groups and cold targets rely on all daemons having the same. Change: callers' connections are bounded (package netlimit); the shutdown timeout cuts off; the other three are gone. A test finds settings that nothing reads.

--- a/cmd/rhubarbswitchd/main.go
+++ b/cmd/rhubarbswitchd/main.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kong"
 
@@ -36,7 +37,7 @@
 type versionCmd struct{}
 
 // Run runs the daemon until it is told to stop. The first signal stops it
-// gracefully, a second cuts off what is in flight.
+// gracefully, a second or the shutdown timeout cuts off what is in flight.
 func (c *runCommand) Run() error {
 	set, err := config.Load(c.Settings)
 	if err != nil {
@@ -57,7 +58,10 @@
 	go func() {
 		<-signals
 		d.Stop()
-		<-signals
+		select {
+		case <-signals:
+		case <-time.After(set.ShutdownTimeout.D()):
+		}
 		cancel()
 	}()
 	return d.Run(ctx)
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -52,9 +52,6 @@
 			return broken(n.field, "give a name of 1 to 64 lower-case letters, digits, dots and dashes, not %q", n.value)
 		}
 	}
-	if s.Region != "" && !namePattern.MatchString(s.Region) {
-		return broken("region", "give a name of 1 to 64 lower-case letters, digits, dots and dashes, or leave it out")
-	}
 	return nil
 }
 
@@ -155,8 +152,6 @@
 	switch {
 	case s.Peers.Silence < 2*s.Peers.Heartbeat:
 		return broken("peers.silence", "use at least twice peers.heartbeat (%s)", 2*s.Peers.Heartbeat)
-	case s.Targets.Freshness < 2*s.Targets.ProbeInterval:
-		return broken("targets.freshness", "use at least twice targets.probeInterval (%s)", 2*s.Targets.ProbeInterval)
 	case s.Lease.Duration <= s.Platform.CallTimeout:
 		return broken("lease.duration", "use more than platform.callTimeout (%s)", s.Platform.CallTimeout)
 	case s.Claims.Retention < 2*s.Claims.Window:
--- a/internal/config/default.go
+++ b/internal/config/default.go
@@ -27,9 +27,7 @@
 			HostListInterval: Duration(2 * time.Second),
 		},
 		Targets: Targets{
-			ProbeInterval:   Duration(500 * time.Millisecond),
 			ProbeTimeout:    Duration(time.Second),
-			Freshness:       Duration(2 * time.Second),
 			DialTimeout:     Duration(time.Second),
 			Silence:         Duration(10 * time.Second),
 			IdleConnections: 16,
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -19,10 +19,6 @@
 	// in datacentre objects. Requests are kept in it where that costs least.
 	// Required.
 	DataCentre string `json:"dataCentre"`
-	// Region is the region that holds the data centre. Daemons of one region link
-	// to one another first. Empty means one region for the whole cluster.
-	// Default: "".
-	Region string `json:"region"`
 	// ShutdownTimeout is how long a graceful stop waits for requests in flight
 	// before it cuts them off. Set it above the longest deadline of any contract.
 	// Default: "10m". Bounds: 1s to 24h.
@@ -100,7 +96,7 @@
 	// Default: "2m". Bounds: 1s to 1h.
 	IdleTimeout Duration `json:"idleTimeout" bounds:"1s..1h"`
 	// MaxConnections is the largest number of open connections of callers. More
-	// wait in the listen queue of the operating system.
+	// wait in the listen queue of the operating system until one is closed.
 	// Default: 8192. Bounds: 1 to 1000000.
 	MaxConnections int `json:"maxConnections" bounds:"1..1000000"`
 }
@@ -172,17 +168,9 @@
 
 // Targets is how hosts and services behind the daemon are watched.
 type Targets struct {
-	// ProbeInterval is the time between two probes of a host or service.
-	// Default: "500ms". Bounds: 50ms to 30s.
-	ProbeInterval Duration `json:"probeInterval" bounds:"50ms..30s"`
 	// ProbeTimeout is how long a probe may take.
 	// Default: "1s". Bounds: 50ms to 30s.
 	ProbeTimeout Duration `json:"probeTimeout" bounds:"50ms..30s"`
-	// Freshness is the age up to which a report of a host counts. A group of which
-	// one member has no report as fresh as this takes no request. At least twice
-	// probeInterval.
-	// Default: "2s". Bounds: 100ms to 2m.
-	Freshness Duration `json:"freshness" bounds:"100ms..2m"`
 	// DialTimeout is how long opening a connection to a target may take.
 	// Default: "1s". Bounds: 10ms to 30s.
 	DialTimeout Duration `json:"dialTimeout" bounds:"10ms..30s"`
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/member"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/event"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/netlimit"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/object"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/peer"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/platform"
@@ -198,6 +199,7 @@
 	if l.callers, err = listenOn(d.set.Callers.Listen, d.set.Callers.TLS); err != nil {
 		return l, errors.Wrap(err, "callers.listen")
 	}
+	l.callers = netlimit.Listen(l.callers, d.set.Callers.MaxConnections)
 	if l.operators, err = listenOn(d.set.Operators.Listen, d.set.Operators.TLS); err != nil {
 		return l, errors.Wrap(err, "operators.listen")
 	}
--- a/internal/tools/settingsdoc/generate_test.go
+++ b/internal/tools/settingsdoc/generate_test.go
@@ -1,9 +1,12 @@
 package main
 
 import (
+	"io/fs"
 	"os"
 	"path/filepath"
+	"reflect"
 	"regexp"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -37,3 +40,35 @@
 	_, err = config.Parse(example[1])
 	require.NoError(t, err)
 }
+
+// TestEverySettingIsUsed finds settings that no code outside package config reads.
+func TestEverySettingIsUsed(t *testing.T) {
+	var source strings.Builder
+	root := "../../.."
+	for _, dir := range []string{"cmd", "internal"} {
+		err := filepath.WalkDir(filepath.Join(root, dir), func(path string, entry fs.DirEntry, err error) error {
+			if err != nil {
+				return err
+			}
+			settings := filepath.Base(path) == "settings.go" && filepath.Base(filepath.Dir(path)) == "config"
+			if entry.IsDir() || filepath.Ext(path) != ".go" || strings.HasSuffix(path, "_test.go") || settings {
+				return nil
+			}
+			text, err := os.ReadFile(path)
+			source.Write(text)
+			return err
+		})
+		require.NoError(t, err)
+	}
+	var check func(structure reflect.Type)
+	check = func(structure reflect.Type) {
+		for i := range structure.NumField() {
+			f := structure.Field(i)
+			require.Regexp(t, `\.`+f.Name+`\b`, source.String(), "%s.%s is read by nothing", structure.Name(), f.Name)
+			if f.Type.Kind() == reflect.Struct {
+				check(f.Type)
+			}
+		}
+	}
+	check(reflect.TypeFor[config.Settings]())
+}
