--- a/internal/daemon/effects.go
+++ b/internal/daemon/effects.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 
-	"github.com/VictoriaMetrics/metrics"
-
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/event"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/logging"
@@ -13,11 +11,9 @@
 	"github.com/rhubarbswitch/rhubarbswitch/internal/platform"
 )
 
-// stepSeconds is the time that the reducer takes for one event.
-var stepSeconds = metrics.NewSummary("rhubarbswitch_reducer_step_seconds")
-
 // carry carries out one effect without waiting; it reports whether the daemon is done.
 func (d *Daemon) carry(ctx context.Context, effect step.Effect) bool {
+	count(effect)
 	switch e := effect.(type) {
 	case step.Dispatch:
 		d.calls.send(e.ID, e)
@@ -87,6 +83,7 @@
 
 // record logs a numbered event and keeps those of requests for traces.
 func (d *Daemon) record(id event.ID, fields ...event.Field) {
+	countEvent(id)
 	logging.Event(d.log, id, fields...)
 	d.traces.add(d.set.Daemon, id, fields)
 }
--- a/test/docs/docs_test.go
+++ b/test/docs/docs_test.go
@@ -73,3 +73,29 @@
 	}
 	return source.String()
 }
+
+var metricName = regexp.MustCompile(`rhubarbswitch_[a-z_]+[a-z]`)
+
+func TestMetricsPageAgreesWithTheCode(t *testing.T) {
+	inCode := make(map[string]bool)
+	for _, dir := range []string{"cmd", "internal"} {
+		err := filepath.WalkDir(filepath.Join(root, dir), func(path string, entry fs.DirEntry, err error) error {
+			if err != nil || entry.IsDir() || filepath.Ext(path) != ".go" || strings.HasSuffix(path, "_test.go") {
+				return err
+			}
+			text, err := os.ReadFile(path)
+			for _, name := range metricName.FindAllString(string(text), -1) {
+				inCode[name] = true
+			}
+			return err
+		})
+		require.NoError(t, err)
+	}
+	page, err := os.ReadFile(filepath.Join(root, "docs/metrics.md"))
+	require.NoError(t, err)
+	inPage := make(map[string]bool)
+	for _, name := range metricName.FindAllString(string(page), -1) {
+		inPage[name] = true
+	}
+	require.Equal(t, inCode, inPage)
+}
