--- a/spec/claims.pml
+++ b/spec/claims.pml
@@ -18,7 +18,7 @@
  *
  * Switches that break the protocol, each of which must yield a counterexample:
  * NO_READBACK, SEND_BEFORE_CLAIM, FORGET_ON_RESTART, RETRY_UNKNOWN,
- * RELEASE_NOT_RUN, LOSER_NOT_RUN, OUTAGE_NOT_RUN.
+ * RELEASE_NOT_RUN, LOSER_NOT_RUN, OUTAGE_NOT_RUN, AGE_BEFORE_CLAIM, SEAL_BLIND.
  * Switches that assert false where a run must be able to get (not vacuous):
  * WITNESS_TAKEOVER, WITNESS_SEAL, WITNESS_REPEAT.
  */
@@ -53,6 +53,7 @@
 /* The network to the target, and what is checked. */
 byte  inFlight[N + 1];    /* sends that may still run */
 mtype answer[N + 1];      /* what the target replied to the last send */
+bool  expired = false;    /* the key is older than the time its record is kept */
 byte  runs = 0;
 bool  mayNotRun[N + 1];   /* submitted before an answer said not_run */
 bool  saidNotRun = false;
@@ -73,13 +74,27 @@
 	}
 }
 
+/* A sealed record of an old key may stand where an earlier record was collected. */
+inline sayNotRunUnlessOld() {
+	if
+#ifdef SEAL_BLIND
+	:: true -> sayNotRun()
+#else
+	:: !expired -> sayNotRun()
+	:: expired
+#endif
+	fi
+}
+
 inline sayCompleted() { assert(runs == 1) }
 
 /* Speaks of this attempt only: repeating with the same key is safe, no more is said. */
 inline sayAttemptNotRun() {
 #ifdef OUTAGE_NOT_RUN
 	sayNotRun()
-#elif !defined(SEND_BEFORE_CLAIM)
+#elif defined(SEND_BEFORE_CLAIM)
+	skip
+#else
 	assert(inFlight[id] == 0)
 #endif
 }
@@ -123,6 +138,9 @@
 look:	/* Nothing has been sent. A reply may be long in coming, so giving up is allowed. */
 	atomic {
 		if
+#ifdef AGE_BEFORE_CLAIM
+		:: expired -> goto finished
+#endif
 		:: owner == id && outcome == running ->
 			/* Our write took effect though its answer was lost. Only we change the
 			 * claim from here on, since gaveUp is still false. */
@@ -153,7 +171,7 @@
 #ifdef WITNESS_REPEAT
 				assert(false);
 #endif
-			:: outcome == sealed -> sayNotRun()
+			:: outcome == sealed -> sayNotRunUnlessOld()
 			:: outcome == unknown
 			fi;
 			goto finished
@@ -167,9 +185,15 @@
 	goto look;
 #endif
 
-owned:	/* The claim stands in our name, and stays so until we release it. */
+owned:	/* The claim stands in our name, and stays so until we release it or it is collected.
+	 * The age is looked at only now: had the key's record been collected before our
+	 * claim, the key would be too old by now, however long we paused. */
 	if
+#ifndef AGE_BEFORE_CLAIM
+	:: !expired -> goto send
+#else
 	:: goto send
+#endif
 	:: goto giveUp
 	fi;
 
@@ -218,7 +242,7 @@
 			/* Seal: the record itself refuses every other submission of this key,
 			 * also those that have not reached the store yet. */
 			startWrite(sealed)
-		:: owner != 0 && outcome == sealed -> sayNotRun(); goto finished
+		:: owner != 0 && outcome == sealed -> sayNotRunUnlessOld(); goto finished
 		:: owner != id || outcome == running ->
 #ifdef RELEASE_NOT_RUN
 			if
@@ -243,6 +267,17 @@
 	gaveUp[id] -> gaveUp[id] = false    /* a later crash */
 }
 
+/* Updates of a version that was passed can never land. */
+inline dropUpdates() {
+	for (other : SLOTS .. (N + 1) * SLOTS - 1) {
+		if
+		:: !writes[other].create -> writes[other].live = false; writes[other].outcome = absent
+		:: else
+		fi
+	}
+	other = 0
+}
+
 /* The store applies the writes under way in any order, each if its version stands. */
 proctype Store() {
 	byte w, other;
@@ -271,16 +306,9 @@
 #endif
 			owner = (writes[w].outcome == absent -> 0 : w / SLOTS);
 			outcome = writes[w].outcome;
-			for (other : SLOTS .. (N + 1) * SLOTS - 1) {
-				/* Updates of the version that was passed can never land. */
-				if
-				:: !writes[other].create -> writes[other].live = false; writes[other].outcome = absent
-				:: else
-				fi
-			};
-			other = 0
+			dropUpdates();
 #ifdef WITNESS_SEAL
-			assert(outcome != sealed)
+			assert(outcome != sealed);
 #endif
 		fi;
 		writes[w].create = false;
@@ -290,6 +318,15 @@
 	od
 }
 
+/* Time passes, and then old records are deleted, again and again. */
+proctype Collect() {
+	byte other;
+	expired = true;
+end:	do
+	:: atomic { owner != 0 -> owner = 0; outcome = absent; dropUpdates() }
+	od
+}
+
 /* The target takes up sends in any order; one that is never taken up is lost. */
 proctype Target() {
 	byte id;
@@ -327,6 +364,7 @@
 		started[0] = true;
 		run Store();
 		run Target();
+		run Collect();
 		for (id : 1 .. N) {
 			run Attempt(id)
 		}
