--- a/spec/claims.pml
+++ b/spec/claims.pml
@@ -64,10 +64,7 @@
 		assert(runs == 0);
 		for (k : 1 .. N) {
 			assert(inFlight[k] == 0);
-			if
-			:: started[k] -> mayNotRun[k] = true
-			:: else
-			fi
+			mayNotRun[k] = (started[k] -> true : mayNotRun[k])
 		}
 		saidNotRun = true;
 		k = 0
@@ -270,33 +267,18 @@
 /* Updates of a version that was passed can never land. */
 inline dropUpdates() {
 	for (other : SLOTS .. (N + 1) * SLOTS - 1) {
-		if
-		:: !writes[other].create -> writes[other].live = false; writes[other].outcome = absent
-		:: else
-		fi
+		writes[other].live = writes[other].live && writes[other].create;
+		writes[other].outcome = (writes[other].live -> writes[other].outcome : absent)
 	}
 	other = 0
 }
 
-/* The store applies the writes under way in any order, each if its version stands. */
-proctype Store() {
-	byte w, other;
+/* The store applies the write of one slot, in any order with others, if its version stands. */
+proctype Store(byte w) {
+	byte other;
 end:	do
 	:: atomic {
-		if
-		:: writes[SLOTS].live -> w = SLOTS
-		:: writes[2 * SLOTS].live -> w = 2 * SLOTS
-#if N > 2
-		:: writes[3 * SLOTS].live -> w = 3 * SLOTS
-#endif
-#if SLOTS > 1
-		:: writes[SLOTS + 1].live -> w = SLOTS + 1
-		:: writes[2 * SLOTS + 1].live -> w = 2 * SLOTS + 1
-#if N > 2
-		:: writes[3 * SLOTS + 1].live -> w = 3 * SLOTS + 1
-#endif
-#endif
-		fi;
+		writes[w].live ->
 		writes[w].live = false;
 		if
 		:: writes[w].create && owner != 0    /* refused */
@@ -312,8 +294,7 @@
 #endif
 		fi;
 		writes[w].create = false;
-		writes[w].outcome = absent;
-		w = 0
+		writes[w].outcome = absent
 	}
 	od
 }
@@ -327,18 +308,11 @@
 	od
 }
 
-/* The target takes up sends in any order; one that is never taken up is lost. */
-proctype Target() {
-	byte id;
+/* The target takes up an attempt's sends; one that is never taken up is lost. */
+proctype Target(byte id) {
 end:	do
 	:: atomic {
-		if
-		:: inFlight[1] > 0 -> id = 1
-		:: inFlight[2] > 0 -> id = 2
-#if N > 2
-		:: inFlight[3] > 0 -> id = 3
-#endif
-		fi;
+		inFlight[id] > 0 ->
 		inFlight[id]--;
 		if
 		:: runs++;
@@ -349,8 +323,7 @@
 #endif
 			answer[id] = whole
 		:: answer[id] = refused
-		fi;
-		id = 0
+		fi
 	}
 	od
 }
@@ -358,15 +331,13 @@
 init {
 	byte id;
 	atomic {
-		for (id : 1 .. N) {
-			answer[id] = silent
-		}
 		started[0] = true;
-		run Store();
-		run Target();
 		run Collect();
 		for (id : 1 .. N) {
+			answer[id] = silent;
+			run Target(id);
 			run Attempt(id)
 		}
+		for (id : SLOTS .. (N + 1) * SLOTS - 1) { run Store(id) }
 	}
 }
--- a/spec/groups.pml
+++ b/spec/groups.pml
@@ -2,9 +2,8 @@
  * Groups, fencing and pinning in one fabric domain.
  *
  * Three hosts, groups of two, two daemons that take the domain from one another. The
- * domain object in the platform's store holds the holder, the generation in force with its
- * members, and the pins. Hosts 0 and 1 do not check
- * fencing numbers, host 2 does.
+ * domain object in the platform's store holds the holder, the generation in force with
+ * its members, and the pins. Hosts 0 and 1 do not check fencing numbers, host 2 does.
  *
  * Pauses are unbounded and leases are not trusted at all: a takeover may come at any
  * time, and an order, once issued, may land at any later time, also when its sender
@@ -66,6 +65,7 @@
 /* The router's unexpired reports: the generation held, or 0. */
 byte report[3];
 
+#define JOIN(h, g) join[(h) * GENERATIONS + (g)]
 #define MEMBER(g, h) (spare[g] != h)
 #define PINNED(h) (pinGen[h] != 0)
 
@@ -86,8 +86,7 @@
 		:: else
 		fi
 	}
-	m = 0;
-	g = 0
+	m = 0; g = 0
 }
 
 /* An incarnation ends; orders and pins for it are without effect from here on. */
@@ -101,14 +100,11 @@
 		pinGen[h] = 0;
 		pinRetire[h] = false;
 		for (g : 0 .. 1) {
-			if
-			:: write[g] == pin && argument[g] == h -> ended[g] = true
-			:: else
-			fi
+			ended[g] = ended[g] || (write[g] == pin && argument[g] == h)
 		}
 #ifndef NO_BINDING
 		retire[h] = false;
-		for (g : 0 .. GENERATIONS - 1) { join[h * GENERATIONS + g] = false }
+		for (g : 0 .. GENERATIONS - 1) { JOIN(h, g) = false }
 #endif
 	fi;
 	g = 0
@@ -164,8 +160,7 @@
 	:: atomic { HOLDS(d) && gen == 0 && up[1] && up[2] -> write[d] = assign; argument[d] = 0 }
 	:: atomic { HOLDS(d) && gen == 0 && up[0] && up[2] -> write[d] = assign; argument[d] = 1 }
 	:: atomic { HOLDS(d) && gen != 0 && (DOWN(0) || DOWN(1) || DOWN(2)) ->
-		write[d] = assign;
-		argument[d] = (up[0] -> (up[1] -> 2 : 1) : 0) }
+		write[d] = assign; argument[d] = (up[0] -> (up[1] -> 2 : 1) : 0) }
 
 	/* Pin, before any order. The probe was sent after the record was read, so the
 	 * incarnation is no older than the pin that the record holds. */
@@ -175,12 +170,11 @@
 		:: UNPINNED(0) -> h = 0
 		:: UNPINNED(1) -> h = 1
 		fi;
-		write[d] = pin;
-		argument[d] = h;
+		write[d] = pin; argument[d] = h;
 #ifdef NO_READBACK
 		/* Takes the write for done and orders at once. */
 		if
-		:: RESTED(h) -> join[h * GENERATIONS + gen] = true
+		:: RESTED(h) -> JOIN(h, gen) = true
 		:: else
 		fi;
 #endif
@@ -202,12 +196,12 @@
 proctype Orders(byte h) {
 end:	do
 #ifdef NO_PIN
-	:: atomic { ORDER(h) && MEMBER(gen, h) && held[h] == 0 && RESTED(h) && !join[h * GENERATIONS + gen] ->
-		join[h * GENERATIONS + gen] = true }
+	:: atomic { ORDER(h) && MEMBER(gen, h) && held[h] == 0 && RESTED(h) && !JOIN(h, gen) ->
+		JOIN(h, gen) = true }
 	:: atomic { ORDER(h) && held[h] != 0 && held[h] != gen && !retire[h] -> retire[h] = true }
 #else
-	:: atomic { ORDER(h) && PINNED(h) && !pinRetire[h] && RESTED(h) && !join[h * GENERATIONS + pinGen[h]] ->
-		join[h * GENERATIONS + pinGen[h]] = true }
+	:: atomic { ORDER(h) && PINNED(h) && !pinRetire[h] && RESTED(h) && !JOIN(h, pinGen[h]) ->
+		JOIN(h, pinGen[h]) = true }
 	:: atomic { ORDER(h) && PINNED(h) && pinRetire[h] && !retire[h] -> retire[h] = true }
 #endif
 	od
@@ -232,25 +226,21 @@
 	od
 }
 
-/* An engine that does not check takes every order that reaches it. */
-#define LANDS(g) (join[h * GENERATIONS + (g)] && held[h] != (g))
+/* An engine that does not check takes every order that reaches it: here, retire, */
+proctype Retire(byte h) {
+	byte g;
+end:	do
+	:: atomic { up[h] && retire[h] -> assert(held[h] == 0 || held[h] != gen); endIncarnation(h) }
+	od
+}
 
-proctype Engine(byte h) {
-	byte g, m, k;
+/* and the joins of one generation. */
+proctype Engine(byte h; byte mine) {
+	byte g, m;
 end:	do
-	:: atomic { up[h] && retire[h] ->
-		assert(held[h] == 0 || held[h] != gen);
-		endIncarnation(h) }
-	:: atomic { up[h] && (LANDS(1) || LANDS(2) || LANDS(FAULTS) || LANDS(FAULTS + 1)) ->
-		if
-		:: LANDS(1) -> k = 1
-		:: LANDS(2) -> k = 2
-		:: LANDS(FAULTS) -> k = FAULTS
-		:: LANDS(FAULTS + 1) -> k = FAULTS + 1
-		fi;
+	:: atomic { up[h] && JOIN(h, mine) && held[h] != mine ->
 		assert(held[h] == 0);
-		held[h] = k;
-		k = 0;
+		held[h] = mine;
 		check() }
 	od
 }
@@ -314,18 +304,14 @@
 	/* A takeover while the holder lives and believes that it holds. */
 #ifndef FENCE_PER_HOLDER
 	:: atomic { left > 0 && !crashed[1 - holder] && write[1 - holder] == nothing ->
-		left--;
-		write[1 - holder] = take }
+		left--; write[1 - holder] = take }
 #endif
 	/* A move that nobody needed. */
 	:: atomic { left > 0 && gen != 0 && HOLDS(holder) && up[0] && up[1] && up[2] ->
-		left--;
-		write[holder] = assign;
-		argument[holder] = (spare[gen] + 1) % 3 }
+		left--; write[holder] = assign; argument[holder] = (spare[gen] + 1) % 3 }
 	/* A write is lost before it takes effect. */
 	:: atomic { left > 0 && write[holder] != nothing ->
-		left--;
-		write[holder] = nothing; argument[holder] = 0; ended[holder] = false }
+		left--; write[holder] = nothing; argument[holder] = 0; ended[holder] = false }
 	/* A daemon crashes; what it sent may still land. */
 	:: atomic { left > 0 && !crashed[0] && !crashed[1] ->
 		left--;
@@ -351,8 +337,8 @@
 		run Store(0); run Store(1);
 		run Daemon(0); run Daemon(1);
 		run Orders(0); run Orders(1); run OrdersChecked();
-		run Engine(0); run Engine(1);
-		for (g : 1 .. GENERATIONS - 1) { run EngineChecked(g) };
+		run Retire(0); run Retire(1);
+		for (g : 1 .. GENERATIONS - 1) { run Engine(0, g); run Engine(1, g); run EngineChecked(g) };
 		run Router(0); run Router(1); run Router(2);
 		run Faults()
 	};
