Show that checking engines need orders bound to an incarnation too

Cause: the README said, without a run, that binding an order to a connection is not what an engine that checks fencing numbers relies on. Change: mutant NO_BINDING_CHECKED; RELEASE_NOT_RUN speaks only of young keys, so that its counterexample is the paused submission and not a collected record. Ruled out: nothing. Conclusion: every order is bound to a connection, whether or not the target checks.

--- a/spec/claims.pml
+++ b/spec/claims.pml
@@ -243,7 +243,7 @@
 		:: owner != id || outcome == running ->
 #ifdef RELEASE_NOT_RUN
 			if
-			:: owner == 0 -> sayNotRun()    /* our own claim is gone again */
+			:: owner == 0 && !expired -> sayNotRun()    /* our own claim is gone again */
 			:: else
 			fi;
 #endif
--- a/spec/groups.pml
+++ b/spec/groups.pml
@@ -23,9 +23,10 @@
  *
  * Switches that break the protocol, each of which must yield a counterexample:
  * NO_PIN, NO_READBACK, NO_BINDING (the lease is checked, the order then travels on
- * any connection), ROUTE_ON_RECORD, STALE_PIN, NO_REST, FENCE_PER_HOLDER (no rise with
- * an assignment), ONE_FENCE (idle and join with the same number), JOIN_BLIND (join
- * before the engine reports this generation's idle order), NO_RETIRE (progress).
+ * any connection), NO_BINDING_CHECKED (the same for the engine that checks),
+ * ROUTE_ON_RECORD, STALE_PIN, NO_REST, FENCE_PER_HOLDER (no rise with an assignment),
+ * ONE_FENCE (idle and join with the same number), JOIN_BLIND (join before the engine
+ * reports this generation's idle order), NO_RETIRE (progress).
  * SAFETY_ONLY leaves the check of progress out. WITNESS_MOVED asserts false where a run
  * must be able to get.
  */
@@ -95,7 +96,11 @@
 	if
 	:: h == CHECKED ->
 		fence = 0;
+#ifdef NO_BINDING_CHECKED
+		skip
+#else
 		for (g : 0 .. GENERATIONS - 1) { joinChecked[g] = false; idleChecked[g] = false }
+#endif
 	:: else ->
 		pinGen[h] = 0;
 		pinRetire[h] = false;
