--- a/test/process/keyed_test.go
+++ b/test/process/keyed_test.go
@@ -69,21 +69,34 @@
 	c.judgeKeyed(histories)
 }
 
-// askAgain sends every key once more now that nothing fails, and logs what is said
-// of those that had no completed answer.
+// askAgain sends every key once more now that nothing fails, and logs what is said.
 func (c *cluster) askAgain(histories map[string]*history) {
 	c.waitServing(len(c.services))
+	keys := make(chan string)
 	codes := make(map[string]int)
-	caller := load.NewCaller(callerKey, keyedDeadline)
-	defer caller.Close()
-	for _, key := range slices.Sorted(maps.Keys(histories)) {
-		h := histories[key]
-		result := caller.Call(context.Background(), c.daemons[0].callers, load.Call{
-			Service: serviceName, Method: "POST", Path: "/new", Key: key, Body: h.body,
+	var mu sync.Mutex
+	var workers sync.WaitGroup
+	for range keyedWorkers {
+		workers.Go(func() {
+			caller := load.NewCaller(callerKey, keyedDeadline)
+			defer caller.Close()
+			for key := range keys {
+				h := histories[key]
+				result := caller.Call(context.Background(), c.daemons[0].callers, load.Call{
+					Service: serviceName, Method: "POST", Path: "/new", Key: key, Body: h.body,
+				})
+				h.results = append(h.results, result)
+				mu.Lock()
+				codes[fmt.Sprintf("%d %s %s", result.Status, result.Outcome, result.Code)]++
+				mu.Unlock()
+			}
 		})
-		h.results = append(h.results, result)
-		codes[fmt.Sprintf("%d %s %s", result.Status, result.Outcome, result.Code)]++
 	}
+	for _, key := range slices.Sorted(maps.Keys(histories)) {
+		keys <- key
+	}
+	close(keys)
+	workers.Wait()
 	c.t.Logf("asked again after the faults: %v", codes)
 }
 
