Carry the specifications' counterexamples into claims and groups

Cause: spec/claims.pml and spec/groups.pml found: a release does not prove that the request was not run (RELEASE_NOT_RUN); a key may expire between its check and its claim (AGE_BEFORE_CLAIM); one holder's late order may undo its newer one on an engine that checks (FENCE_PER_HOLDER, ONE_FENCE); a stale report may replace a present incarnation's pin (STALE_PIN); a host may join another group while its old one is still routed to by a fresh report (NO_REST). Change: a keyed call given up before sending is answered unknown, with the attempt's own not_run beside it; the key's age is checked again once its claim stands; the domain's fencing number rises with every write, a join stands above an idle order; pins rest on reports from after the record was read; a host rests for the freshness bound, and one that checks goes idle first.

--- a/internal/core/group/domain.go
+++ b/internal/core/group/domain.go
@@ -16,6 +16,8 @@
 	// platform; a nil value is an absent object.
 	value   *object.Domain
 	version object.Version
+	// readAt is when the version became known.
+	readAt time.Duration
 	// heldTerm is the term of the lease under which this daemon took the domain.
 	heldTerm uint64
 	heldAt   time.Duration
@@ -91,6 +93,9 @@
 		return
 	}
 	old := d.value
+	if version > d.version {
+		d.readAt = now
+	}
 	d.version, d.value = version, value
 	if value == nil {
 		return
--- a/internal/core/group/hosts.go
+++ b/internal/core/group/hosts.go
@@ -35,6 +35,9 @@
 	straggling  bool          // holds its group up
 	freeSince   time.Duration // since when it holds a group that it is no member of
 	order       lastOrder
+	// heldGroup is the group that it last reported, by a probe sent at heldAt.
+	heldGroup string
+	heldAt    time.Duration
 }
 
 // lastOrder is the order that was last sent to a host.
@@ -43,7 +46,6 @@
 	incarnation string
 	group       string
 	generation  uint64
-	fence       uint64
 	sent        time.Duration
 }
 
@@ -138,6 +140,16 @@
 	if up {
 		s.incarnation = inc
 	}
+	if h.Report.OK && h.Report.Group != "" {
+		s.heldGroup, s.heldAt = h.Report.Group, h.Report.Sent
+	}
+}
+
+// restsFrom reports whether the host has held another group so lately that a daemon
+// may still route there by a report that is fresh. Until then it joins no other, so
+// that the two never serve side by side.
+func (s *hostState) restsFrom(now time.Duration, group string) bool {
+	return s.heldGroup != "" && s.heldGroup != group && now-s.heldAt <= fleet.FreshFor
 }
 
 // serves reports whether the host can be counted on as a member. One that was told to
--- a/internal/core/group/order.go
+++ b/internal/core/group/order.go
@@ -25,7 +25,9 @@
 	}
 	for _, host := range p.c.Fleet.HostsOf(p.d.name) {
 		h, _ := p.c.Fleet.Host(host)
-		if answers(p.now, h) {
+		// A report from before the state was read may be of an earlier incarnation than
+		// the one that the state's pin is for: it must not replace that pin.
+		if answers(p.now, h) && h.ConnSent > p.d.readAt {
 			p.pinHost(h, member[host])
 		}
 	}
@@ -209,6 +211,12 @@
 			c.retire(now, d, h, out)
 			return
 		}
+	} else if held := h.ConnStatus.Group; held != "" && held != name {
+		c.send(now, d, h, engineapi.Order{Kind: engineapi.OrderIdle}, out)
+		return
+	}
+	if d.host(host).restsFrom(now, name) {
+		return
 	}
 	m, _ := c.Config.Model(g.Model)
 	if m == nil {
@@ -270,8 +278,8 @@
 // not after this daemon's lease. The same order waits a while before it goes again.
 func (c *Controller) send(now time.Duration, d *domain, h *fleet.Host, o engineapi.Order, out *step.Out) bool {
 	s := d.host(h.Name)
-	o.Fence = d.value.Fence
-	this := lastOrder{kind: o.Kind, incarnation: h.ConnStatus.Incarnation, group: o.Group, generation: o.Generation, fence: o.Fence}
+	o.Fence = orderFence(d.value.Fence, o.Kind)
+	this := lastOrder{kind: o.Kind, incarnation: h.ConnStatus.Incarnation, group: o.Group, generation: o.Generation}
 	last := s.order
 	last.sent = 0
 	if last == this && now-s.order.sent < orderEvery {
@@ -286,6 +294,16 @@
 	return true
 }
 
+// orderFence returns the number that an order carries. The domain's number rises with
+// every write, not only when the holder changes: a late order of this holder must not
+// undo its own newer one. An order to idle stands below a join by the same state.
+func orderFence(domain uint64, kind engineapi.OrderKind) uint64 {
+	if kind == engineapi.OrderJoin {
+		return 2*domain + 1
+	}
+	return 2 * domain
+}
+
 // OnOrderReply takes up the answer to an order. What the order did shows in the next
 // report; a refusal means that another holder has ordered since.
 func (c *Controller) OnOrderReply(now step.Time, r step.OrderReply, out *step.Out) {
@@ -298,6 +316,7 @@
 	switch r.Status {
 	case step.ReplyConflict:
 		out.Log(event.OrderRefused, event.F("host", op.host), event.F("fence", r.Report.Fence))
+		d.host(op.host).order = lastOrder{} // to be sent again at once, under a higher number
 		c.refused(now.Mono, d, r, out)
 	case step.ReplyLost:
 		out.Log(event.OrderUnheard, event.F("host", op.host))
@@ -310,10 +329,10 @@
 	if d.pending != 0 || !c.holds(d) {
 		return
 	}
-	if r.Report.Fence < d.value.Fence {
+	if r.Report.Fence < 2*d.value.Fence {
 		return
 	}
 	next := cloneDomain(d.value)
-	next.Fence = r.Report.Fence + 1
+	next.Fence = r.Report.Fence/2 + 1
 	c.write(now, d, next, out) // conflicts if another holds the domain by now
 }
--- a/internal/core/group/plan.go
+++ b/internal/core/group/plan.go
@@ -35,6 +35,7 @@
 		out.Add(l)
 	}
 	if p.changed {
+		p.next.Fence++
 		c.write(now.Mono, d, p.next, out)
 		return
 	}
--- a/internal/core/request/end.go
+++ b/internal/core/request/end.go
@@ -151,8 +151,10 @@
 }
 
 // closeClaim releases the key of a call that surely did not run and records the
-// outcome of one that may have. Of a key that was never claimed here nothing more
-// than this attempt's fate is known: an earlier attempt may have run elsewhere.
+// outcome of one that may have. That this attempt did not run says nothing of the
+// request: an earlier one with the same key may have run elsewhere, and one that waits
+// at another daemon may run once the key is released. So the outcome is unknown, and
+// the caller may repeat the key.
 func (m *Manager) closeClaim(now step.Time, c *call, a *step.Answer, out *step.Out) {
 	if !c.mustClaim() {
 		return
@@ -166,7 +168,10 @@
 		a.Attempt, a.Outcome = object.NotRun, object.Unknown
 	case c.claim != "" && a.Outcome == object.NotRun:
 		m.Claims.Release(now, c.req.Customer, c.req.Key, c.claim, out)
-		a.Attempt = object.NotRun
+		a.Attempt, a.Outcome = object.NotRun, object.Unknown
+		if a.Code != step.CodeKeyExpired {
+			a.Message += "; this attempt was not run, and repeating it with the same key is safe"
+		}
 	case c.claim != "":
 		m.Claims.Finish(now, c.req.Customer, c.req.Key, object.Claim{
 			Attempt: string(c.claim), Outcome: a.Outcome, Status: a.Status,
--- a/internal/core/request/place.go
+++ b/internal/core/request/place.go
@@ -244,6 +244,13 @@
 			m.giveUp(now, c, m.noPlace(now, c), out)
 			return
 		}
+		// The key's age counts now that the claim stands: had it expired while the claim
+		// was under way, its earlier record might have been deleted meanwhile.
+		if err := m.Claims.Settings().CheckKey(now, c.req.Key); err != nil {
+			m.leave(now, c, step.EndedUnsent, "")
+			m.giveUp(now, c, step.Answer{Status: keyStatus(err.Code), Code: err.Code, Message: err.Remedy}, out)
+			return
+		}
 		m.dispatch(now, c, out)
 	case claim.Held:
 		m.leave(now, c, step.EndedUnsent, "")
--- a/internal/object/record.go
+++ b/internal/object/record.go
@@ -4,8 +4,8 @@
 // object a domain makes a host in two groups impossible to write. Its name is the
 // fabric domain's.
 type Domain struct {
-	// Holder is the daemon that may order this domain's hosts; Fence rises by one
-	// at each change of holder.
+	// Holder is the daemon that may order this domain's hosts. Fence rises with every
+	// change of the holder or of an assignment; orders are numbered after it.
 	Holder string `json:"holder,omitempty"`
 	Fence  uint64 `json:"fence"`
 	// Run is the holder's incarnation.
