--- a/test/measure/lab/lab.go
+++ b/test/measure/lab/lab.go
@@ -152,17 +152,10 @@
 // AddDaemons starts daemons and waits until they are ready and linked.
 func (l *Lab) AddDaemons(n int, options ...daemon.Option) error {
 	for i := range n {
-		s := config.Default()
-		s.Cluster, s.Daemon, s.DataCentre = "lab", fmt.Sprintf("d%02d", i), "dc1"
-		for _, at := range []*string{&s.Callers.Listen, &s.Operators.Listen, &s.Peers.Listen} {
-			address, err := freeAddress()
-			if err != nil {
-				return err
-			}
-			*at = address
+		s, err := l.settings(i)
+		if err != nil {
+			return err
 		}
-		s.Peers.Key = config.Secret{File: filepath.Join(l.dir, "key")}
-		s.Platform.Address = "http://" + l.platform.Address
 		d, err := daemon.New(s, slog.New(slog.DiscardHandler), options...)
 		if err != nil {
 			return err
@@ -175,6 +168,41 @@
 	return l.await(func() bool { return l.linked() })
 }
 
+// settings are those of daemon i, on free ports.
+func (l *Lab) settings(i int) (*config.Settings, error) {
+	s := config.Default()
+	s.Cluster, s.Daemon, s.DataCentre = "lab", fmt.Sprintf("d%02d", i), "dc1"
+	for _, at := range []*string{&s.Callers.Listen, &s.Operators.Listen, &s.Peers.Listen} {
+		address, err := freeAddress()
+		if err != nil {
+			return nil, err
+		}
+		*at = address
+	}
+	s.Peers.Key = config.Secret{File: filepath.Join(l.dir, "key")}
+	s.Platform.Address = "http://" + l.platform.Address
+	return s, nil
+}
+
+// WriteSettings writes the settings of a daemon that runs as a process of its own. It
+// returns the file and the address of the operators' interface.
+func (l *Lab) WriteSettings(i int) (file, operators string, err error) {
+	s, err := l.settings(i)
+	if err != nil {
+		return "", "", err
+	}
+	s.Log.Level = "error"
+	text, err := json.Marshal(s)
+	if err != nil {
+		return "", "", errors.Wrap(err, "encode settings")
+	}
+	file = filepath.Join(l.dir, s.Daemon+".json")
+	if err := os.WriteFile(file, text, 0o600); err != nil {
+		return "", "", errors.Wrap(err, "write settings")
+	}
+	return file, s.Operators.Listen, nil
+}
+
 func freeAddress() (string, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
