--- a/internal/core/account/book.go
+++ b/internal/core/account/book.go
@@ -121,8 +121,8 @@
 // writes took effect.
 func (b *book) learn(now time.Duration, version object.Version, standing *object.Account) {
 	b.readAt = max(b.readAt, now)
-	if b.known && version <= b.version && version != 0 {
-		return
+	if version != 0 && (version < b.version || b.known && version == b.version) {
+		return // older than what was seen
 	}
 	mine, present := standing.Slices[b.set.Incarnation]
 	applied := b.resolve(now, version, mine, present)
--- a/internal/core/account/cycle.go
+++ b/internal/core/account/cycle.go
@@ -109,7 +109,7 @@
 }
 
 // OnReply takes the platform's answer to a call of this manager; it reports false
-// for calls of others.
+// for calls of others. After it, requests told to come Later ask again.
 func (m *Manager) OnReply(now step.Time, r step.PlatformReply, out *step.Out) bool {
 	b := m.byOp[r.Op]
 	if b == nil {
@@ -117,7 +117,7 @@
 	}
 	delete(m.byOp, r.Op)
 	reading := b.reading
-	b.op = 0
+	b.op, b.need = 0, amount{}
 	switch r.Status {
 	case step.ReplyOK, step.ReplyConflict, step.ReplyAbsent:
 		b.isFailing = false
--- a/internal/core/account/write.go
+++ b/internal/core/account/write.go
@@ -64,7 +64,11 @@
 	if b.unsettled != (object.Usage{}) || len(b.parcels) > 0 || len(b.attempts) > 0 {
 		return true
 	}
-	return m.reapable(now, b) || m.size(now, b) != b.granted
+	if m.reapable(now, b) {
+		return true
+	}
+	wanted := b.idle(m, now) || b.low(now) || !b.available().covers(b.needed)
+	return wanted && m.size(now, b) != b.granted
 }
 
 // reapable reports whether some slice's daemon has been gone for long enough.
--- a/test/sessions/sessions_test.go
+++ b/test/sessions/sessions_test.go
@@ -10,7 +10,8 @@
 //	apply REVISION                   hand the batch to the reducer as a full one
 //	change REVISION                  hand the batch to the reducer as changes
 //	tick N                           N ticks, one each 50 ms
-//	reply OP STATUS [VERSION [JSON]] answer a call for a claim object
+//	reply OP STATUS [VERSION [JSON]] answer a call for a claim object, or for an
+//	                                 account: their calls are numbered above 2^40
 //	> TYPE JSON                      any other event
 //	> from DAEMON TYPE JSON          a message of a peer
 //	< ...                            the effects, written by -update
@@ -42,6 +43,9 @@
 // startUnix is the wall clock at monotonic time zero, in milliseconds.
 const startUnix = 1_800_000_000_000
 
+// firstAccountOp is where the numbers of calls for accounts begin.
+const firstAccountOp step.OpID = 1 << 40
+
 func TestSessions(t *testing.T) {
 	files, err := filepath.Glob("*.txt")
 	require.NoError(t, err)
@@ -181,12 +185,16 @@
 	status, ok := statuses[part[1]]
 	require.True(s.t, ok, part[1])
 	r := step.PlatformReply{Op: step.OpID(s.number(part[0])), Status: status}
+	kind := object.KindClaim
+	if r.Op >= firstAccountOp {
+		kind = object.KindAccount
+	}
 	if len(part) > 2 {
-		r.Object.Kind = object.KindClaim
+		r.Object.Kind = kind
 		r.Object.Version = object.Version(s.number(part[2]))
 	}
 	if len(part) > 3 {
-		r.Object.Value = s.value(object.KindClaim, part[3])
+		r.Object.Value = s.value(kind, part[3])
 	}
 	return r
 }
