Reserve a single request soon, and no more than its demand

Change: a request within ten seconds keeps a slice renewed; demand is not taken for steady before a second of it was seen.

--- a/internal/core/account/account_test.go
+++ b/internal/core/account/account_test.go
@@ -186,6 +186,35 @@
 	require.Zero(t, open.plus(uncertain))
 }
 
+func TestUsageHandedToTwoPeersIsSettledOnce(t *testing.T) {
+	w := newWorld(3, &object.Contract{RequestsPerMonth: 100}, true)
+	n := w.daemons[0]
+	eventually(t, w, n, 10)
+	n.settle(10, object.Completed)
+	n.Close()
+	var out step.Out
+	n.Handoff("", &out)
+	require.Len(t, out.Effects, 1)
+	for _, heir := range w.daemons[1:] { // the first one's answer was lost
+		heir.OnHandoff(n.name, out.Effects[0].(step.SendPeer).Message.(step.UsageHandoff), &step.Out{})
+	}
+	w.daemons = w.daemons[1:]
+	w.run(5*time.Second, nil)
+	settled, open, uncertain := w.sums()
+	require.Equal(t, amountOf(w.truth), settled)
+	require.Zero(t, open.plus(uncertain))
+	require.Zero(t, w.daemons[0].Pending()+w.daemons[1].Pending())
+}
+
+func TestSingleRequestIsReservedSoon(t *testing.T) {
+	w := newWorld(1, &object.Contract{}, false)
+	w.run(3*time.Second, nil)
+	require.Equal(t, Admitted, w.daemons[0].admit(1000).Decision)
+	w.run(200*time.Millisecond, nil)
+	_, open, _ := w.sums()
+	require.True(t, open.covers(amount{1, 1000}))
+}
+
 func TestOutageRules(t *testing.T) {
 	for rule, want := range map[object.OutageRule]Decision{object.OutageRefuse: Outage, object.OutageServe: Admitted} {
 		w := newWorld(1, &object.Contract{RequestsPerMonth: 100, OutageRule: rule}, true)
--- a/internal/core/account/book.go
+++ b/internal/core/account/book.go
@@ -64,6 +64,10 @@
 	parcels  []string     // slices of the parcels settled with it
 }
 
+// leastWeight is the share of demandMemory that must have been seen before demand is
+// taken for steady: one request in the first instant is no rate.
+const leastWeight = 0.1
+
 // rate is demand a second, averaged over the time since the first request at first
 // and over demandMemory later.
 type rate struct {
@@ -98,7 +102,7 @@
 	if r.weight == 0 {
 		return amount{}
 	}
-	f := d.Seconds() / r.weight
+	f := d.Seconds() / max(r.weight, leastWeight)
 	return amount{int64(math.Ceil(r.requests * f)), int64(math.Ceil(r.tokens * f))}
 }
 
--- a/internal/core/account/cycle.go
+++ b/internal/core/account/cycle.go
@@ -97,7 +97,10 @@
 	return !b.available().covers(least.max(amount{1, 1}))
 }
 
-func (b *book) offeredLately() bool { return b.demand.requests > 1/demandMemory.Seconds() }
+// offeredLately reports whether there was about a request within demandMemory.
+func (b *book) offeredLately() bool {
+	return b.demand.requests > b.demand.weight/demandMemory.Seconds()
+}
 
 // begin reads the account first unless it is known freshly.
 func (m *Manager) begin(now step.Time, b *book, out *step.Out) {
