--- a/internal/core/account/book.go
+++ b/internal/core/account/book.go
@@ -64,6 +64,10 @@
 	parcels  []string     // slices of the parcels settled with it
 }
 
+// leastWeight is the share of demandMemory that must have been seen before demand is
+// taken for steady: one request in the first instant is no rate.
+const leastWeight = 0.1
+
 // rate is demand a second, averaged over the time since the first request at first
 // and over demandMemory later.
 type rate struct {
@@ -98,7 +102,7 @@
 	if r.weight == 0 {
 		return amount{}
 	}
-	f := d.Seconds() / r.weight
+	f := d.Seconds() / max(r.weight, leastWeight)
 	return amount{int64(math.Ceil(r.requests * f)), int64(math.Ceil(r.tokens * f))}
 }
 
@@ -121,8 +125,8 @@
 // writes took effect.
 func (b *book) learn(now time.Duration, version object.Version, standing *object.Account) {
 	b.readAt = max(b.readAt, now)
-	if b.known && version <= b.version && version != 0 {
-		return
+	if version != 0 && (version < b.version || b.known && version == b.version) {
+		return // older than what was seen
 	}
 	mine, present := standing.Slices[b.set.Incarnation]
 	applied := b.resolve(now, version, mine, present)
