Let reports that are due take the others of the tick along

Cause: at rest 9 daemons sent 66 messages a second each: every host's report was refreshed at its own time, and the second probers were asked at an age that the usual refresh reaches. Change: when one report is due all unpassed ones go in its message; second probers come at 1.0 s and all at 1.25 s, within the freshness bound of 1.5 s.

--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -28,8 +28,8 @@
 	refreshEvery = 500 * time.Millisecond
 	// secondAfter and anyAfter are the ages of the newest report from which the
 	// next probers by rendezvous, and then all daemons, probe a host too.
-	secondAfter = 700 * time.Millisecond
-	anyAfter    = 1100 * time.Millisecond
+	secondAfter = 1000 * time.Millisecond
+	anyAfter    = 1250 * time.Millisecond
 	// secondProbers is the number of daemons by rendezvous that may probe early.
 	secondProbers = 3
 )
--- a/internal/core/fleet/probe.go
+++ b/internal/core/fleet/probe.go
@@ -98,25 +98,36 @@
 // Tick sends the probes that are due and passes on what the last ones saw.
 func (v *View) Tick(now step.Time, out *step.Out) {
 	v.deal()
-	var digest step.Digest
+	pass := false
 	for _, name := range v.hostNames {
 		h := v.hosts[name]
 		if v.probeDue(now.Mono, h) {
 			h.probed, h.probeAt = true, now.Mono
 			out.Add(step.Probe{Host: h.Name, Address: h.Address, Service: h.Service})
 		}
-		if h.passDue(now.Mono) {
-			h.unpassed, h.changed, h.passedAt = false, false, now.Mono
-			digest.Reports = append(digest.Reports, h.own.message(now.Mono, name))
-		}
+		pass = pass || h.passDue(now.Mono)
 	}
-	if len(digest.Reports) > 0 && len(v.live) > 1 {
-		digest.Sent = now.Mono
-		out.Add(step.SendPeer{Message: digest})
+	if pass && len(v.live) > 1 {
+		v.pass(now, out)
 	}
 	v.share(now)
 }
 
+// pass tells the peers everything that is not passed on yet: where one report is due,
+// the others share its message.
+func (v *View) pass(now step.Time, out *step.Out) {
+	digest := step.Digest{Sent: now.Mono}
+	for _, name := range v.hostNames {
+		h := v.hosts[name]
+		if !h.unpassed {
+			continue
+		}
+		h.unpassed, h.changed, h.passedAt = false, false, now.Mono
+		digest.Reports = append(digest.Reports, h.own.message(now.Mono, name))
+	}
+	out.Add(step.SendPeer{Message: digest})
+}
+
 // deal decides which hosts this daemon probes, whenever the membership has changed.
 func (v *View) deal() {
 	live := v.members.Live()
--- a/test/measure/lab/lab.go
+++ b/test/measure/lab/lab.go
@@ -192,6 +192,7 @@
 		return "", "", err
 	}
 	s.Log.Level = "error"
+	s.Pprof = true
 	text, err := json.Marshal(s)
 	if err != nil {
 		return "", "", errors.Wrap(err, "encode settings")
--- a/test/measure/processes/main.go
+++ b/test/measure/processes/main.go
@@ -106,19 +106,23 @@
 
 // awaitServing waits until every daemon sees every other and every group serve.
 func awaitServing(operators []string, daemons, groups int) error {
+	last := operatorapi.Status{}
 	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
 		up := 0
 		for _, address := range operators {
 			var s operatorapi.Status
 			if lab.GetJSON("http://"+address+operatorapi.PathStatus, &s) == nil && serving(s) >= groups && len(s.Daemons) == daemons {
 				up++
+				continue
 			}
+			last = s
 		}
 		if up == len(operators) {
 			return nil
 		}
 	}
-	return errors.Errorf("the daemons did not serve within %s", patience)
+	return errors.Errorf("the daemons did not serve within %s: %s sees %d daemons and %d of %d groups serve",
+		patience, last.Daemon, len(last.Daemons), serving(last), groups)
 }
 
 func serving(s operatorapi.Status) int {
