--- a/internal/core/claim/manager.go
+++ b/internal/core/claim/manager.go
@@ -234,6 +234,7 @@
 	case step.ReplyLost:
 		// The write may have taken effect, now or later. What stands is read before
 		// anything is said or written.
+		s.expose()
 		s.unsend()
 		s.unsure = true
 	default:
@@ -282,7 +283,7 @@
 			kept = append(kept, c)
 			continue
 		}
-		if s.unsure && c.kind == take {
+		if c.exposed && c.kind == take {
 			kept = append(kept, change{kind: release, key: c.key, claim: c.claim, since: now.Mono})
 		}
 		if c.from != "" {
--- a/internal/core/claim/shard.go
+++ b/internal/core/claim/shard.go
@@ -19,6 +19,9 @@
 	// verified is set once the claim that stands was read after the change was
 	// queued; a refusal never rests on an older copy.
 	verified bool
+	// exposed is set once a write with this change lost its answer: that write may
+	// still land after everything else.
+	exposed bool
 }
 
 type changeKind uint8
@@ -109,6 +112,13 @@
 	}
 }
 
+// expose marks the changes of a write whose answer was lost.
+func (s *shard) expose() {
+	for i := range s.sent {
+		s.sent[i].exposed = true
+	}
+}
+
 // unsend puts the changes of the call in flight back to the front of the queue.
 func (s *shard) unsend() {
 	s.queue = append(s.sent, s.queue...)
