--- a/internal/api/caller/caller.go
+++ b/internal/api/caller/caller.go
@@ -84,6 +84,15 @@
 	return step.Answer{Status: status, Code: code, Message: message, Outcome: object.NotRun}
 }
 
+// refuse answers a request that never reached the reducer. Of one that carries an
+// idempotency key only this attempt's fate is known: an earlier one may have run.
+func refuse(w http.ResponseWriter, r *http.Request, id step.RequestID, a step.Answer) {
+	if r.Header.Get(headerKey) != "" {
+		a.Attempt, a.Outcome = object.NotRun, object.Unknown
+	}
+	writeError(w, id, a)
+}
+
 // customer returns who calls, or answers 401.
 func (h *Handler) customer(w http.ResponseWriter, r *http.Request, id step.RequestID) (string, bool) {
 	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
@@ -93,14 +102,32 @@
 			return c, true
 		}
 	}
-	a := refusal(http.StatusUnauthorized, step.CodeUnauthorized, "send your key as 'Authorization: Bearer KEY'; ask your operator if you have none")
-	if r.Header.Get(headerKey) != "" {
-		a.Attempt, a.Outcome = object.NotRun, object.Unknown
-	}
-	writeError(w, id, a)
+	refuse(w, r, id, refusal(http.StatusUnauthorized, step.CodeUnauthorized, "send your key as 'Authorization: Bearer KEY'; ask your operator if you have none"))
 	return "", false
 }
 
+// intake is what every request brings.
+type intake struct {
+	id       step.RequestID
+	customer string
+	body     []byte
+	timeout  time.Duration // zero if the caller gives none
+}
+
+// take reads what every request brings, or answers why it can't.
+func (h *Handler) take(w http.ResponseWriter, r *http.Request) (intake, bool) {
+	in := intake{id: newID()}
+	var ok bool
+	if in.customer, ok = h.customer(w, r, in.id); !ok {
+		return in, false
+	}
+	if in.body, ok = h.readBody(w, r, in.id); !ok {
+		return in, false
+	}
+	in.timeout, ok = readTimeout(w, r, in.id)
+	return in, ok
+}
+
 // modelList is the answer of /v1/models.
 type modelList struct {
 	Object string      `json:"object"`
--- a/internal/api/caller/generate.go
+++ b/internal/api/caller/generate.go
@@ -55,36 +55,27 @@
 
 // generate serves chat and text completions.
 func (h *Handler) generate(w http.ResponseWriter, r *http.Request) {
-	id := newID()
-	customer, ok := h.customer(w, r, id)
+	in, ok := h.take(w, r)
 	if !ok {
 		return
 	}
-	raw, ok := h.readBody(w, r, id)
-	if !ok {
-		return
-	}
-	body, upstream, err := parseGenerate(raw)
+	body, upstream, err := parseGenerate(in.body)
 	if err != nil {
-		writeError(w, id, refusal(http.StatusBadRequest, step.CodeBadRequest, err.Error()))
-		return
-	}
-	timeout, ok := readTimeout(w, r, id)
-	if !ok {
+		writeError(w, in.id, refusal(http.StatusBadRequest, step.CodeBadRequest, err.Error()))
 		return
 	}
 	prompt := body.prompt()
 	req := step.Request{
-		ID: id, Customer: customer, Model: body.Model,
+		ID: in.id, Customer: in.customer, Model: body.Model,
 		Method: r.Method, Path: r.URL.Path,
-		Fingerprint:  xxhash.Sum64(raw),
+		Fingerprint:  xxhash.Sum64(in.body),
 		Prefix:       xxhash.Sum64(prompt[:min(len(prompt), prefixBytes)]),
 		PromptTokens: len(prompt)/bytesPerToken + 1,
 		MaxTokens:    body.maxTokens(),
-		Stream:       body.Stream, Timeout: timeout,
+		Stream:       body.Stream, Timeout: in.timeout,
 	}
 	g := &generation{
-		h: h, w: w, flush: http.NewResponseController(w), id: id, req: req, body: upstream,
+		h: h, w: w, flush: http.NewResponseController(w), id: in.id, req: req, body: upstream,
 		chat: strings.HasSuffix(r.URL.Path, "/chat/completions"),
 	}
 	h.exchange(r, req, g)
@@ -101,10 +92,7 @@
 	if errors.As(err, &tooLarge) {
 		a = refusal(http.StatusRequestEntityTooLarge, step.CodeTooLarge, fmt.Sprintf("the body is larger than %d bytes: shorten it", tooLarge.Limit))
 	}
-	if r.Header.Get(headerKey) != "" {
-		a.Attempt, a.Outcome = object.NotRun, object.Unknown
-	}
-	writeError(w, id, a)
+	refuse(w, r, id, a)
 	return nil, false
 }
 
@@ -143,7 +131,7 @@
 	}
 	millis, err := strconv.ParseInt(text, 10, 32)
 	if err != nil || millis <= 0 {
-		writeError(w, id, refusal(http.StatusBadRequest, step.CodeBadRequest, HeaderTimeout+" must be a positive number of milliseconds"))
+		refuse(w, r, id, refusal(http.StatusBadRequest, step.CodeBadRequest, HeaderTimeout+" must be a positive number of milliseconds"))
 		return 0, false
 	}
 	return time.Duration(millis) * time.Millisecond, true
--- a/internal/api/caller/service.go
+++ b/internal/api/caller/service.go
@@ -22,16 +22,7 @@
 
 // service serves calls to plain services.
 func (h *Handler) service(w http.ResponseWriter, r *http.Request) {
-	id := newID()
-	customer, ok := h.customer(w, r, id)
-	if !ok {
-		return
-	}
-	body, ok := h.readBody(w, r, id)
-	if !ok {
-		return
-	}
-	timeout, ok := readTimeout(w, r, id)
+	in, ok := h.take(w, r)
 	if !ok {
 		return
 	}
@@ -41,11 +32,11 @@
 		path = "/"
 	}
 	req := step.Request{
-		ID: id, Customer: customer, Service: name, Method: r.Method, Path: path,
-		Key: r.Header.Get(headerKey), Timeout: timeout,
-		Fingerprint: fingerprint(name, r.Method, path, body),
+		ID: in.id, Customer: in.customer, Service: name, Method: r.Method, Path: path,
+		Key: r.Header.Get(headerKey), Timeout: in.timeout,
+		Fingerprint: fingerprint(name, r.Method, path, in.body),
 	}
-	c := &serviceCall{h: h, w: w, r: r, id: id, key: req.Key, path: path, body: body}
+	c := &serviceCall{h: h, w: w, r: r, id: in.id, key: req.Key, path: path, body: in.body}
 	if r.URL.RawQuery != "" {
 		c.path += "?" + r.URL.RawQuery
 	}
--- a/test/measure/lab/lab.go
+++ b/test/measure/lab/lab.go
@@ -129,8 +129,9 @@
 	return l.Put(object.KindService, Service, value)
 }
 
-// AddEngines starts hosts of one fabric domain and a model whose groups they form.
-func (l *Lab) AddEngines(hosts int, m object.Model, o engine.Options) error {
+// AddEngines starts hosts, some to a fabric domain, and a model whose groups they
+// form. Every domain is in the daemons' data centre, or in one of its own if apart.
+func (l *Lab) AddEngines(hosts, perDomain int, apart bool, m object.Model, o engine.Options) error {
 	var list []platformapi.Host
 	for i := range hosts {
 		o.Host = fmt.Sprintf("host-%03d", i)
@@ -142,13 +143,20 @@
 		l.Engines = append(l.Engines, e)
 		l.EngineAddresses = append(l.EngineAddresses, local.Address)
 		list = append(list, platformapi.Host{
-			Name: o.Host, Address: local.Address, Domain: fmt.Sprintf("domain-%d", i/16), DataCentre: "dc1", Accelerators: 4,
+			Name: o.Host, Address: local.Address, Domain: fmt.Sprintf("domain-%d", i/perDomain), DataCentre: centre(i/perDomain, apart), Accelerators: 4,
 		})
 	}
 	l.Platform.SetHosts(platform.HostsUpdate{Hosts: list})
 	return l.Put(object.KindModel, Model, &m)
 }
 
+func centre(domain int, apart bool) string {
+	if !apart {
+		return "dc1"
+	}
+	return fmt.Sprintf("dc%d", domain+1)
+}
+
 // AddDaemons starts daemons and waits until they are ready and linked.
 func (l *Lab) AddDaemons(n int, options ...daemon.Option) error {
 	for i := range n {
