--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 GO ?= go
 
-.PHONY: all build test race lint spec demo fmt measure-config
+.PHONY: all build test race lint spec demo fmt measure-config capacity measure
 
 all: build lint test
 
@@ -30,3 +30,16 @@
 measure-config:
 	$(GO) test ./test/process -v -run 'TestConfiguration|TestWoken|TestDaemonCutOff|TestDaemonStarts|TestControlTraffic' -config-daemons 9 -config-changes 20
 	$(GO) test ./internal/core/conf ./internal/core/member ./internal/peer -run '^$$' -bench . -benchmem -benchtime 3s
+
+# capacity repeats the figures of docs/CAPACITY.md; it takes about five minutes.
+capacity: build
+	$(GO) run ./test/measure/capacity
+	$(GO) run ./test/measure/processes
+	$(GO) test ./internal/core/route -run '^$$' -bench Pick
+	$(GO) run ./test/measure/latency
+
+# measure repeats the figures of docs/measurements.md that are not in CAPACITY.md.
+measure: build
+	$(GO) run ./test/measure/claims
+	$(GO) run ./test/measure/datacentre
+	$(GO) test ./test/process -run TestGroupDowntime -measure -seed 7 -for 3m -v
--- a/test/measure/datacentre/main.go
+++ b/test/measure/datacentre/main.go
@@ -74,7 +74,7 @@
 	simple.ColdLimit = warmLimit
 	var lines []any
 	for _, p := range []policy{{"full load at once", simple, 1}, {"cold limits and ramp", ours, 10}} {
-		report, toppled, err := c.measure(p)
+		report, toppled, err := c.measure(p, ours)
 		if err != nil {
 			return errors.Wrap(err, p.name)
 		}
@@ -87,24 +87,27 @@
 	return draw(c.Plot, lines)
 }
 
-func (c *command) measure(p policy) (load.Report, int64, error) {
+// measure warms the engines up under the cold limits of a model and then runs a policy.
+func (c *command) measure(p policy, warming object.Model) (load.Report, int64, error) {
 	l, err := lab.New(3 * time.Millisecond)
 	if err != nil {
 		return load.Report{}, 0, err
 	}
 	defer l.Close()
-	if err := start(l, p); err != nil {
+	if err := start(l, p.ramp, warming); err != nil {
 		return load.Report{}, 0, err
 	}
 	o := load.Options{
 		Addresses: l.Callers, CallerKey: lab.Key, Kind: load.Streams, Model: lab.Model,
 		Rate: c.Rate, Deadline: deadline, MaxTokens: 50, Prompts: 100000, MaxInFlight: 4096, Seed: c.Seed,
 	}
-	// The engines warm up at a rate that they bear cold, before the run that counts.
 	o.Rate, o.Duration = warmUpRate, warmUp
 	if _, _, err := load.Run(context.Background(), o); err != nil {
 		return load.Report{}, 0, err
 	}
+	if err := l.Put(object.KindModel, lab.Model, &p.model); err != nil {
+		return load.Report{}, 0, err
+	}
 	o.Rate, o.Duration = c.Rate, length
 	before := toppled(l)
 	failed := make(chan error, 1)
@@ -119,9 +122,9 @@
 	return report, toppled(l) - before, nil
 }
 
-func start(l *lab.Lab, p policy) error {
+func start(l *lab.Lab, ramp int, m object.Model) error {
 	for n := range hosts / perDomain {
-		if err := l.Put(object.KindDataCentre, fmt.Sprintf("dc%d", n+1), &object.DataCentre{RampSeconds: p.ramp}); err != nil {
+		if err := l.Put(object.KindDataCentre, fmt.Sprintf("dc%d", n+1), &object.DataCentre{RampSeconds: ramp}); err != nil {
 			return err
 		}
 	}
@@ -130,7 +133,7 @@
 		Load: 2 * time.Second, Restart: time.Second, Poll: 100 * time.Millisecond, Prefixes: 64,
 		Warmth: warmth.Limits{Cold: coldLimit, WarmAfter: warmAfter},
 	}
-	if err := l.AddEngines(hosts, perDomain, true, p.model, o); err != nil {
+	if err := l.AddEngines(hosts, perDomain, true, m, o); err != nil {
 		return err
 	}
 	if err := l.AddDaemons(daemons); err != nil {
