Log how a request was served; drop what nothing uses

Cause: read as a newcomer: an effect, a kind of object and a field that nothing used, and delays that were measured but went nowhere. Change: removed; the answer's log line carries whether it was whole, the first token and the worst gap.

--- a/internal/core/request/end.go
+++ b/internal/core/request/end.go
@@ -145,7 +145,6 @@
 	}
 	m.closeClaim(now, c, &a, out)
 	c.used.Outcome, c.used.Attempt = a.Outcome, a.Attempt
-	c.used.Faulted = a.Code != step.CodeCancelled && a.Code != step.CodeKeyRunning && a.Code != step.CodeKeyDone
 	out.Add(a)
 	m.forget(now, c, out)
 }
@@ -201,7 +200,8 @@
 	}
 	out.Log(event.RequestAnswered, event.F("request", c.req.ID), event.F("customer", c.req.Customer),
 		event.F("outcome", c.used.Outcome), event.F("target", c.target), event.F("attempts", c.attempts),
-		event.F("millis", (now.Mono-c.arrived).Milliseconds()))
+		event.F("millis", (now.Mono-c.arrived).Milliseconds()), event.F("whole", c.used.Whole),
+		event.F("firstTokenMillis", c.used.FirstToken.Milliseconds()), event.F("worstGapMillis", c.used.WorstGap.Milliseconds()))
 }
 
 // OnGone takes the news that a caller left.
--- a/internal/core/request/request.go
+++ b/internal/core/request/request.go
@@ -66,8 +66,6 @@
 	Whole      bool
 	FirstToken time.Duration
 	WorstGap   time.Duration
-	// Faulted is false for requests whose failure was the caller's doing.
-	Faulted bool
 }
 
 // Parts are what a manager is made of.
--- a/internal/core/step/effect.go
+++ b/internal/core/step/effect.go
@@ -162,9 +162,6 @@
 // SetPeers names the daemons to link with.
 type SetPeers struct{ Peers []Peer }
 
-// DropConnections closes every pooled connection to an address.
-type DropConnections struct{ Address string }
-
 // SetWake asks for a Wake event at a monotonic time.
 type SetWake struct{ At time.Duration }
 
@@ -183,20 +180,19 @@
 	Fields []event.Field
 }
 
-func (Dispatch) effect()        {}
-func (Answer) effect()          {}
-func (Deliver) effect()         {}
-func (Cancel) effect()          {}
-func (GetObject) effect()       {}
-func (PutObject) effect()       {}
-func (DeleteObject) effect()    {}
-func (Probe) effect()           {}
-func (SendOrder) effect()       {}
-func (SendPeer) effect()        {}
-func (SetPeers) effect()        {}
-func (DropConnections) effect() {}
-func (SetWake) effect()         {}
-func (SetReady) effect()        {}
-func (SetConfig) effect()       {}
-func (Exit) effect()            {}
-func (Log) effect()             {}
+func (Dispatch) effect()     {}
+func (Answer) effect()       {}
+func (Deliver) effect()      {}
+func (Cancel) effect()       {}
+func (GetObject) effect()    {}
+func (PutObject) effect()    {}
+func (DeleteObject) effect() {}
+func (Probe) effect()        {}
+func (SendOrder) effect()    {}
+func (SendPeer) effect()     {}
+func (SetPeers) effect()     {}
+func (SetWake) effect()      {}
+func (SetReady) effect()     {}
+func (SetConfig) effect()    {}
+func (Exit) effect()         {}
+func (Log) effect()          {}
--- a/internal/daemon/effects.go
+++ b/internal/daemon/effects.go
@@ -36,8 +36,6 @@
 		}
 	case step.SetPeers:
 		d.setPeers(e.Peers)
-	case step.DropConnections:
-		d.targets.Drop(e.Address)
 	case step.SetWake:
 		d.setWake(e.At)
 	case step.SetReady:
--- a/internal/object/object.go
+++ b/internal/object/object.go
@@ -20,7 +20,6 @@
 	KindDaemon     Kind = "daemon"
 	KindClaim      Kind = "claim"
 	KindAccount    Kind = "account"
-	KindBurn       Kind = "burn"
 )
 
 // ConfigKinds are the kinds that operators write.
