--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -7,6 +7,8 @@
 package route
 
 import (
+	"slices"
+
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/fleet"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/rendezvous"
 )
@@ -59,7 +61,7 @@
 	for _, t := range targets {
 		load := Load(t)
 		sum += load
-		if !Free(t) || contains(tried, t.Name) || q.Avoid != nil && q.Avoid(t) {
+		if !Free(t) || slices.Contains(tried, t.Name) || q.Avoid != nil && q.Avoid(t) {
 			continue
 		}
 		cost := load
@@ -90,12 +92,3 @@
 	known := t.InFlight + t.PeerInFlight
 	return float64(max(known, t.Reported))
 }
-
-func contains(names []string, name string) bool {
-	for _, n := range names {
-		if n == name {
-			return true
-		}
-	}
-	return false
-}
