Fabric: a daemon that hears nobody takes no group for lost

The holder of control asks members for reports with 250 ms each, and two misses in a row are a loss. When it hears nobody for half a second, because it stands still itself or all paths do, two questions to a member of each group go unanswered, and it closed and aborted three groups of two data centres at one moment.

Ruled out: longer bounds of the questions (a loss would be found later each time), and the share of a data centre that is silent (few members of each had been asked twice by then).

Change: silence counts against a host only if another question, sent as late, was answered; otherwise the host is asked again at once. When nobody has answered for 1.5 s, silence counts again.

TestOwnSilenceIsNoLoss fails before (orders after a silence of 1 s); after: none after 0.3, 0.6 and 1 s, and a host that is lost meanwhile is replaced within 4 s. TestLastingSilenceIsALoss holds the bound.

--- a/internal/core/fabric/pool.go
+++ b/internal/core/fabric/pool.go
@@ -46,6 +46,11 @@
 	ordersAtOnce = 256
 	// deadMisses is the number of reports in a row that a dead host has not answered.
 	deadMisses = 2
+	// togetherFor is how far apart questions of one pass are sent: a tick and its carrying out.
+	togetherFor = 50 * time.Millisecond
+	// deafFor is how long nobody may answer before silence is taken for that of the hosts,
+	// and not of the daemon that asks or of the way to all of them.
+	deafFor = 1500 * time.Millisecond
 	// massShare is the share of a data centre's hosts whose silence is taken as a cut
 	// between here and there, not as their death.
 	massShare = 0.75
@@ -93,6 +98,10 @@
 	over  map[site.GroupID]time.Duration
 	ops   map[step.OpID]pending
 	loads []time.Duration // when loads were begun, oldest first
+	// answeredAsk is when the newest question that was answered was sent, heardAt when any
+	// answer last came.
+	answeredAsk time.Duration
+	heardAt     time.Duration
 	tally tally
 
 	active bool
@@ -190,6 +199,7 @@
 	clear(p.groups)
 	clear(p.over)
 	clear(p.ops)
+	p.heardAt = now
 	for name, h := range p.hosts {
 		h.pending, h.counted, h.asking, h.misses, h.answered = 0, false, false, 0, now
 		h.restUntil = max(h.restUntil, now+resting[name])
@@ -339,6 +349,12 @@
 		return
 	}
 	h.asking = false
+	if r.OK {
+		p.heardAt, p.answeredAsk = now, max(p.answeredAsk, r.Sent)
+	} else if !p.hears(now, r.Sent) {
+		h.suspected = true // to be asked again at once
+		return
+	}
 	if !r.OK || r.Report.Born != h.entry.Born {
 		h.misses++
 		if h.dead() && !h.silent {
@@ -354,6 +370,13 @@
 	}
 }
 
+// hears reports whether silence after a question tells of the host that was asked: some other
+// question, sent as late as this one, was answered. A daemon that stands still itself finds
+// all of its open questions unanswered at one moment, whichever groups they are about.
+func (p *Pool) hears(now, sent time.Duration) bool {
+	return p.answeredAsk >= sent-togetherFor || now-p.heardAt > deafFor
+}
+
 func (h *host) dead() bool { return h.misses >= deadMisses }
 
 // send sends an order that expects the host's count as it is known. It reports false if
--- a/internal/core/fabric/pool_test.go
+++ b/internal/core/fabric/pool_test.go
@@ -116,6 +116,38 @@
 	}
 }
 
+// TestOwnSilenceIsNoLoss lets nobody answer for a while, as when the daemon that asks stands
+// still itself: no group is closed. A host that is lost meanwhile is found right after.
+func TestOwnSilenceIsNoLoss(t *testing.T) {
+	for _, silence := range []time.Duration{300 * time.Millisecond, 600 * time.Millisecond, time.Second} {
+		w := started(t, 6)
+		m0, m1, orders := w.open("m0"), w.open("m1"), w.ops
+		w.silence(silence)
+		w.run(3 * time.Second)
+		require.Equal(t, orders, w.ops, "nothing was ordered after a silence of %v", silence)
+		lost := w.member("m0", false)
+		w.crash(lost)
+		w.silence(silence)
+		w.run(4 * time.Second)
+		require.Equal(t, m0, w.open("m0"))
+		require.Equal(t, m1, w.open("m1"))
+		require.Empty(t, w.broken)
+	}
+}
+
+// TestLastingSilenceIsALoss lets nobody answer any more: after a while the hosts count as lost,
+// although nothing shows that the daemon still hears.
+func TestLastingSilenceIsALoss(t *testing.T) {
+	w := started(t, 1)
+	for _, id := range w.ids {
+		w.engines[id].cut = true
+	}
+	w.run(deafFor + 2*time.Second)
+	for _, id := range w.ids {
+		require.True(t, w.pools[0].hosts[id].dead(), id)
+	}
+}
+
 // TestLostHeadRests crashes a head. It might be alive and cut off, so that its members
 // rest until it would have broken, and then serve again.
 func TestLostHeadRests(t *testing.T) {
--- a/internal/core/fabric/world_test.go
+++ b/internal/core/fabric/world_test.go
@@ -143,6 +143,18 @@
 	}
 }
 
+// silence lets time pass in which no engine can be reached.
+func (w *world) silence(d time.Duration) {
+	before := make(map[string]bool, len(w.ids))
+	for _, id := range w.ids {
+		before[id], w.engines[id].cut = w.engines[id].cut, true
+	}
+	w.run(d)
+	for _, id := range w.ids {
+		w.engines[id].cut = before[id]
+	}
+}
+
 func (w *world) tick(p *Pool) {
 	out := &step.Out{}
 	p.Tick(w.now, out)
