Gateway: hear of hosts from a nearby daemon instead of the store

Change: from eight daemons in a data centre most ask another one of it, over HTTP, for the changes after a revision. All order each other alike and ask only those before them; whoever is asked watches the store itself. Who has not heard the store for half of the time in which changes must be known refuses, and who does not answer is left for the store. Entries that come back in one batch are no longer taken for gone.

Tests: TestHostsFromNearbyDaemons (24 adapters: at most three asked, under two calls each in 2 s; all know in 2 s while the asked are silent, reset, or cut off from the store, and when the history is gone; fails with the bound for passing on raised threefold); TestNobodyAsksInACircle over drawn fleets and views.

--- a/cmd/rhubarbswitchd/gateway.go
+++ b/cmd/rhubarbswitchd/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/rhubarbswitch/rhubarbswitch/internal/config"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/gateway"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/logging"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/relay"
 	"github.com/rhubarbswitch/rhubarbswitch/platform"
 )
 
@@ -43,7 +44,11 @@
 	}
 	began := bootTime()
 	clock := func() time.Duration { return bootTime() - began }
-	d, err := gateway.New(set, log, platform.New(set.Platform, set.Daemon, log), clock)
+	adapter := platform.New(platform.Settings{
+		Store: set.Platform, Within: set.ChangeWithin.D(), Clock: clock, Log: log,
+		Self: relay.Daemon{Name: set.Daemon, DataCentre: set.DataCentre, Address: set.Links, Cores: set.Cores},
+	})
+	d, err := gateway.New(set, log, adapter, clock)
 	if err != nil {
 		return err
 	}
--- a/internal/config/gateway.go
+++ b/internal/config/gateway.go
@@ -23,6 +23,9 @@
 	Readiness string `json:"readiness"`
 	// Metrics is the address, host:port, of metrics and profiles; empty serves none.
 	Metrics string `json:"metrics"`
+	// Links is the address, host:port, on which other daemons ask for what this one hears of
+	// the platform; empty answers none.
+	Links string `json:"links"`
 	// Platform is the address, host:port, of the platform's store.
 	Platform string `json:"platform"`
 	// Cores is the part of the processor that this process may use. Larger daemons take on
@@ -102,8 +105,11 @@
 			return err
 		}
 	}
-	if g.Metrics != "" {
-		if err := checkAddress("metrics", g.Metrics); err != nil {
+	for _, a := range []struct{ field, address string }{{"metrics", g.Metrics}, {"links", g.Links}} {
+		if a.address == "" {
+			continue
+		}
+		if err := checkAddress(a.field, a.address); err != nil {
 			return err
 		}
 	}
--- a/internal/core/fabric/pool.go
+++ b/internal/core/fabric/pool.go
@@ -102,7 +102,7 @@
 	// answer last came.
 	answeredAsk time.Duration
 	heardAt     time.Duration
-	tally tally
+	tally       tally
 
 	active bool
 	epoch  uint64 // of the last formation
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -62,6 +62,8 @@
 	DaemonRejoined     ID = 6007
 	PlatformLost       ID = 8001
 	PlatformBack       ID = 8002
+	ChangesRelayed     ID = 8003
+	ChangesLost        ID = 8004
 )
 
 var catalogue = []Definition{
@@ -122,4 +124,6 @@
 	{DaemonRejoined, slog.LevelInfo, "daemon hears the platform or enough peers again", ""},
 	{PlatformLost, slog.LevelWarn, "platform not heard; serving on what is known", "Look at the platform's object API; see docs/operations/platform-outage.md."},
 	{PlatformBack, slog.LevelInfo, "platform heard again", ""},
+	{ChangesRelayed, slog.LevelInfo, "changes of hosts come from another daemon", ""},
+	{ChangesLost, slog.LevelInfo, "another daemon does not pass changes of hosts on; the platform is watched", "If frequent, look at the daemon named."},
 }
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -116,13 +116,16 @@
 	if d.set.Metrics != "" {
 		servers = append(servers, &http.Server{Addr: d.set.Metrics, Handler: side, ReadHeaderTimeout: headerTime})
 	}
+	if d.set.Links != "" {
+		servers = append(servers, &http.Server{Addr: d.set.Links, Handler: d.platform.Links(), ReadHeaderTimeout: headerTime})
+	}
 	var g errgroup.Group
 	g.Go(func() error { return served(front.Serve(callers)) })
 	for _, s := range servers[1:] {
 		g.Go(func() error { return served(s.ListenAndServe()) })
 	}
 	g.Go(func() error {
-		d.platform.Follow(ctx, Watcher{Clock: d.clock, Post: d.Post, Within: d.set.ChangeWithin.D(), Prompt: d.orders.Load})
+		d.platform.Follow(ctx, Watcher{Post: d.Post, Prompt: d.orders.Load})
 		return nil
 	})
 	g.Go(func() error { d.idle.sweep(ctx, d.idleTime); return nil })
--- a/internal/gateway/seam.go
+++ b/internal/gateway/seam.go
@@ -16,6 +16,8 @@
 	// Follow posts what the platform's store says of the deployment until the context
 	// ends, and registers this daemon there.
 	Follow(ctx context.Context, w Watcher)
+	// Links answers other daemons.
+	Links() http.Handler
 	// ReadLease and WriteLease carry out the effects of the same names.
 	ReadLease(ctx context.Context, r step.ReadLease) step.LeaseAnswered
 	WriteLease(ctx context.Context, w step.WriteLease) step.LeaseAnswered
@@ -25,10 +27,7 @@
 
 // Watcher is what follows the platform's store.
 type Watcher struct {
-	Clock func() time.Duration
-	Post  func(step.Event)
-	// Within is the time in which a change must be known.
-	Within time.Duration
+	Post func(step.Event)
 	// Prompt reports whether changes of hosts are needed sooner than they are cheap, and
 	// what others suspect is wanted at all.
 	Prompt func() bool
