Relay: count the watches of hosts in the test, not all calls

Counted by kind, 120 of 198 calls in 4 s were pages of the list of daemons, which the stand-in deals out by five; 80 were watches of servers, by four adapters: those that are asked, and two that were asked before all knew each other. Nobody gave up asking (no RS8004).

--- a/internal/stub/site/store.go
+++ b/internal/stub/site/store.go
@@ -56,6 +56,7 @@
 	faults  StoreFaults
 	writes  int
 	calls   int
+	watches map[string]int // calls by kind
 }
 
 // StoreFaults is what the store does wrong. Its own operators and servers write past them.
@@ -72,7 +73,7 @@
 
 // OpenStore starts an empty store.
 func OpenStore() (*Store, error) {
-	s := &Store{objects: make(map[string]map[string]Object), changed: make(chan struct{}), rev: 1}
+	s := &Store{objects: make(map[string]map[string]Object), watches: make(map[string]int), changed: make(chan struct{}), rev: 1}
 	local, err := serve.Open(s, serve.Hooks{})
 	s.Local = local
 	return s, err
@@ -124,6 +125,13 @@
 	return s.calls
 }
 
+// Watches returns the number of watches of a kind so far.
+func (s *Store) Watches(kind string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.watches[kind]
+}
+
 // Read decodes an object's spec, or reports false if there is none.
 func (s *Store) Read(kind, name string, into any) bool {
 	s.mu.Lock()
@@ -217,6 +225,9 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	s.mu.Lock()
+	s.watches[kind]++
+	s.mu.Unlock()
 	end := time.After(time.Duration(wait) * time.Millisecond)
 	for over := false; ; {
 		s.mu.Lock()
