Gateway: tell the daemon that orders of suspicions directly

Change: a daemon tells the holder of the lease over the links, by the address that the list of daemons has. While the holder is not known nothing is told, as before when the store was away.

--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -42,7 +42,9 @@
 	// which they count.
 	missing map[string]time.Duration
 	// told is when this daemon last told of an engine that brought nothing.
-	told      map[string]time.Duration
+	told map[string]time.Duration
+	// daemonAt is where other daemons take calls, by name.
+	daemonAt  map[string]string
 	out       map[string]bool // data centres that get no work
 	reachable bool
 	// outage tells that the store was away once, backAt when it last came back.
@@ -120,11 +122,10 @@
 	case step.SiteEvacuated:
 		s.onEvacuated(now.Mono, e, out)
 	case step.SiteDaemons:
-		s.book.SetDaemons(e.Names)
-		s.dealBudget(s.book.Daemons())
+		s.onDaemons(e)
 	case step.PlatformState:
 		s.onPlatform(now.Mono, e, out)
-	case step.HostsSuspected:
+	case step.HostSuspected:
 		s.onSuspected(e)
 	case step.ReportRead:
 		for _, p := range s.pools {
@@ -153,6 +154,17 @@
 	s.controlTick(now, out)
 }
 
+func (s *State) onDaemons(e step.SiteDaemons) {
+	names := make([]string, 0, len(e.Daemons))
+	s.daemonAt = make(map[string]string, len(e.Daemons))
+	for _, d := range e.Daemons {
+		names = append(names, d.Daemon)
+		s.daemonAt[d.Daemon] = d.Address
+	}
+	s.book.SetDaemons(names)
+	s.dealBudget(s.book.Daemons())
+}
+
 func (s *State) onConfig(now time.Duration, e step.SiteConfig, out *step.Out) {
 	if s.config != nil && e.Config.Version < s.config.Version {
 		out.Log(event.ConfigRefused, event.F("version", e.Config.Version), event.F("inForce", s.config.Version))
--- a/internal/core/gateway/gateway_test.go
+++ b/internal/core/gateway/gateway_test.go
@@ -58,6 +58,27 @@
 	x.do(step.SiteConfig{Revision: uint64(version), Config: c})
 }
 
+// daemons lists so many daemons, which take calls of others.
+func (x *table) daemons(n int) {
+	var e step.SiteDaemons
+	for i := range n {
+		e.Daemons = append(e.Daemons, step.Peer{Daemon: fmt.Sprintf("d%d", i), Address: fmt.Sprintf("d%d:1", i)})
+	}
+	x.do(e)
+}
+
+// held lets another daemon hold the lease.
+func (x *table) held(holder string) {
+	for ; ; x.now += 50 * time.Millisecond {
+		for _, e := range x.do(step.Tick{}) {
+			if w, ok := e.(step.WriteLease); ok {
+				x.do(step.LeaseAnswered{Op: w.Op, Status: step.ReplyConflict, Revision: 7, Lease: step.ControlLease{Holder: holder, Run: "r"}})
+				return
+			}
+		}
+	}
+}
+
 func (x *table) hosts(hosts ...site.Host) { x.do(step.SiteHosts{Full: true, Hosts: hosts}) }
 
 func plainHost(id string) site.Host {
@@ -202,13 +223,15 @@
 	told := func(x *table, f step.Forward) bool {
 		for _, e := range x.do(step.AnswerQuiet{ID: f.ID, Attempt: f.Attempt, TargetSilent: time.Second}) {
 			if tell, ok := e.(step.TellSuspect); ok {
-				require.Equal(t, f.Host, tell.Host)
+				require.Equal(t, step.TellSuspect{Daemon: "d1", Address: "d1:1", Host: f.Host}, tell)
 				return true
 			}
 		}
 		return false
 	}
 	few := ready(t)
+	few.daemons(2)
+	few.held("d1")
 	_, effects := few.call("/chat/1", "key")
 	require.False(t, told(few, few.sent(effects)))
 
@@ -222,6 +245,10 @@
 	many.hosts(hosts...)
 	_, effects = many.call("/chat/1", "key")
 	f := many.sent(effects)
+	require.False(t, told(many, f), "nobody is known to order the groups")
+	many.daemons(2)
+	many.held("d1")
+	many.now += tellAgain
 	require.True(t, told(many, f))
 	require.False(t, told(many, f), "it was told just now")
 	many.now += tellAgain
@@ -232,7 +259,7 @@
 
 func TestRetriesKeepToTheBudget(t *testing.T) {
 	x := ready(t)
-	x.do(step.SiteDaemons{Names: []string{"d0", "d1", "d2", "d3", "d4", "d5", "d6", "d7", "d8", "d9"}})
+	x.daemons(10)
 	again := 0
 	for i := range 200 {
 		id := step.RequestID(string(rune('A'+i%26)) + string(rune('a'+i/26)))
--- a/internal/core/gateway/suspect.go
+++ b/internal/core/gateway/suspect.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// tellers is the number of daemons, about, that tell of one engine: each that does costs
-	// a call, and those whose requests run there see the same at the same time.
+	// tellers is the number of daemons, about, that tell of one engine: those whose requests
+	// run there see the same at the same time.
 	tellers = 12
 	// tellAgain is how long a daemon does not tell of the same engine again.
 	tellAgain = 2 * time.Second
@@ -32,21 +32,21 @@
 		s.pools[h.Service].Suspect(host)
 		return
 	}
+	holder := s.lease.Standing().Holder
+	address := s.daemonAt[holder]
+	if address == "" {
+		return // it finds out without
+	}
 	turn := rendezvous.Mix(rendezvous.Hash(s.set.Daemon)^rendezvous.Hash(host)+uint64(now)) % uint64(s.book.Daemons())
 	if turn >= tellers || !s.pools[h.Service].WantsSuspects() {
 		return
 	}
-	out.Log(event.HostSuspected, event.F("host", host))
-	out.Add(step.TellSuspect{Host: host})
+	out.Log(event.HostSuspected, event.F("host", host), event.F("daemon", holder))
+	out.Add(step.TellSuspect{Daemon: holder, Address: address, Host: host})
 }
 
-func (s *State) onSuspected(e step.HostsSuspected) {
-	if !s.control {
-		return
-	}
-	for _, host := range e.Hosts {
-		if h := s.hosts[host]; h != nil && s.pools[h.Service] != nil {
-			s.pools[h.Service].Suspect(host)
-		}
+func (s *State) onSuspected(e step.HostSuspected) {
+	if h := s.hosts[e.Host]; s.control && h != nil && s.pools[h.Service] != nil {
+		s.pools[h.Service].Suspect(e.Host)
 	}
 }
--- a/internal/core/step/gateway.go
+++ b/internal/core/step/gateway.go
@@ -96,14 +96,19 @@
 // SiteEvacuated lists the data centres that must get no work.
 type SiteEvacuated struct{ DataCentres []string }
 
-// SiteDaemons lists the daemons of the deployment.
-type SiteDaemons struct{ Names []string }
+// SiteDaemons lists the daemons of the deployment. An address is where other daemons reach
+// one; empty if it takes no calls of them.
+type SiteDaemons struct{ Daemons []Peer }
 
-// TellSuspect tells the daemon that orders the groups of an engine that brings nothing.
-type TellSuspect struct{ Host string }
+// TellSuspect tells a daemon, which orders the groups, of an engine that brings nothing.
+type TellSuspect struct {
+	Daemon  string
+	Address string
+	Host    string
+}
 
-// HostsSuspected are engines of which other daemons told that they bring nothing.
-type HostsSuspected struct{ Hosts []string }
+// HostSuspected is an engine of which another daemon told that it brings nothing.
+type HostSuspected struct{ Host string }
 
 // AskReport asks an engine for its report.
 type AskReport struct {
@@ -234,7 +239,7 @@
 func (SiteHosts) event()          {}
 func (SiteEvacuated) event()      {}
 func (SiteDaemons) event()        {}
-func (HostsSuspected) event()     {}
+func (HostSuspected) event()      {}
 func (ReportRead) event()         {}
 func (GroupOrderAnswered) event() {}
 func (LeaseAnswered) event()      {}
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -26,6 +26,7 @@
 	"github.com/rhubarbswitch/rhubarbswitch/internal/event"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/logging"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/loop"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/relay"
 )
 
 const (
@@ -70,6 +71,7 @@
 	stopping atomic.Bool
 	orders   atomic.Bool // this daemon orders the groups
 	targets  *targets
+	teller   *relay.Teller
 	idle     idleConns
 	work     sync.WaitGroup
 }
@@ -83,7 +85,7 @@
 	d := &Daemon{
 		set: set, log: log, platform: p, run: id.String(), clock: clock,
 		events: make(chan step.Event, eventQueue), exit: make(chan struct{}),
-		targets: newTargets(clock),
+		targets: newTargets(clock), teller: relay.NewTeller(),
 	}
 	d.state = core.New(core.Settings{
 		Daemon: set.Daemon, Run: d.run, DataCentre: set.DataCentre, Cores: set.Cores,
@@ -117,7 +119,7 @@
 		servers = append(servers, &http.Server{Addr: d.set.Metrics, Handler: side, ReadHeaderTimeout: headerTime})
 	}
 	if d.set.Links != "" {
-		servers = append(servers, &http.Server{Addr: d.set.Links, Handler: d.platform.Links(), ReadHeaderTimeout: headerTime})
+		servers = append(servers, &http.Server{Addr: d.set.Links, Handler: d.links(), ReadHeaderTimeout: headerTime})
 	}
 	var g errgroup.Group
 	g.Go(func() error { return served(front.Serve(callers)) })
@@ -138,9 +140,18 @@
 		_ = s.Close()
 	}
 	d.targets.close()
+	d.teller.Close()
 	return g.Wait()
 }
 
+// links answers other daemons.
+func (d *Daemon) links() http.Handler {
+	mux := chi.NewRouter()
+	mux.Handle(relay.Path, d.platform.Changes())
+	mux.Handle(relay.SuspectPath, relay.Suspects(func(host string) { d.Post(step.HostSuspected{Host: host}) }))
+	return mux
+}
+
 func served(err error) error {
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
@@ -239,7 +250,11 @@
 			d.Post(a)
 		})
 	case step.TellSuspect:
-		d.work.Go(func() { d.platform.TellSuspect(ctx, e) })
+		d.work.Go(func() {
+			if err := d.teller.Tell(ctx, e.Address, e.Host); err != nil {
+				d.log.Debug("suspicion not told", "host", e.Host, "daemon", e.Daemon, "error", err)
+			}
+		})
 	case step.SetReady:
 		d.ready.Store(e.Ready)
 		loop.CountReady(e.Ready)
--- a/internal/gateway/seam.go
+++ b/internal/gateway/seam.go
@@ -16,20 +16,17 @@
 	// Follow posts what the platform's store says of the deployment until the context
 	// ends, and registers this daemon there.
 	Follow(ctx context.Context, w Watcher)
-	// Links answers other daemons.
-	Links() http.Handler
+	// Changes answers other daemons that ask for changes of hosts.
+	Changes() http.Handler
 	// ReadLease and WriteLease carry out the effects of the same names.
 	ReadLease(ctx context.Context, r step.ReadLease) step.LeaseAnswered
 	WriteLease(ctx context.Context, w step.WriteLease) step.LeaseAnswered
-	// TellSuspect carries out the effect of the same name.
-	TellSuspect(ctx context.Context, t step.TellSuspect)
 }
 
 // Watcher is what follows the platform's store.
 type Watcher struct {
 	Post func(step.Event)
-	// Prompt reports whether changes of hosts are needed sooner than they are cheap, and
-	// what others suspect is wanted at all.
+	// Prompt reports whether changes of hosts are needed sooner than they are cheap.
 	Prompt func() bool
 }
 
--- a/internal/stub/soak/daemon.go
+++ b/internal/stub/soak/daemon.go
@@ -18,7 +18,7 @@
 )
 
 const (
-	callersPort, readinessPort, markPort = 8000, 8001, 8002
+	callersPort, readinessPort, markPort, linksPort = 8000, 8001, 8002, 8003
 	// stopWithin is how long a stop may take after SIGTERM: the grace, and time to end.
 	stopWithin = site.Grace + 2*time.Second
 	// MostDaemons is the number of daemons for which a run has addresses.
@@ -77,7 +77,9 @@
 	if d.store, err = cutter.Open("127.0.0.1:0", r.site.Store.Address); err != nil {
 		return nil, err
 	}
-	settings, err := json.Marshal(r.site.Settings(d.name, zones[i%len(zones)], callers, d.ready, d.store.Address()))
+	set := r.site.Settings(d.name, zones[i%len(zones)], callers, d.ready, d.store.Address())
+	set["links"] = fmt.Sprintf("%s:%d", ip, linksPort)
+	settings, err := json.Marshal(set)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode settings")
 	}
