Gateway: leave a domain whose heads can't be reached

When a domain goes dark its heads answer nobody, seem to have nothing to do, and are chosen one after the other; and an attempt that reached nobody counted like one that was refused.

Change: each head that can't be reached makes the others of its domain seem 100 ms further away, until one of them is heard or 2 s are over. Attempts that reached nobody have a bound of their own, 12.

TestDarkDomainIsLeft and TestUnreachableTargetsAreNoAttempts fail before.

--- a/internal/core/gateway/calls.go
+++ b/internal/core/gateway/calls.go
@@ -17,8 +17,10 @@
 	// budgetPart is the part of the shared retry budget that is used: windows slide, and
 	// daemons come and go.
 	budgetPart = 0.8
-	// maxSends bounds how often one request is sent, those included that targets refused.
-	maxSends = 4
+	// maxSends bounds how often one request reaches a target, those included that refused it,
+	// and maxUnsent how often one could not be reached: that costs only the time of a dial.
+	maxSends  = 4
+	maxUnsent = 12
 	// patienceFactor is how many times its estimate a first event may take, and
 	// patienceLeast is added to it, before the target is doubted.
 	patienceFactor = 3
@@ -48,6 +50,7 @@
 	deadline time.Duration
 
 	sends   int // attempts begun
+	unsent  int // of these, that reached nobody
 	ran     int // attempts that may have run
 	attempt step.AttemptID
 	host    string
@@ -227,13 +230,19 @@
 
 // mayMove reports whether a running attempt may be given up for another target.
 func (s *State) mayMove(now time.Duration, c *call) bool {
-	if !c.route.MayRepeat() || c.sends >= maxSends || c.ran+1 >= c.route.MaxTargets {
+	if !c.route.MayRepeat() || c.spent() || c.ran+1 >= c.route.MaxTargets {
 		return false
 	}
 	ask := place.Ask{Service: c.service, Model: s.model(c), Prompt: c.req.PromptTokens, Left: c.deadline - now, Avoid: append(c.failed, c.host)}
-	return s.book.Choose(now, ask).Target != nil && s.budget.Allow(c.sends)
+	return s.book.Choose(now, ask).Target != nil && s.budget.Allow(c.reached())
 }
 
+// reached is the number of attempts that may have reached a target, and spent reports
+// whether there may be no more.
+func (c *call) reached() int { return c.sends - c.unsent }
+
+func (c *call) spent() bool { return c.reached() >= maxSends || c.unsent >= maxUnsent }
+
 func (s *State) onEnded(now time.Duration, e step.ForwardEnded, out *step.Out) {
 	c := s.calls[e.ID]
 	if c == nil || c.attempt != e.Attempt {
@@ -248,6 +257,7 @@
 		Declined: e.Ending == step.EndedRefused,
 	})
 	if e.Ending == step.EndedUnsent {
+		c.unsent++
 		s.suspect(now, c.host, out)
 	}
 	if ran {
@@ -275,7 +285,7 @@
 	// A move has paid for its next send when it was decided, and what never left has not
 	// reached anybody.
 	free := moving || e.Ending == step.EndedUnsent
-	if !may || now >= c.deadline || c.sends >= maxSends || !free && !s.budget.Allow(c.sends) {
+	if !may || now >= c.deadline || c.spent() || !free && !s.budget.Allow(c.reached()) {
 		if c.answer {
 			out.Add(step.Deliver{ID: c.req.ID, Attempt: c.attempt})
 			s.forget(now, c, "target failed", out)
--- a/internal/core/gateway/gateway_test.go
+++ b/internal/core/gateway/gateway_test.go
@@ -257,6 +257,29 @@
 	require.False(t, told(many, many.sent(effects)), "nobody orders a plain service")
 }
 
+// TestUnreachableTargetsAreNoAttempts has more targets in a row unreachable than attempts are
+// allowed: none of them had the request, and the next one answers it.
+func TestUnreachableTargetsAreNoAttempts(t *testing.T) {
+	x := ready(t)
+	hosts := []site.Host{plainHost("a")}
+	for i := range 2 * maxUnsent {
+		hosts = append(hosts, openHead(fmt.Sprintf("e%d", i)))
+	}
+	x.hosts(hosts...)
+	_, effects := x.call("/chat/1", "key")
+	for range maxUnsent - 1 {
+		effects = x.ended(x.sent(effects), step.EndedUnsent, 0)
+	}
+	f := x.sent(effects)
+	require.NotEmpty(t, x.ended(f, step.EndedWhole, 200))
+
+	_, effects = x.call("/chat/1", "key")
+	for range maxUnsent {
+		effects = x.ended(x.sent(effects), step.EndedUnsent, 0)
+	}
+	require.Equal(t, 503, x.answered(effects).Status, "nobody has it")
+}
+
 func TestRetriesKeepToTheBudget(t *testing.T) {
 	x := ready(t)
 	x.daemons(10)
--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -28,6 +28,11 @@
 	// one fresh failure adds to a target's estimate.
 	failureHalf = 5 * time.Second
 	failureCost = 200 * time.Millisecond
+	// darkCost is what each host of a domain that could not be reached adds to the estimates of
+	// the others there, until one of them is heard or darkFor is over: a domain that has lost
+	// its power or its network takes all heads with it, and each costs the time of a dial.
+	darkCost = 100 * time.Millisecond
+	darkFor  = 2 * time.Second
 	// remoteCost is what another data centre adds: its round trip and the bytes between.
 	remoteCost = time.Millisecond
 	// toldHalf is the time in which what a target told of its load is worth half: about the
@@ -91,12 +96,43 @@
 	targets    map[string]*Target
 	pools      map[poolKey][]*Target
 	daemons    []string
-	coldRates  map[string]float64 // by service
+	dark       map[string]*darkness // by domain
+	coldRates  map[string]float64   // by service
 }
 
 // New returns an empty book of one daemon.
 func New(self, dataCentre string) *Book {
-	return &Book{self: self, dataCentre: dataCentre, targets: make(map[string]*Target), pools: make(map[poolKey][]*Target)}
+	return &Book{
+		self: self, dataCentre: dataCentre, targets: make(map[string]*Target), pools: make(map[poolKey][]*Target),
+		dark: make(map[string]*darkness),
+	}
+}
+
+// darkness is what speaks against all hosts of a domain.
+type darkness struct {
+	unreached map[string]bool // hosts, since any was heard
+	until     time.Duration
+}
+
+// unreachable notes that a host could not be reached.
+func (b *Book) unreachable(now time.Duration, h *site.Host) {
+	if h.Domain == "" {
+		return
+	}
+	d := b.dark[h.Domain]
+	if d == nil || now >= d.until {
+		d = &darkness{unreached: make(map[string]bool)}
+		b.dark[h.Domain] = d
+	}
+	d.unreached[h.ID], d.until = true, now+darkFor
+}
+
+// darkness is the number of a domain's hosts that could not be reached since any was heard.
+func (b *Book) darkness(now time.Duration, domain string) int {
+	if d := b.dark[domain]; d != nil && now < d.until {
+		return len(d.unreached)
+	}
+	return 0
 }
 
 // SetDaemons tells the daemons that share what cold targets bear.
@@ -211,7 +247,7 @@
 	if t.Host.DataCentre != b.dataCentre {
 		cost += remoteCost
 	}
-	return cost
+	return cost + time.Duration(b.darkness(now, t.Host.Domain))*darkCost
 }
 
 func (b *Book) none(full bool, a Ask) Choice {
@@ -253,6 +289,7 @@
 		t.reading = max(0, t.reading-prompt)
 		t.trust()
 		t.told(now, load)
+		delete(b.dark, t.Host.Domain)
 	}
 }
 
@@ -286,6 +323,12 @@
 		t.reading = max(0, t.reading-o.Prompt)
 	}
 	t.told(now, o.Load)
+	switch {
+	case o.Silent:
+		b.unreachable(now, &t.Host)
+	case o.Declined:
+		delete(b.dark, t.Host.Domain)
+	}
 	if o.Failed {
 		t.fail(now)
 	}
--- a/internal/core/place/place_test.go
+++ b/internal/core/place/place_test.go
@@ -223,3 +223,39 @@
 		}
 	}
 }
+
+// TestDarkDomainIsLeft lets heads of one domain be unreachable, as when it has lost its power:
+// after the first the request goes to another domain, though that has more to do. A head that
+// answers there, or time, ends that.
+func TestDarkDomainIsLeft(t *testing.T) {
+	heads := make([]*site.Host, 8)
+	for i := range heads {
+		heads[i] = head(fmt.Sprintf("h%d", i), "m0")
+		heads[i].Domain = []string{"dark", "lit"}[i/4]
+	}
+	b := bookOf(heads...)
+	for _, h := range heads[4:] {
+		for range 6 {
+			b.Begin(h.ID, 0)
+		}
+	}
+	a := ask("m0")
+	chosen := func(now time.Duration) string {
+		c := b.Choose(now, a)
+		require.NotNil(t, c.Target)
+		return c.Target.Host.ID
+	}
+	first := chosen(0)
+	require.Equal(t, "dark", b.Target(first).Host.Domain, "its heads seem to have less to do")
+	b.Begin(first, 1000)
+	b.End(0, first, Outcome{Prompt: 1000, Silent: true})
+	a.Avoid = []string{first}
+	for at := time.Duration(0); at < darkFor; at += darkFor / 4 {
+		require.Equal(t, "lit", b.Target(chosen(at)).Host.Domain)
+	}
+	require.Equal(t, "dark", b.Target(chosen(darkFor)).Host.Domain)
+	b.End(darkFor, first, Outcome{Silent: true})
+	require.Equal(t, "lit", b.Target(chosen(darkFor)).Host.Domain)
+	b.Began(darkFor, "h1", 0, site.Load{})
+	require.Equal(t, "dark", b.Target(chosen(darkFor)).Host.Domain)
+}
