Gateway: start with no retries saved up, and never fill them anew

Cause: read while looking at how retries are dealt. Each daemon has its part of the slack that all share. A process that started had its part at once, although the one before it may just have spent it; so did a daemon whose settings were read again, and one that had learned of another daemon had its new, smaller part full. All daemons killed at once, or told to read their settings again and again, could pass the bound of the deployment.

Change: the budget starts empty, requests fill it, and what is saved up is cut, not refilled, when the part changes.

The other tests of the reducer begin with the budget that earlier requests would have filled.

--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -75,6 +75,7 @@
 		book:    place.New(set.Daemon, set.DataCentre),
 		calls:   make(map[step.RequestID]*call),
 		pools:   make(map[string]*fabric.Pool),
+		budget:  retry.Empty(retry.Settings{}),
 	}
 	s.lease = fabric.NewLease(set.Daemon, set.Run, set.Cores, s.nextOp)
 	s.dealBudget(1)
@@ -276,14 +277,15 @@
 	}
 }
 
-// dealBudget gives this daemon its part of the slack that all daemons share. What is
-// saved up is capped, and starts full only once: more daemons make it smaller.
+// dealBudget gives this daemon its part of the slack that all daemons share. What is saved up
+// is capped by it and starts empty: nothing that happens to daemons, or to what they know of
+// each other, may raise the sum.
 func (s *State) dealBudget(daemons int) {
 	if daemons == s.daemons {
 		return
 	}
 	s.daemons = daemons
-	s.budget = retry.New(retry.Settings{
+	s.budget.Set(retry.Settings{
 		Share: s.set.Bounds.RetryShare * budgetPart, Most: s.set.Bounds.RetrySlack * budgetPart / float64(daemons), Attempts: maxSends,
 	})
 }
--- a/internal/core/gateway/gateway_test.go
+++ b/internal/core/gateway/gateway_test.go
@@ -92,13 +92,23 @@
 	}
 }
 
-func ready(t *testing.T) *table {
+// started knows a configuration and hosts, and has had no request.
+func started(t *testing.T) *table {
 	x := newTable(t)
 	x.configure(1)
 	x.hosts(plainHost("a"), plainHost("b"), openHead("h1"), openHead("h2"))
 	return x
 }
 
+// ready has had enough requests to have saved up all retries that it may.
+func ready(t *testing.T) *table {
+	x := started(t)
+	for range 1000 {
+		x.s.budget.Started()
+	}
+	return x
+}
+
 func (x *table) call(path, key string) (step.RequestID, []step.Effect) {
 	x.calls++
 	id := step.RequestID([]string{"", "q1", "q2", "q3", "q4", "q5", "q6", "q7", "q8"}[x.calls])
