--- a/test/process/soak_test.go
+++ b/test/process/soak_test.go
@@ -17,17 +17,32 @@
 
 var soakFor = flag.Duration("soak-for", 10*time.Second, "time in which each run of TestSoak is disturbed")
 
-// TestSoak makes short runs of the fault soak: two seeds, and each that ever found
-// something. More seeds are run with rhubarbstub soak.
+// manyDaemons is the number of daemons, in two data centres, of which most hear of hosts from
+// another one.
+const manyDaemons = 18
+
+// TestSoak makes short runs of the fault soak: two seeds, one of them also with many daemons,
+// and each that ever found something. More seeds are run with rhubarbstub soak.
 func TestSoak(t *testing.T) {
 	if testing.Short() {
 		t.Skip("takes half a minute")
 	}
-	for _, seed := range append([]uint64{1, 2}, knownSeeds(t)...) {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+	type trial struct {
+		seed    uint64
+		daemons int
+	}
+	usual := soak.Defaults().Daemons
+	runs := []trial{{1, usual}, {2, usual}, {2, manyDaemons}}
+	for _, seed := range knownSeeds(t) {
+		runs = append(runs, trial{seed, usual})
+	}
+	for _, run := range runs {
+		seed := run.seed
+		t.Run(fmt.Sprintf("%d with %d", seed, run.daemons), func(t *testing.T) {
 			t.Parallel()
 			set := soak.Defaults()
 			set.Program, set.Seed, set.Length, set.Logs = filepath.Join(binaries, "rhubarbswitchd"), seed, *soakFor, t.TempDir()
+			set.Daemons = run.daemons
 			report, err := soak.Run(t.Context(), set)
 			require.NoError(t, err)
 			for _, f := range report.Findings {
