Gateway: let only requests that have begun tell how much a model lags

A request that waits at a lost head counted too, so that each loss made the next one take longer to notice.

--- a/internal/core/gateway/calls.go
+++ b/internal/core/gateway/calls.go
@@ -222,9 +222,6 @@
 	if c.route.Kind == site.Stream && e.TargetSilent < pauseLeast {
 		return // it serves others: this one waits its turn
 	}
-	if !c.began {
-		s.book.Took(now, c.service, s.model(c), now-c.sentAt, c.firstBy)
-	}
 	s.book.Doubt(now, c.host)
 	s.suspect(now, c.host, out)
 	if !s.mayMove(now, c) {
--- a/internal/core/place/lag.go
+++ b/internal/core/place/lag.go
@@ -30,8 +30,8 @@
 	return 1 + l.over*math.Exp2(-float64(now-l.at)/float64(lagHalf))
 }
 
-// Took notes how long a request took to begin, or has been waiting for that, and what was
-// estimated.
+// Took notes how long a request took to begin, and what was estimated. One that has not begun
+// tells nothing: its target may be lost.
 func (b *Book) Took(now time.Duration, service, model string, took, estimate time.Duration) {
 	if estimate <= 0 {
 		return
