Gateway: count retries over a window instead of saving them up

A bucket that bounds any window must hold no more than the slack, 2.8 retries for each of 87 daemons; what calm seconds would allow was lost.

Change: each daemon counts requests and retries over the last window and allows the share of those requests that every window around this moment holds, and its part of the slack. A process that starts has no slack until it is as old as the window, and counts half of its requests. The window's length is a setting now.

--- a/internal/config/gateway.go
+++ b/internal/config/gateway.go
@@ -34,9 +34,11 @@
 	// MemoryMiB is the memory that this process may use.
 	MemoryMiB int `json:"memoryMiB" bounds:"32..1048576"`
 	// RetryShare and RetrySlack bound, over all daemons, the requests that are sent again
-	// within some seconds: a share of the requests, and a number beside it.
+	// within any RetryWindow: a share of the requests, and a number beside it.
 	RetryShare float64 `json:"retryShare" bounds:"0..10"`
 	RetrySlack float64 `json:"retrySlack" bounds:"0..1000000"`
+	// RetryWindow is the time for which they hold.
+	RetryWindow Duration `json:"retryWindow" bounds:"1s..1h"`
 	// EngineStall is how long an engine that lost a member of its group stands still.
 	EngineStall Duration `json:"engineStall" bounds:"0s..10m"`
 	// ChangeWithin is the time in which a change that operators make, or a host that
@@ -51,7 +53,7 @@
 // DefaultGateway returns the settings used where a file gives none.
 func DefaultGateway() *Gateway {
 	return &Gateway{
-		Cores: 1, MemoryMiB: 256, RetryShare: 0.1, RetrySlack: 50,
+		Cores: 1, MemoryMiB: 256, RetryShare: 0.1, RetrySlack: 50, RetryWindow: Duration(10 * time.Second),
 		EngineStall: Duration(5 * time.Second), ChangeWithin: Duration(2 * time.Second), Grace: Duration(8 * time.Second), Log: Default().Log,
 	}
 }
--- a/internal/core/gateway/calls.go
+++ b/internal/core/gateway/calls.go
@@ -72,7 +72,7 @@
 		return
 	}
 	s.calls[r.ID] = c
-	s.budget.Started()
+	s.budget.Started(now)
 	s.place(now, c, step.Answer{}, out)
 }
 
@@ -239,7 +239,7 @@
 		return false
 	}
 	ask := place.Ask{Service: c.service, Model: s.model(c), Prompt: c.req.PromptTokens, Left: c.deadline - now, Avoid: append(c.failed, c.host)}
-	return s.book.Choose(now, ask).Target != nil && s.budget.Allow(c.reached())
+	return s.book.Choose(now, ask).Target != nil && s.budget.Allow(now, c.reached())
 }
 
 // reached is the number of attempts that may have reached a target, and spent reports
@@ -290,7 +290,7 @@
 	// A move has paid for its next send when it was decided, and what never left has not
 	// reached anybody.
 	free := moving || e.Ending == step.EndedUnsent
-	if !may || now >= c.deadline || c.spent() || !free && !s.budget.Allow(c.reached()) {
+	if !may || now >= c.deadline || c.spent() || !free && !s.budget.Allow(now, c.reached()) {
 		if c.answer {
 			out.Add(step.Deliver{ID: c.req.ID, Attempt: c.attempt})
 			s.forget(now, c, "target failed", out)
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -52,7 +52,7 @@
 	backAt time.Duration
 
 	book    *place.Book
-	budget  *retry.Budget
+	budget  *retry.Window
 	daemons int // that the budget is dealt over
 	calls   map[step.RequestID]*call
 	lease   *fabric.Lease
@@ -75,10 +75,10 @@
 		book:    place.New(set.Daemon, set.DataCentre),
 		calls:   make(map[step.RequestID]*call),
 		pools:   make(map[string]*fabric.Pool),
-		budget:  retry.Empty(retry.Settings{}),
+		budget:  retry.NewWindow(0),
 	}
 	s.lease = fabric.NewLease(set.Daemon, set.Run, set.Cores, s.nextOp)
-	s.dealBudget(1)
+	s.dealBudget(0, 1)
 	return s
 }
 
@@ -112,7 +112,7 @@
 	case step.Bounds:
 		s.set.Bounds = e
 		s.daemons = 0
-		s.dealBudget(s.book.Daemons())
+		s.dealBudget(now.Mono, s.book.Daemons())
 		for _, p := range s.pools {
 			p.SetStall(e.Stall)
 		}
@@ -123,7 +123,7 @@
 	case step.SiteEvacuated:
 		s.onEvacuated(now.Mono, e, out)
 	case step.SiteDaemons:
-		s.onDaemons(e)
+		s.onDaemons(now.Mono, e)
 	case step.PlatformState:
 		s.onPlatform(now.Mono, e, out)
 	case step.HostSuspected:
@@ -155,7 +155,7 @@
 	s.controlTick(now, out)
 }
 
-func (s *State) onDaemons(e step.SiteDaemons) {
+func (s *State) onDaemons(now time.Duration, e step.SiteDaemons) {
 	names := make([]string, 0, len(e.Daemons))
 	s.daemonAt = make(map[string]string, len(e.Daemons))
 	for _, d := range e.Daemons {
@@ -163,7 +163,7 @@
 		s.daemonAt[d.Daemon] = d.Address
 	}
 	s.book.SetDaemons(names)
-	s.dealBudget(s.book.Daemons())
+	s.dealBudget(now, s.book.Daemons())
 }
 
 func (s *State) onConfig(now time.Duration, e step.SiteConfig, out *step.Out) {
@@ -277,15 +277,14 @@
 	}
 }
 
-// dealBudget gives this daemon its part of the slack that all daemons share. What is saved up
-// is capped by it and starts empty: nothing that happens to daemons, or to what they know of
-// each other, may raise the sum.
-func (s *State) dealBudget(daemons int) {
+// dealBudget gives this daemon its part of the slack that all daemons share.
+func (s *State) dealBudget(now time.Duration, daemons int) {
 	if daemons == s.daemons {
 		return
 	}
 	s.daemons = daemons
-	s.budget.Set(retry.Settings{
-		Share: s.set.Bounds.RetryShare * budgetPart, Most: s.set.Bounds.RetrySlack * budgetPart / float64(daemons), Attempts: maxSends,
+	s.budget.Set(now, retry.WindowSettings{
+		Share: s.set.Bounds.RetryShare * budgetPart, Slack: s.set.Bounds.RetrySlack * budgetPart / float64(daemons),
+		Length: s.set.Bounds.RetryWindow, Attempts: maxSends,
 	})
 }
--- a/internal/core/retry/retry.go
+++ b/internal/core/retry/retry.go
@@ -24,13 +24,6 @@
 // New returns a full budget.
 func New(set Settings) *Budget { return &Budget{set: set, left: set.Most} }
 
-// Empty returns a budget that requests have to fill first. A daemon that starts again with a
-// full one would spend its part of a shared bound twice.
-func Empty(set Settings) *Budget { return &Budget{set: set} }
-
-// Set replaces the settings. What is saved up is cut to the new bound, never raised.
-func (b *Budget) Set(set Settings) { b.set, b.left = set, min(b.left, set.Most) }
-
 // Started notes a first attempt.
 func (b *Budget) Started() { b.left = min(b.left+b.set.Share, b.set.Most) }
 
--- a/internal/core/step/gateway.go
+++ b/internal/core/step/gateway.go
@@ -74,6 +74,8 @@
 	// a share of the requests, and a number beside it.
 	RetryShare float64
 	RetrySlack float64
+	// RetryWindow is the time, any of that length, for which that holds.
+	RetryWindow time.Duration
 	// Stall is how long an engine that lost a member of its group stands still.
 	Stall time.Duration
 	// Grace is how long a stopping daemon may take.
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -90,7 +90,7 @@
 	d.state = core.New(core.Settings{
 		Daemon: set.Daemon, Run: d.run, DataCentre: set.DataCentre, Cores: set.Cores,
 		Bounds: step.Bounds{
-			RetryShare: set.RetryShare, RetrySlack: set.RetrySlack, Stall: set.EngineStall.D(), Grace: set.Grace.D(),
+			RetryShare: set.RetryShare, RetrySlack: set.RetrySlack, RetryWindow: set.RetryWindow.D(), Stall: set.EngineStall.D(), Grace: set.Grace.D(),
 		},
 	})
 	return d, nil
@@ -167,10 +167,10 @@
 
 // Reload takes up settings that were read again. Addresses and names need a restart.
 func (d *Daemon) Reload(set *config.Gateway) {
-	d.record(event.SettingsRead, event.F("retryShare", set.RetryShare), event.F("retrySlack", set.RetrySlack),
+	d.record(event.SettingsRead, event.F("retryShare", set.RetryShare), event.F("retrySlack", set.RetrySlack), event.F("retryWindow", set.RetryWindow),
 		event.F("engineStall", set.EngineStall), event.F("grace", set.Grace))
 	d.Post(step.Bounds{
-		RetryShare: set.RetryShare, RetrySlack: set.RetrySlack, Stall: set.EngineStall.D(), Grace: set.Grace.D(),
+		RetryShare: set.RetryShare, RetrySlack: set.RetrySlack, RetryWindow: set.RetryWindow.D(), Stall: set.EngineStall.D(), Grace: set.Grace.D(),
 	})
 }
 
