Revert: patience for a first event that follows the load

Cause: a request waits as much longer at a head that is lost.

Conclusion: reverted. A head that is lost and one that is busy must be told apart first.

--- a/internal/core/gateway/calls.go
+++ b/internal/core/gateway/calls.go
@@ -54,11 +54,9 @@
 	ran     int // attempts that may have run
 	attempt step.AttemptID
 	host    string
-	sentAt  time.Duration // of the running attempt
-	firstBy time.Duration // its estimated time to begin
-	began   bool          // the running attempt has begun to answer
-	moving  bool          // it is being cancelled to go on elsewhere
-	gone    bool          // the caller left
+	began   bool // the running attempt has begun to answer
+	moving  bool // it is being cancelled to go on elsewhere
+	gone    bool // the caller left
 	failed  []string
 	events  int  // delivered over all attempts
 	answer  bool // a whole answer of a target, a failure, is at hand
@@ -129,7 +127,6 @@
 	c.sends++
 	c.attempt = step.AttemptID(string(c.req.ID) + "." + strconv.Itoa(c.sends))
 	c.host, c.began, c.moving = t.Host.ID, false, false
-	c.sentAt, c.firstBy = now, choice.FirstBy
 	f := step.Forward{
 		ID: c.req.ID, Attempt: c.attempt, Host: t.Host.ID, Address: t.Host.Address, Service: c.service,
 		Team: c.team, Urgency: c.urgency, Deadline: c.deadline,
@@ -157,8 +154,7 @@
 	if c.route.Kind != site.Stream {
 		return time.Duration(plainPatience * float64(c.deadline-now)), 0
 	}
-	first = time.Duration(patienceFactor*s.book.Lag(now, c.service, s.model(c))*float64(choice.FirstBy)) + patienceLeast
-	return first, pauseFactor*choice.Target.Pass(now) + pauseLeast
+	return patienceFactor*choice.FirstBy + patienceLeast, pauseFactor*choice.Target.Pass(now) + pauseLeast
 }
 
 // unplaced ends a request that no target takes.
@@ -208,7 +204,6 @@
 		return
 	}
 	c.began = true
-	s.book.Took(now, c.service, s.model(c), now-c.sentAt, c.firstBy)
 	s.book.Began(now, c.host, c.req.PromptTokens, e.Load)
 }
 
--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -97,15 +97,14 @@
 	pools      map[poolKey][]*Target
 	daemons    []string
 	dark       map[string]*darkness // by domain
-	lag        map[poolKey]*lag
-	coldRates  map[string]float64 // by service
+	coldRates  map[string]float64   // by service
 }
 
 // New returns an empty book of one daemon.
 func New(self, dataCentre string) *Book {
 	return &Book{
 		self: self, dataCentre: dataCentre, targets: make(map[string]*Target), pools: make(map[poolKey][]*Target),
-		dark: make(map[string]*darkness), lag: make(map[poolKey]*lag),
+		dark: make(map[string]*darkness),
 	}
 }
 
