--- a/test/process/soak_test.go
+++ b/test/process/soak_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"flag"
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 	"strings"
@@ -21,21 +22,21 @@
 // another one.
 const manyDaemons = 18
 
+// trial is one run of the soak.
+type trial struct {
+	seed    uint64
+	daemons int
+}
+
 // TestSoak makes short runs of the fault soak: two seeds, one of them also with many daemons,
 // and each that ever found something. More seeds are run with rhubarbstub soak.
 func TestSoak(t *testing.T) {
 	if testing.Short() {
 		t.Skip("takes half a minute")
 	}
-	type trial struct {
-		seed    uint64
-		daemons int
-	}
 	usual := soak.Defaults().Daemons
 	runs := []trial{{1, usual}, {2, usual}, {2, manyDaemons}}
-	for _, seed := range knownSeeds(t) {
-		runs = append(runs, trial{seed, usual})
-	}
+	runs = append(runs, knownSeeds(t, usual)...)
 	for _, run := range runs {
 		seed := run.seed
 		t.Run(fmt.Sprintf("%d with %d", seed, run.daemons), func(t *testing.T) {
@@ -68,19 +69,21 @@
 	}
 }
 
-// knownSeeds returns the seeds that once found something, one a line before a cause.
-func knownSeeds(t *testing.T) []uint64 {
+// knownSeeds returns the runs that once found something: the seed, and the number of daemons
+// if that was not the usual one, one a line before a cause.
+func knownSeeds(t *testing.T, usual int) []trial {
 	file, err := os.Open("testdata/soak-seeds.txt")
 	require.NoError(t, err)
 	defer func() { _ = file.Close() }()
-	var seeds []uint64
+	var runs []trial
 	for lines := bufio.NewScanner(file); lines.Scan(); {
 		if text, _, _ := strings.Cut(lines.Text(), "#"); strings.TrimSpace(text) != "" {
-			var seed uint64
-			_, err := fmt.Sscan(text, &seed)
-			require.NoError(t, err)
-			seeds = append(seeds, seed)
+			run := trial{daemons: usual}
+			if _, err := fmt.Sscan(text, &run.seed, &run.daemons); err != nil {
+				require.ErrorIs(t, err, io.ErrUnexpectedEOF, "a seed alone")
+			}
+			runs = append(runs, run)
 		}
 	}
-	return seeds
+	return runs
 }
