test/process: TestGatewayRepairsGroups waits for served streams and for the retry slack

Cause: a daemon that is younger than the retry window (10 s) has no part of the slack, because an earlier run of it may have spent it, and a sixth of a retry per request. The test's daemons are two seconds old, so most streams of a group that loses a member could not be moved and ended with 502 after the events sent so far. Besides, the wait for served streams was content with a complete 503, and the runs that passed then checked little.

Change: the test's retry window is one second and the daemons are older than that; the wait asks for a whole stream through each daemon; at least one stream must have run at two servers. What streams must get is as before.

Ruled out: giving young daemons slack when their store entry is new. It is unsafe where daemons are added to a running deployment, whose others still count with fewer.

--- a/test/process/gateway_test.go
+++ b/test/process/gateway_test.go
@@ -25,6 +25,8 @@
 	t       *testing.T
 	site    *site.Site // store, engines and ledger servers
 	daemons []*gatewayDaemon
+	// extraSettings replace or add settings of the daemons.
+	extraSettings map[string]any
 }
 
 // gatewayDaemon is one rhubarbswitchd in gateway mode.
@@ -39,6 +41,12 @@
 // daemons in front of it are ready. At the end of the test the site must have recorded no
 // violation.
 func newGatewayCluster(t *testing.T, daemons int) *gatewayCluster {
+	return newGatewayClusterWith(t, daemons, nil)
+}
+
+// newGatewayClusterWith is newGatewayCluster with settings that replace or add to the usual
+// ones.
+func newGatewayClusterWith(t *testing.T, daemons int, extraSettings map[string]any) *gatewayCluster {
 	s, err := site.New(site.Timing{
 		LoadTime: 400 * time.Millisecond, WarmLoadTime: 100 * time.Millisecond, OpenTime: 20 * time.Millisecond,
 		EventInterval: 20 * time.Millisecond, StallTimeout: 2 * time.Second,
@@ -46,7 +54,7 @@
 	require.NoError(t, err)
 	t.Cleanup(s.Close)
 	t.Cleanup(func() { require.Empty(t, s.Violations()) })
-	f := &gatewayCluster{t: t, site: s}
+	f := &gatewayCluster{t: t, site: s, extraSettings: extraSettings}
 	f.site.Configure(1, 0)
 	for i := range 7 {
 		f.addServer(fmt.Sprintf("engine-%d", i), site.LLM, "zone-a-d0")
@@ -72,7 +80,9 @@
 
 func (f *gatewayCluster) startDaemon(i int) *gatewayDaemon {
 	d := &gatewayDaemon{callersAddress: freeAddress(f.t), readyAddress: freeAddress(f.t), stdoutDrained: make(chan struct{})}
-	settings, err := json.Marshal(f.site.Settings(fmt.Sprintf("gateway-%d", i), "zone-a", d.callersAddress, d.readyAddress, f.site.Store.Address))
+	set := f.site.Settings(fmt.Sprintf("gateway-%d", i), "zone-a", d.callersAddress, d.readyAddress, f.site.Store.Address)
+	maps.Copy(set, f.extraSettings)
+	settings, err := json.Marshal(set)
 	require.NoError(f.t, err)
 	path := filepath.Join(f.t.TempDir(), "settings.json")
 	require.NoError(f.t, os.WriteFile(path, settings, 0o600))
@@ -161,11 +171,22 @@
 
 // TestGatewayRepairsGroups crashes a member while streams run. A stream may be refused with
 // 503; every other one must continue on another group within the same answer, without missing
-// or repeated events. Both groups must open again.
+// or repeated events. At least one must have been moved. Both groups must open again.
+//
+// A daemon that is younger than the retry window has no part of the retry slack, because an
+// earlier run may have spent it. The window is short here so that the daemons are older.
 func TestGatewayRepairsGroups(t *testing.T) {
-	f := newGatewayCluster(t, 2)
+	const retryWindow = time.Second
+	f := newGatewayClusterWith(t, 2, map[string]any{"retryWindow": retryWindow.String()})
+	started := time.Now()
 	waitUntil(t, "two groups are open", func() bool { return f.openGroups() == 2 })
-	waitUntil(t, "streams are served", func() bool { return f.daemons[0].chat("warm-0").Complete && f.daemons[1].chat("warm-1").Complete })
+	for i, d := range f.daemons {
+		waitUntil(t, "a stream is served", func() bool {
+			id := fmt.Sprintf("warm-%d-%d", i, time.Now().UnixNano())
+			return d.chat(id).Body == site.EventsOf(id)
+		})
+	}
+	time.Sleep(time.Until(started.Add(retryWindow)))
 	var wg sync.WaitGroup
 	for i := range 12 {
 		wg.Go(func() {
@@ -184,6 +205,13 @@
 		}
 	}
 	wg.Wait()
+	runs, moved := make(map[string]int), 0
+	for _, r := range f.site.Runs() {
+		if runs[r.Request]++; runs[r.Request] == 2 {
+			moved++
+		}
+	}
+	require.Positive(t, moved, "no stream was moved to another group")
 	waitUntil(t, "both groups are open again", func() bool { return f.openGroups() == 2 })
 }
 
