--- a/internal/core/fabric/lease.go
+++ b/internal/core/fabric/lease.go
@@ -40,6 +40,12 @@
 // is one object in the platform's store, and is written only on the condition that its
 // revision has not changed. The daemon whose write was accepted holds it for leaseTTL, and
 // renews it.
+//
+// Each era of the store has a lease of its own, which does not exist when the era begins. A
+// daemon that sees the store for the first time can't tell a new deployment from a store that
+// has lost the lease, so with eras nobody but the holder of the era before creates the lease
+// within takeoverDelay. By then every lease of an earlier era has expired: it was last renewed
+// before the store went away.
 type Lease struct {
 	self, incarnation string           // this daemon and its incarnation
 	cores             float64          // processor cores that this daemon may use
@@ -53,17 +59,27 @@
 	revisionSeenAt time.Duration
 	known          bool
 
+	// era is the store's era, valid if eraKnown. createAt is when this daemon may create the
+	// lease of the era, with the contents firstContents; valid if createSet.
+	era           uint64
+	eraKnown      bool
+	createAt      time.Duration
+	createSet     bool
+	firstContents step.ControlLease
+	// continued is whether this daemon held the lease when the era began.
+	continued bool
+
 	held         bool // as of the last write; expires at heldUntil
 	heldUntil    time.Duration
 	sentAt       time.Duration // when the last read or write was sent
 	pending      step.OpID     // the call without an answer; zero if none
 	pendingWrite bool          // the pending call is a write, of writtenLease
 	writtenLease step.ControlLease
-	nextReadAt   time.Duration // when the next read, or the attempt to create the lease, is due
+	nextReadAt   time.Duration // when the next read is due
 	retryAt      time.Duration // no call is sent before, because the last one failed
 	renewNow     bool          // renew before renewInterval is over
 	releasing    bool          // the lease is being released, or has been
-	created      bool          // this daemon created the lease: nobody held it before
+	created      bool          // this daemon created the lease: nobody held it in this era
 }
 
 // NewLease returns the Lease of one incarnation of a daemon that has so many cores.
@@ -81,9 +97,20 @@
 // Current returns the lease as it was last seen.
 func (l *Lease) Current() step.ControlLease { return l.current }
 
-// Created reports whether this daemon created the lease, so that no other ever held it.
+// Era returns the store's era, which the revision belongs to.
+func (l *Lease) Era() uint64 { return l.era }
+
+// Created reports whether this daemon created the lease, so that no other held it in this era
+// of the store.
 func (l *Lease) Created() bool { return l.created }
 
+// Continued reports whether this daemon held the lease when the era began. If it has created
+// that of the era, nobody gave orders in between.
+func (l *Lease) Continued() bool { return l.continued }
+
+// JustCreated reports whether the lease as last seen is the one that this daemon created.
+func (l *Lease) JustCreated() bool { return l.created && l.current.Renewal == 1 }
+
 // RenewNow requests a renewal at once because the contents of the lease have changed.
 func (l *Lease) RenewNow() { l.renewNow = true }
 
@@ -92,6 +119,30 @@
 func (l *Lease) Release()       { l.releasing = true }
 func (l *Lease) Released() bool { return l.releasing && !l.held && l.pending == 0 }
 
+// EnterEra begins an era of the store. Except for the first one that this daemon sees, a lease
+// of the era before is lost. If this daemon held it, it may create that of the new era at once,
+// with the given contents.
+func (l *Lease) EnterEra(now time.Duration, era uint64, contents step.ControlLease, out *step.Out) {
+	if l.eraKnown && era <= l.era {
+		return
+	}
+	first, held := !l.eraKnown, l.Held(now)
+	l.era, l.eraKnown = era, true
+	if first {
+		return
+	}
+	if l.held {
+		out.Log(event.ControlLost, event.F("reason", "the store came back from an older copy"), event.F("revision", l.revision), event.F("era", era))
+	}
+	l.held, l.created, l.known, l.revision, l.current = false, false, false, 0, step.ControlLease{}
+	l.pending, l.retryAt, l.nextReadAt = 0, 0, now
+	l.createAt, l.createSet = now+takeoverDelay+l.takeoverTurn(), true
+	l.firstContents, l.continued = step.ControlLease{}, held
+	if held {
+		l.createAt, l.firstContents = now, contents
+	}
+}
+
 // Tick renews, reads, takes or releases the lease, whichever is due. The function contents
 // returns what the holder writes into the lease for its successor.
 func (l *Lease) Tick(now time.Duration, contents func() step.ControlLease, out *step.Out) {
@@ -120,23 +171,41 @@
 			l.write(now, lease, out)
 		}
 	case !l.known:
-		// No lease is known. A write at revision zero creates it, or returns the one that
-		// exists.
-		if l.nextReadAt == 0 {
-			l.nextReadAt = now + l.takeoverTurn()
-		} else if now >= l.nextReadAt {
-			l.nextReadAt = now + readInterval
-			l.write(now, step.ControlLease{Holder: l.self, Incarnation: l.incarnation}, out)
-		}
+		l.tickUnknown(now, out)
 	case l.mayTake(now):
 		l.write(now, l.takeoverLease(), out)
 	case now >= l.nextReadAt:
-		l.nextReadAt = now + readInterval
-		l.pending, l.sentAt, l.pendingWrite = l.nextOp(), now, false
-		out.Add(step.ReadLease{Op: l.pending, AllowStale: true})
+		l.read(now, true, out)
 	}
 }
 
+// tickUnknown looks for a lease while none is known. A write at revision zero creates it, or
+// returns the one that exists.
+func (l *Lease) tickUnknown(now time.Duration, out *step.Out) {
+	if !l.createSet {
+		l.createAt, l.createSet = now+l.takeoverTurn(), true
+		if l.era > 0 {
+			l.createAt += takeoverDelay
+		}
+	}
+	switch {
+	case now >= l.createAt:
+		l.createAt = now + readInterval
+		lease := l.firstContents
+		lease.Holder, lease.Incarnation = l.self, l.incarnation
+		l.write(now, lease, out)
+	case l.era > 0 && now >= l.nextReadAt:
+		l.read(now, false, out)
+	}
+}
+
+// read reads the lease.
+func (l *Lease) read(now time.Duration, allowStale bool, out *step.Out) {
+	l.nextReadAt = now + readInterval
+	l.pending, l.sentAt, l.pendingWrite = l.nextOp(), now, false
+	out.Add(step.ReadLease{Op: l.pending, Era: l.era, AllowStale: allowStale})
+}
+
 // takeoverLease keeps what the last holder recorded about join delays and loads.
 func (l *Lease) takeoverLease() step.ControlLease {
 	lease := l.current
@@ -165,7 +234,7 @@
 func (l *Lease) write(now time.Duration, lease step.ControlLease, out *step.Out) {
 	lease.Renewal = l.current.Renewal + 1
 	l.pending, l.sentAt, l.pendingWrite, l.writtenLease = l.nextOp(), now, true, lease
-	out.Add(step.WriteLease{Op: l.pending, Revision: l.revision, Lease: lease})
+	out.Add(step.WriteLease{Op: l.pending, Era: l.era, Revision: l.revision, Lease: lease})
 }
 
 // OnAnswer handles the answer to a read or write. It reports whether the call was this
@@ -175,6 +244,9 @@
 		return false, false
 	}
 	l.pending = 0
+	if a.Era != l.era {
+		return true, false // the answer of a copy that the store has left, or the first one of a new era
+	}
 	own := a.Lease.Holder == l.self && a.Lease.Incarnation == l.incarnation
 	switch {
 	case l.pendingWrite && a.Status == step.ReplyOK:
--- a/internal/core/fabric/lease_test.go
+++ b/internal/core/fabric/lease_test.go
@@ -113,3 +113,22 @@
 	require.NotEqual(t, from, x.held[0])
 	require.True(t, x.daemons[from].Released())
 }
+
+// TestStaleReadOfFormerEra answers a read from a replica of the store that still has the copy
+// of the era before. It says nothing about the lease of this era.
+func TestStaleReadOfFormerEra(t *testing.T) {
+	var ops step.OpID
+	l := NewLease("d0", "r", 1, func() step.OpID { ops++; return ops })
+	l.EnterEra(0, 2, step.ControlLease{}, &step.Out{})
+	read := func(now time.Duration, a step.LeaseAnswered) {
+		out := &step.Out{}
+		l.Tick(now, func() step.ControlLease { return step.ControlLease{} }, out)
+		require.Len(t, out.Effects, 1)
+		a.Op = out.Effects[0].(step.ReadLease).Op
+		l.OnAnswer(now, a, out)
+	}
+	read(0, step.LeaseAnswered{Era: 2, Status: step.ReplyOK, Revision: 9, Lease: step.ControlLease{Holder: "d1", Incarnation: "r"}})
+	read(readInterval, step.LeaseAnswered{Era: 1, Status: step.ReplyAbsent})
+	require.Equal(t, "d1", l.Current().Holder)
+	require.EqualValues(t, 9, l.Revision())
+}
--- a/internal/core/fabric/pool.go
+++ b/internal/core/fabric/pool.go
@@ -32,6 +32,7 @@
 	"slices"
 	"time"
 
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/quiet"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/site"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/event"
@@ -164,6 +165,8 @@
 	loadsBlockedUntil time.Duration
 	// evacuated names the data centres that must get no work.
 	evacuated map[string]bool
+	// quiet has the hosts that asked for no requests; nil if none ever does.
+	quiet *quiet.Periods
 }
 
 // host is what the pool knows about one engine's host.
@@ -237,6 +240,14 @@
 // SetEvacuated sets the data centres that must get no work.
 func (p *Pool) SetEvacuated(dataCentres map[string]bool) { p.evacuated = dataCentres }
 
+// SetQuiet sets the periods in which hosts must get no report requests or orders.
+func (p *Pool) SetQuiet(periods *quiet.Periods) { p.quiet = periods }
+
+// isQuiet reports whether a host must get no report requests or orders now.
+func (p *Pool) isQuiet(now time.Duration, name string) bool {
+	return p.quiet.Left(now, name, p.hosts[name].entry.Incarnation) > 0
+}
+
 // SetHosts replaces the registered hosts of the service.
 func (p *Pool) SetHosts(now time.Duration, entries []*site.Host) {
 	for _, h := range p.hosts {
@@ -277,6 +288,18 @@
 	p.loadsBlockedUntil = now + loadsEnd
 }
 
+// AssumeUnknownPredecessor makes the pool safe after a holder of which nothing is known: that
+// holder may just have begun as many loads as are allowed, and any host that is in no group may
+// have been taken from a group whose head can't be reached and still serves.
+func (p *Pool) AssumeUnknownPredecessor(now time.Duration) {
+	p.loadsBlockedUntil = max(p.loadsBlockedUntil, now+loadWindow)
+	for _, h := range p.hosts {
+		if h.entry.Member.Phase == site.Absent {
+			h.mayJoinAt = max(h.mayJoinAt, now+maxOrderDelay+p.settings.EngineStall+stallMargin)
+		}
+	}
+}
+
 // SetInitialDeployment sets whether the deployment starts for the first time and has had no
 // request. Until its first request loads are not bounded, nor do they slow each other down.
 func (p *Pool) SetInitialDeployment(initial bool) { p.initialDeployment = initial }
@@ -392,7 +415,7 @@
 			pendingReports++
 			continue
 		}
-		if !h.listed && grouped[name] == nil {
+		if !h.listed && grouped[name] == nil || p.isQuiet(now, name) {
 			continue
 		}
 		switch {
@@ -424,6 +447,9 @@
 		return
 	}
 	h.reportPending = false
+	if !r.OK && p.isQuiet(now, r.Host) {
+		return // it answered, though not with a report
+	}
 	if r.OK {
 		p.lastAnswerAt, p.newestAnsweredSentAt = now, max(p.newestAnsweredSentAt, r.Sent)
 	} else if !p.missAttributable(now, r.Sent) {
@@ -462,7 +488,7 @@
 // pending.
 func (p *Pool) sendOrder(now time.Duration, name string, o step.GroupOrder, out *step.Out) bool {
 	h := p.hosts[name]
-	if h == nil || h.pendingOp != 0 || !h.orderCountKnown || len(p.pendingOrders) >= maxPendingOrders {
+	if h == nil || h.pendingOp != 0 || !h.orderCountKnown || p.isQuiet(now, name) || len(p.pendingOrders) >= maxPendingOrders {
 		return false
 	}
 	o.ExpectedOrders = h.orderCount
--- a/internal/core/fabric/pool_test.go
+++ b/internal/core/fabric/pool_test.go
@@ -8,7 +8,9 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/quiet"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/site"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
 )
 
 // started returns a simulation of domains in which groups of both models already serve.
@@ -300,3 +302,65 @@
 	require.Greater(t, 16*w.open("m0")+4*w.open("m1"), domains*perDomain*8/10)
 	require.Empty(t, w.violations)
 }
+
+// TestQuietEnginesGetNoControlCalls lets the members of a group ask for quiet. They must get no
+// report requests or orders, and count as lost neither meanwhile nor afterwards.
+func TestQuietEnginesGetNoControlCalls(t *testing.T) {
+	w := started(t, 2)
+	p := w.pools[0]
+	var periods quiet.Periods
+	p.SetQuiet(&periods)
+	head := w.member("m0", true)
+	const length = 6 * time.Second
+	members := w.engines[head].memberIDs
+	for _, id := range members {
+		periods.Record(w.now, id, w.engines[id].incarnation, length)
+		p.hosts[id].missedReports, p.hosts[id].reportPending = maxMissedReports-1, true
+		p.OnReport(w.now, step.ReportAnswered{Host: id, Sent: p.newestAnsweredSentAt}, &step.Out{}) // turned away with 503
+		require.False(t, p.hosts[id].unresponsive())
+	}
+	sentAt := make(map[string]time.Duration)
+	for _, id := range members {
+		sentAt[id] = p.hosts[id].reportSentAt
+	}
+	w.run(length - simulationStep)
+	for _, id := range members {
+		require.Equal(t, sentAt[id], p.hosts[id].reportSentAt, "%s got a report request", id)
+	}
+	w.run(2 * time.Second)
+	for _, id := range members {
+		require.Greater(t, p.hosts[id].reportSentAt, sentAt[id])
+	}
+	require.Equal(t, site.Open, w.engines[head].member.Phase)
+	require.Equal(t, members, w.engines[head].memberIDs)
+}
+
+// TestUnknownPredecessor takes control of a running deployment after a holder of which nothing
+// is known. No host that is free may join a group before the head of its last group must have
+// stopped, and no load may begin before those of that holder no longer count.
+func TestUnknownPredecessor(t *testing.T) {
+	w := started(t, 2)
+	p := w.pools[0]
+	p.TakeControl(w.now, 1<<40, nil, 0)
+	p.AssumeUnknownPredecessor(w.now)
+	head := w.member("m0", true)
+	lost := w.engines[head].memberIDs[1]
+	free := make(map[string]bool)
+	for _, id := range w.ids {
+		free[id] = w.engines[id].member.Phase == site.Absent
+	}
+	loads := len(w.loadStarts)
+	w.engines[lost].up = false
+	from := w.now
+	w.run(loadWindow - simulationStep)
+	require.Len(t, w.loadStarts, loads)
+	for w.now+time.Second <= from+maxOrderDelay+simulationStall {
+		w.run(time.Second)
+		for _, id := range w.ids {
+			if free[id] {
+				require.Equal(t, site.Absent, w.engines[id].member.Phase, "%s joined after %s", id, w.now-from)
+			}
+		}
+	}
+	require.Empty(t, w.violations)
+}
--- a/internal/core/gateway/calls.go
+++ b/internal/core/gateway/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"time"
 
@@ -122,11 +123,7 @@
 // sendToTarget sends the request to a target. If no target can take it, the request ends with
 // the fallback answer or, if that is empty or no attempt may have run, with a refusal.
 func (s *State) sendToTarget(now time.Duration, c *call, fallback step.Answer, out *step.Out) {
-	request := place.Request{
-		Service: c.service, Model: s.model(c), PromptTokens: c.req.PromptTokens,
-		Spread:   rendezvous.Mix(rendezvous.Hash(string(c.req.ID)) + uint64(c.attempts)),
-		TimeLeft: c.deadline - now, AvoidHosts: c.failedHosts,
-	}
+	request := s.placement(now, c)
 	choice := s.targets.Choose(now, request)
 	if choice.Target == nil {
 		s.endWithoutTarget(now, c, choice, fallback, out)
@@ -151,6 +148,15 @@
 	out.Add(f)
 }
 
+// placement describes the next attempt of a request to the table of targets.
+func (s *State) placement(now time.Duration, c *call) place.Request {
+	return place.Request{
+		Service: c.service, Model: s.model(c), PromptTokens: c.req.PromptTokens,
+		Spread:   rendezvous.Mix(rendezvous.Hash(string(c.req.ID)) + uint64(c.attempts)),
+		TimeLeft: c.deadline - now, AvoidHosts: c.failedHosts,
+	}
+}
+
 func (s *State) model(c *call) string {
 	if service := s.config.Services[c.service]; service != nil && service.Engine != nil {
 		return c.req.Model
@@ -181,6 +187,8 @@
 			fallback.Code, fallback.Message = step.CodeNoTarget, "nothing serves this now: come back"
 		case place.TooLate:
 			fallback.Code, fallback.Message = step.CodeDeadline, "this can't be answered in the time left: give more time"
+		case place.Quiet:
+			fallback.Message = "all targets asked for a pause: come back after it"
 		}
 	}
 	s.end(now, c, fallback, choice.Reason.String(), out)
@@ -245,8 +253,9 @@
 	if !c.route.MayRepeat() || c.attemptsSpent() || c.ranAttempts+1 >= c.route.MaxTargets {
 		return false
 	}
-	request := place.Request{Service: c.service, Model: s.model(c), PromptTokens: c.req.PromptTokens, TimeLeft: c.deadline - now, AvoidHosts: append(c.failedHosts, c.host)}
-	return s.targets.Choose(now, request).Target != nil && s.budget.Allow(now, c.reachedAttempts())
+	request := s.placement(now, c)
+	request.AvoidHosts = append(slices.Clone(c.failedHosts), c.host)
+	return s.targets.Peek(now, request).Target != nil && s.budget.Allow(now, c.reachedAttempts())
 }
 
 // reachedAttempts is the number of attempts that may have reached a target.
@@ -299,7 +308,14 @@
 	// A move has spent its retry when it was decided, and an unsent attempt has reached no
 	// target.
 	exempt := moving || e.Ending == step.EndedUnsent
-	if !mayRetry || now >= c.deadline || c.attemptsSpent() || !exempt && !s.budget.Allow(now, c.reachedAttempts()) {
+	mayRetry = mayRetry && now < c.deadline && !c.attemptsSpent()
+	if mayRetry {
+		if choice := s.targets.Peek(now, s.placement(now, c)); choice.Target == nil {
+			s.endWithoutTarget(now, c, choice, answer, out) // no retry is spent
+			return
+		}
+	}
+	if !mayRetry || !exempt && !s.budget.Allow(now, c.reachedAttempts()) {
 		if c.hasFailureAnswer {
 			out.Add(step.Deliver{ID: c.req.ID, Attempt: c.attempt})
 			s.finish(now, c, "target failed", out)
--- a/internal/core/gateway/control.go
+++ b/internal/core/gateway/control.go
@@ -3,12 +3,24 @@
 import (
 	"time"
 
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/site"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/event"
 )
 
-// formationBits is the number of low bits of an epoch, which count the formations of one lease
-// holder. The bits above are the lease revision at which it took control.
-const formationBits = 20
+const (
+	// formationBits is the number of low bits of an epoch, which count the formations of one
+	// lease holder. The bits above are the lease revision at which it took control plus the
+	// store's era shifted by revisionBits.
+	formationBits = 12
+	// revisionBits exceeds what the store can lose at once, so that no epoch of an era reaches
+	// those of the next one, although the store gives out revisions again. Epochs of the first
+	// 512 eras stay exact in clients whose numbers are floating point.
+	revisionBits = 32
+)
+
+// firstEpoch is the epoch below those of the holder that took control at a revision.
+func firstEpoch(era, revision uint64) uint64 { return (era<<revisionBits + revision) << formationBits }
 
 // minPassIntervalPerHost, multiplied by the number of hosts, is the shortest interval between
 // two passes over the groups. A pass costs about a microsecond per host, and each answered
@@ -34,7 +46,7 @@
 	}
 	s.lastPassAt = now
 	for _, p := range s.pools {
-		p.SetInitialDeployment(s.lease.Created() && !s.requestSeen)
+		p.SetInitialDeployment(s.initialDeployment && !s.requestSeen)
 		p.Tick(now, out)
 		if p.NeedsLeaseWrite() {
 			s.lease.RenewNow()
@@ -45,20 +57,62 @@
 // onControlChange lets the pools take control with what the last lease holder recorded, or
 // drop it.
 func (s *State) onControlChange(now time.Duration, held bool) {
+	if !held {
+		for _, p := range s.pools {
+			p.DropControl()
+		}
+		return
+	}
 	lease := s.lease.Current()
 	joinDelays := make(map[string]time.Duration, len(lease.JoinDelayMillis))
 	for host, millis := range lease.JoinDelayMillis {
 		joinDelays[host] = time.Duration(millis) * time.Millisecond
 	}
+	s.initialDeployment = s.lease.Created() && !s.storeRestored && s.enginesAreBlank()
+	// A holder that has created the lease knows nothing of the one before it, unless it was that
+	// one itself. The next holder must learn what it assumes.
+	predecessorUnknown := s.lease.JustCreated() && !s.initialDeployment && !s.lease.Continued()
 	for _, p := range s.pools {
-		if held {
-			p.TakeControl(now, s.lease.Revision()<<formationBits, joinDelays, time.Duration(lease.LoadsEndMillis)*time.Millisecond)
-		} else {
-			p.DropControl()
+		p.TakeControl(now, firstEpoch(s.lease.Era(), s.lease.Revision()), joinDelays, time.Duration(lease.LoadsEndMillis)*time.Millisecond)
+		if predecessorUnknown {
+			p.AssumeUnknownPredecessor(now)
+			s.lease.RenewNow()
 		}
 	}
 }
 
+// enginesAreBlank reports whether no engine has weights or is in a group, as when a deployment
+// starts for the first time.
+func (s *State) enginesAreBlank() bool {
+	for _, h := range s.hosts {
+		if s.pools[h.Service] != nil && (len(h.Staged) > 0 || h.Member.Phase != site.Absent) {
+			return false
+		}
+	}
+	return true
+}
+
+// onStoreEra begins an era of the store. Whatever was learnt from the store in the era before
+// stays in force until the store shows something newer; see onHosts, onConfig and onEvacuated.
+func (s *State) onStoreEra(now time.Duration, e step.StoreEra, out *step.Out) {
+	restored := s.eraKnown && e.Era > s.era
+	if s.eraKnown && !restored {
+		return
+	}
+	var contents step.ControlLease
+	if s.holdsControl {
+		contents = s.leaseContents(now)
+	}
+	s.era, s.eraKnown = e.Era, true
+	s.lease.EnterEra(now, e.Era, contents, out)
+	if !restored {
+		return
+	}
+	out.Log(event.StoreRestored, event.F("era", e.Era), event.F("heldControl", s.holdsControl))
+	s.storeRestored, s.hadOutage, s.storeBackAt = true, true, now
+	s.controlTick(now, out)
+}
+
 // leaseContents is what a daemon that takes over the lease must know.
 func (s *State) leaseContents(now time.Duration) step.ControlLease {
 	lease := step.ControlLease{}
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -15,6 +15,7 @@
 
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/fabric"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/place"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/quiet"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/retry"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/site"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
@@ -55,6 +56,19 @@
 	// storeBackAt is when it last became reachable.
 	hadOutage   bool
 	storeBackAt time.Duration
+	// era is the store's era, valid if eraKnown. storeRestored is whether the store has come
+	// back from an older copy since this daemon started; see entries.
+	era                     uint64
+	eraKnown, storeRestored bool
+	entries                 entryHistory
+	// evacuatedInStore is evacuated as the store has it. retainedEvacuations are further data
+	// centres whose evacuation the store may have lost, each with the time until which it counts.
+	evacuatedInStore    map[string]bool
+	retainedEvacuations map[string]time.Duration
+	// daemonNames are the daemons ever listed, since the store may lose entries of some that
+	// still run.
+	daemonNames map[string]bool
+	quiet       quiet.Periods // hosts that asked for no requests
 
 	targets       *place.Table             // the targets and their load
 	budget        *retry.Window            // this daemon's part of the retry budget
@@ -66,7 +80,10 @@
 	// lastPassAt is when the pools last had a tick.
 	lastPassAt  time.Duration
 	requestSeen bool // a request has come
-	lifecycle   lifecycle
+	// initialDeployment is whether this daemon took control of a deployment that starts for the
+	// first time.
+	initialDeployment bool
+	lifecycle         lifecycle
 }
 
 // New returns the state of a daemon that has received no event yet.
@@ -77,11 +94,15 @@
 		missing:         make(map[string]time.Duration),
 		suspicionSentAt: make(map[string]time.Duration),
 		evacuated:       make(map[string]bool),
+		entries:         newEntryHistory(),
+		daemonNames:     make(map[string]bool),
 		targets:         place.New(set.Daemon, set.DataCentre),
 		calls:           make(map[step.RequestID]*call),
 		pools:           make(map[string]*fabric.Pool),
 		budget:          retry.NewWindow(0),
 	}
+	s.retainedEvacuations = make(map[string]time.Duration)
+	s.targets.SetQuiet(&s.quiet)
 	s.lease = fabric.NewLease(set.Daemon, set.Incarnation, set.Cores, s.nextOp)
 	s.setBudget(0, 1)
 	return s
@@ -131,6 +152,10 @@
 		s.onDaemons(now.Mono, e)
 	case step.PlatformState:
 		s.onPlatform(now.Mono, e, out)
+	case step.StoreEra:
+		s.onStoreEra(now.Mono, e, out)
+	case step.HostNotice:
+		s.onNotice(now.Mono, e, out)
 	case step.HostSuspected:
 		s.onSuspected(e)
 	case step.ReportAnswered:
@@ -152,28 +177,32 @@
 	for id, until := range s.missing {
 		if now >= until {
 			delete(s.missing, id)
-			delete(s.hosts, id)
+			s.removeHost(now, id, true)
 			out.Log(event.HostDeregistered, event.F("host", id), event.F("reason", "not back after the return of the store"))
 			s.updateParts(now)
 		}
 	}
+	s.entries.prune(now, s.hosts)
+	s.expireRetainedEvacuations(now, out)
 	s.controlTick(now, out)
 }
 
+// onDaemons adds daemons to those among which shared limits are divided. None is ever removed:
+// one that is missing may still run, and without its part the parts would add up to more than
+// the limit.
 func (s *State) onDaemons(now time.Duration, e step.SiteDaemons) {
-	names := make([]string, 0, len(e.Daemons))
 	s.daemonAddresses = make(map[string]string, len(e.Daemons))
 	for _, d := range e.Daemons {
-		names = append(names, d.Daemon)
+		s.daemonNames[d.Daemon] = true
 		s.daemonAddresses[d.Daemon] = d.Address
 	}
-	s.targets.SetDaemons(names)
+	s.targets.SetDaemons(slices.Sorted(maps.Keys(s.daemonNames)))
 	s.setBudget(now, s.targets.Daemons())
 }
 
 func (s *State) onConfig(now time.Duration, e step.SiteConfig, out *step.Out) {
 	if s.config != nil && e.Config.Version < s.config.Version {
-		out.Log(event.ConfigRefused, event.F("version", e.Config.Version), event.F("inForce", s.config.Version))
+		out.Log(event.ConfigOlder, event.F("version", e.Config.Version), event.F("inForce", s.config.Version))
 		return
 	}
 	if s.config == nil || e.Config.Version != s.config.Version {
@@ -186,6 +215,7 @@
 		}
 		if s.pools[name] == nil {
 			s.pools[name] = fabric.New(fabric.Settings{EngineStall: s.settings.Limits.EngineStall}, s.nextOp)
+			s.pools[name].SetQuiet(&s.quiet)
 		}
 		s.pools[name].SetEngine(service.Engine)
 	}
@@ -196,9 +226,15 @@
 	present := make(map[string]bool, len(e.Hosts))
 	for i := range e.Hosts {
 		h := e.Hosts[i]
+		if s.storeRestored && s.entries.outdated(s.hosts[h.ID], &h) {
+			out.Log(event.HostEntryOutdated, event.F("host", h.ID), event.F("born", h.Incarnation), event.F("writes", h.Writes))
+			present[h.ID] = s.hosts[h.ID] != nil
+			continue
+		}
 		present[h.ID] = true
 		delete(s.missing, h.ID)
 		s.logHostChange(s.hosts[h.ID], &h, out)
+		h.Draining = h.Draining || s.entries.isLeaving(&h)
 		s.hosts[h.ID] = &h
 	}
 	gone := e.Gone
@@ -218,9 +254,7 @@
 			s.missing[id] = s.storeBackAt + missingHostGrace
 			continue
 		}
-		delete(s.hosts, id)
-		delete(s.missing, id)
-		delete(s.suspicionSentAt, id)
+		s.removeHost(now, id, false)
 		out.Log(event.HostDeregistered, event.F("host", id), event.F("reason", "its entry is gone"))
 	}
 	s.hostsKnown = s.hostsKnown || e.Full
@@ -239,17 +273,13 @@
 	}
 }
 
-func (s *State) onEvacuated(now time.Duration, e step.SiteEvacuated, out *step.Out) {
-	next := make(map[string]bool, len(e.DataCentres))
-	for _, name := range e.DataCentres {
-		next[name] = true
-	}
-	if maps.Equal(next, s.evacuated) {
-		return
-	}
-	out.Log(event.DataCentresOut, event.F("dataCentres", e.DataCentres))
-	s.evacuated = next
-	s.updateParts(now)
+// removeHost forgets a host whose entry is gone, except for what would show an older entry of
+// it as outdated. lost is set if the store may only have lost the entry.
+func (s *State) removeHost(now time.Duration, id string, lost bool) {
+	s.entries.recordGone(now, s.hosts[id], lost)
+	delete(s.hosts, id)
+	delete(s.missing, id)
+	delete(s.suspicionSentAt, id)
 }
 
 func (s *State) onPlatform(now time.Duration, e step.PlatformState, out *step.Out) {
--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -14,6 +14,7 @@
 	"slices"
 	"time"
 
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/quiet"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/rendezvous"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/site"
 )
@@ -64,11 +65,12 @@
 	NoHost         // no target serves the model or service now
 	Full           // all targets that serve it have as many requests as they may get
 	TooLate        // it can't be answered before its deadline
+	Quiet          // all targets that serve it have asked for no requests for a time
 )
 
 // String returns the reason's name in logs.
 func (r Reason) String() string {
-	return [...]string{"chosen", "no host", "full", "too late"}[r]
+	return [...]string{"chosen", "no host", "full", "too late", "quiet"}[r]
 }
 
 // Request describes a request for which a target is to be chosen.
@@ -90,7 +92,7 @@
 	Reason Reason
 	// TimeToFirstEvent is the estimated time to the first event or the answer.
 	TimeToFirstEvent time.Duration
-	// RetryAfter is the time after which a retry can succeed, for NoHost and Full.
+	// RetryAfter is the time after which a retry can succeed, for NoHost, Full and Quiet.
 	RetryAfter time.Duration
 }
 
@@ -108,6 +110,7 @@
 	daemons           []string              // known daemons, whether live or not
 	unreachedByDomain map[string]*unreachedHosts
 	coldRates         map[string]float64 // requests per second that a cold target can take, by service
+	quiet             *quiet.Periods     // hosts that asked for no requests; nil if none ever does
 }
 
 // New returns an empty table of one daemon.
@@ -147,6 +150,9 @@
 	return 0
 }
 
+// SetQuiet sets the periods in which hosts must get no requests.
+func (tbl *Table) SetQuiet(periods *quiet.Periods) { tbl.quiet = periods }
+
 // SetDaemons sets the daemons among which the rates of cold targets are divided.
 func (tbl *Table) SetDaemons(names []string) { tbl.daemons = names }
 
@@ -209,18 +215,33 @@
 // Target returns a host's target, or nil.
 func (tbl *Table) Target(host string) *Target { return tbl.targets[host] }
 
-// Choose picks the target at which the request is expected to begin first. A suspect target is
-// chosen only if there is no other, and none is full.
+// Choose picks the target of a request that is about to be sent.
 func (tbl *Table) Choose(now time.Duration, a Request) Choice {
+	c := tbl.Peek(now, a)
+	if t := c.Target; t != nil && now < t.coldUntil {
+		t.coldLimiter.take(now, ownColdRate(tbl.daemons, tbl.self, t.hash, tbl.coldRates[a.Service]))
+	}
+	return c
+}
+
+// Peek returns the target at which the request is expected to begin first, without counting the
+// request. A suspect target is returned only if there is no other, and none is full.
+func (tbl *Table) Peek(now time.Duration, a Request) Choice {
 	pool := tbl.pools[poolKey{a.Service, a.Model}]
 	var best, suspect *Target
-	var bestCost, suspectCost time.Duration
+	var bestCost, suspectCost, shortestQuiet time.Duration
 	full, meanLoad := false, meanOthersLoad(pool)
 	for _, t := range pool {
 		t.meanOthersLoad = meanLoad
 		if slices.Contains(a.AvoidHosts, t.Host.ID) {
 			continue
 		}
+		if left := tbl.quiet.Left(now, t.Host.ID, t.Host.Incarnation); left > 0 {
+			if shortestQuiet == 0 || left < shortestQuiet {
+				shortestQuiet = left
+			}
+			continue
+		}
 		if t.estimatedLoad(now) >= t.capacity() {
 			full = true
 			continue
@@ -244,15 +265,12 @@
 		best = suspect
 	}
 	if best == nil {
-		return tbl.refuse(full, a)
+		return refuse(full, shortestQuiet, a)
 	}
 	first := best.TimeToFirstEvent(now, a.PromptTokens)
 	if first > a.TimeLeft {
 		return Choice{Reason: TooLate}
 	}
-	if now < best.coldUntil {
-		best.coldLimiter.take(now, ownColdRate(tbl.daemons, tbl.self, best.hash, tbl.coldRates[a.Service]))
-	}
 	return Choice{Target: best, TimeToFirstEvent: first}
 }
 
@@ -265,12 +283,16 @@
 	return cost + time.Duration(tbl.unreachedInDomain(now, t.Host.Domain))*unreachedHostCost
 }
 
-func (tbl *Table) refuse(full bool, a Request) Choice {
-	c := Choice{Reason: NoHost, RetryAfter: retryAfter(a)}
-	if full {
-		c.Reason = Full
+// refuse returns the refusal of a request. shortestQuiet is the least time for which a target
+// asked for no requests; zero if none did.
+func refuse(full bool, shortestQuiet time.Duration, a Request) Choice {
+	switch {
+	case full:
+		return Choice{Reason: Full, RetryAfter: retryAfter(a)}
+	case shortestQuiet > 0:
+		return Choice{Reason: Quiet, RetryAfter: shortestQuiet}
 	}
-	return c
+	return Choice{Reason: NoHost, RetryAfter: retryAfter(a)}
 }
 
 const (
--- a/internal/core/site/host.go
+++ b/internal/core/site/host.go
@@ -19,8 +19,10 @@
 	Draining bool
 	// ColdLeft is how much longer the host stays cold, as of its last registration.
 	ColdLeft time.Duration
-	// Incarnation identifies the run of the host's process: it changes with each restart.
+	// Incarnation identifies the run of the host's process: it rises with each restart.
 	Incarnation int64
+	// Writes is how often this incarnation has written its entry; a newer entry has more.
+	Writes uint64
 	// Staged are the models whose weights are stored on the host.
 	Staged []string
 	// Model is the model that the host's group serves; empty outside of groups and while
@@ -78,6 +80,20 @@
 	Member     Membership
 }
 
+// Notice is what a host states about its own availability with any answer.
+type Notice struct {
+	// Leaving is set if the host is about to stop and must get no new requests.
+	Leaving bool
+	// Quiet is how long the host must get no request from this daemon; zero if it asks for
+	// nothing.
+	Quiet time.Duration
+	// InvalidQuiet is a request for quiet that could not be parsed; empty if there is none.
+	InvalidQuiet string
+}
+
+// Empty reports whether the host states nothing.
+func (n Notice) Empty() bool { return n == Notice{} }
+
 // Load is the load that a target reports with an answer.
 type Load struct {
 	Running int // requests that run
--- a/internal/core/step/gateway.go
+++ b/internal/core/step/gateway.go
@@ -98,8 +98,12 @@
 	Gone  []string    // IDs of hosts that are no longer registered
 }
 
-// SiteEvacuated lists the data centres that must get no work.
-type SiteEvacuated struct{ DataCentres []string }
+// SiteEvacuated lists the data centres that must get no work. If Full is set, the list was read
+// from the store as a whole; otherwise the store has reported a change of it.
+type SiteEvacuated struct {
+	Full        bool
+	DataCentres []string
+}
 
 // SiteDaemons lists the daemons of the deployment. Address is where other daemons reach one; it
 // is empty if the daemon accepts no calls from them.
@@ -115,6 +119,17 @@
 // HostSuspected reports that another daemon has sent a NotifySuspect for a host's engine.
 type HostSuspected struct{ Host string }
 
+// HostNotice reports what a host has stated about its availability.
+type HostNotice struct {
+	Host   string
+	Notice site.Notice
+}
+
+// StoreEra reports the era of the platform's store, when it is first known and when it rises.
+// An era ends when the store comes back from an older copy of its data: revisions of different
+// eras can't be compared, and what was written last in the era before may be lost.
+type StoreEra struct{ Era uint64 }
+
 // RequestReport requests an engine's report. ReportAnswered is the reply.
 type RequestReport struct {
 	Host    string
@@ -213,24 +228,29 @@
 	LoadsEndMillis int64 `json:"loadsEndMillis,omitempty"`
 }
 
-// ReadLease reads the lease. AllowStale permits a cached answer that is seconds old.
+// ReadLease reads the lease of an era. AllowStale permits a cached answer that is seconds old.
 type ReadLease struct {
 	Op         OpID
+	Era        uint64
 	AllowStale bool
 }
 
-// WriteLease writes the lease if its current revision is Revision. Zero creates the lease.
+// WriteLease writes the lease of an era if its current revision is Revision. Zero creates the
+// lease. Each era has its own object, so that a write of an earlier era can't succeed because
+// the store gives out the same revision again.
 type WriteLease struct {
 	Op       OpID
+	Era      uint64
 	Revision uint64
 	Lease    ControlLease
 }
 
 // LeaseAnswered answers ReadLease and WriteLease. If Status is ReplyOK or ReplyConflict, Lease
-// and Revision are the stored ones.
+// and Revision are the stored ones, and Era is that of the answer.
 type LeaseAnswered struct {
 	Op       OpID
 	Status   ReplyStatus
+	Era      uint64
 	Revision uint64
 	Lease    ControlLease
 }
@@ -245,6 +265,8 @@
 func (SiteEvacuated) event()      {}
 func (SiteDaemons) event()        {}
 func (HostSuspected) event()      {}
+func (HostNotice) event()         {}
+func (StoreEra) event()           {}
 func (ReportAnswered) event()     {}
 func (GroupOrderAnswered) event() {}
 func (LeaseAnswered) event()      {}
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -45,6 +45,10 @@
 	ControlLost            ID = 4028
 	ControlReleased        ID = 4029
 	HostSuspected          ID = 4032
+	HostLeaving            ID = 4033
+	HostQuiet              ID = 4034
+	HostQuietInvalid       ID = 4035
+	HostEntryOutdated      ID = 4036
 	HostRegistered         ID = 4015
 	HostDeregistered       ID = 4016
 	HostRestarted          ID = 4017
@@ -54,6 +58,7 @@
 	DaemonRemoved          ID = 4031
 	ConfigApplied          ID = 5001
 	ConfigRefused          ID = 5002
+	ConfigOlder            ID = 5003
 	PeerLinked             ID = 6001
 	PeerLost               ID = 6002
 	PeerUnresponsive       ID = 6003
@@ -65,6 +70,7 @@
 	PlatformReachable      ID = 8002
 	ChangesRelayed         ID = 8003
 	ChangeRelayLost        ID = 8004
+	StoreRestored          ID = 8005
 )
 
 // catalogue defines each event, in the order of docs/events.md.
@@ -101,6 +107,10 @@
 	{HostDeregistered, slog.LevelInfo, "host no longer registered", ""},
 	{HostRestarted, slog.LevelInfo, "host registered again after a restart", ""},
 	{HostDraining, slog.LevelInfo, "host is leaving and gets no new work", ""},
+	{HostLeaving, slog.LevelInfo, "host stated in an answer that it is leaving and gets no new work", ""},
+	{HostQuiet, slog.LevelInfo, "host turned a request away and asked for no others for a time", "If frequent, the host named is overloaded."},
+	{HostQuietInvalid, slog.LevelWarn, "host asked for no requests for a time that can't be read; ignored", "Correct the Retry-After of the host's service."},
+	{HostEntryOutdated, slog.LevelInfo, "entry of a host is older than what is known of it; ignored", "Nothing, if the platform has just come back from an older copy."},
 	{DataCentresOut, slog.LevelInfo, "data centres that get no work", ""},
 	{HostFlapping, slog.LevelWarn, "host repeatedly failed and returned; excluded from groups for a while", "Check the host named."},
 	{HostStraggling, slog.LevelWarn, "host joins its group too slowly and is replaced", "Check the host named."},
@@ -117,6 +127,7 @@
 	{DaemonRemoved, slog.LevelInfo, "registration of a dead daemon removed from the platform", ""},
 	{ConfigApplied, slog.LevelInfo, "configuration in force", ""},
 	{ConfigRefused, slog.LevelError, "object in the platform breaks a rule and is not put in force", "Correct it with rhubarbctl apply."},
+	{ConfigOlder, slog.LevelWarn, "older configuration than the one in force; ignored", "Write the newest configuration again if the platform has lost it."},
 	{PeerLinked, slog.LevelInfo, "link to another daemon open", ""},
 	{PeerLost, slog.LevelWarn, "link to another daemon lost", "If it persists, check the daemon named and the network between."},
 	{PeerUnresponsive, slog.LevelWarn, "no heartbeat from a daemon within the silence limit", "If it persists, check the daemon named and the network between."},
@@ -128,4 +139,5 @@
 	{PlatformReachable, slog.LevelInfo, "platform reachable again", ""},
 	{ChangesRelayed, slog.LevelInfo, "host changes are received through another daemon", ""},
 	{ChangeRelayLost, slog.LevelInfo, "another daemon stopped relaying host changes; the platform is watched directly", "If frequent, check the daemon named."},
+	{StoreRestored, slog.LevelWarn, "platform came back from an older copy of its data; what is in force stays until something newer is written", "Check that the operators' latest writes are there; see docs/operations/platform-outage.md."},
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -81,6 +81,9 @@
 	}
 	header := a.exchange.daemon.platform.FromTarget(resp.StatusCode, resp.Header, a.exchange.callerID)
 	a.result.Status = resp.StatusCode
+	if !header.Notice.Empty() {
+		a.exchange.daemon.Post(step.HostNotice{Host: a.forward.Host, Notice: header.Notice})
+	}
 	switch {
 	case !header.MatchesRequest:
 		return step.EndedWrongAttempt
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -301,7 +301,10 @@
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	r := step.ReportAnswered{Host: e.Host, Sent: d.clock()}
-	report, err := d.platform.Report(ctx, e.Address)
+	report, notice, err := d.platform.Report(ctx, e.Address)
+	if !notice.Empty() {
+		d.Post(step.HostNotice{Host: e.Host, Notice: notice})
+	}
 	if err != nil {
 		d.log.Debug("report request failed", "host", e.Host, "error", err)
 		return r
--- a/internal/gateway/platform.go
+++ b/internal/gateway/platform.go
@@ -76,12 +76,15 @@
 	// NotRun is set if the target states that it did not run the request and will not.
 	NotRun bool
 	Load   site.Load // the target's load; zero if it states none
+	// Notice is what the target states about its availability.
+	Notice site.Notice
 }
 
 // Engines is the control interface of model engines.
 type Engines interface {
-	// Report requests the report of the engine at an address, host:port.
-	Report(ctx context.Context, address string) (site.Report, error)
+	// Report requests the report of the engine at an address, host:port. The notice is valid
+	// also if the request fails.
+	Report(ctx context.Context, address string) (site.Report, site.Notice, error)
 	// Order sends an order to an engine. The outcome says whether the engine may have received
 	// it.
 	Order(ctx context.Context, o step.SendGroupOrder) step.OrderOutcome
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -62,7 +62,8 @@
 	calls            *http.Client // for all calls but watches
 	watches          *http.Client // has its own connections
 	callTimeout      time.Duration
-	noEffectStatuses []int        // see WithNoEffectStatuses
+	noEffectStatuses []int // see WithNoEffectStatuses
+	observeHeader    func(http.Header)
 	watchCount       atomic.Int64 // watches begun
 }
 
@@ -80,6 +81,12 @@
 	return func(c *Client) { c.noEffectStatuses = statuses }
 }
 
+// WithHeaderObserver sets a function that gets the header of every answer, whatever its status,
+// before the call returns.
+func WithHeaderObserver(observe func(http.Header)) Option {
+	return func(c *Client) { c.observeHeader = observe }
+}
+
 // New returns a client of the platform at a base URL.
 func New(baseURL string, opts ...Option) *Client {
 	c := &Client{
@@ -210,6 +217,7 @@
 type Answer struct {
 	Op     string
 	Status int
+	Header http.Header
 	Body   []byte
 }
 
@@ -262,6 +270,9 @@
 		return Answer{}, &UnsentError{Op: r.Op, Err: err}
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if c.observeHeader != nil {
+		c.observeHeader(resp.Header)
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
 	if err == nil && len(body) > maxAnswerBytes {
 		err = errors.Errorf("answer exceeds %d bytes", maxAnswerBytes)
@@ -272,7 +283,7 @@
 	if slices.Contains(c.noEffectStatuses, resp.StatusCode) {
 		return Answer{}, &UnsentError{Op: r.Op, Err: errors.Errorf("status %d", resp.StatusCode)}
 	}
-	return classifyAnswer(Answer{Op: r.Op, Status: resp.StatusCode, Body: body})
+	return classifyAnswer(Answer{Op: r.Op, Status: resp.StatusCode, Header: resp.Header, Body: body})
 }
 
 // classifyAnswer returns the answers that the caller handles, and an error for every other
--- a/internal/relay/feed.go
+++ b/internal/relay/feed.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"net/http"
@@ -16,8 +17,10 @@
 const (
 	// Path is the HTTP path of queries for changes.
 	Path = "/changes/hosts"
-	// afterParam is the revision up to which the querying daemon has the changes. waitParam is
-	// how long the answer may wait for a change, in milliseconds.
+	// eraParam is the store's era that the querying daemon knows; 0 if it is missing. afterParam
+	// is the revision of that era up to which it has the changes. waitParam is how long the
+	// answer may wait for a change, in milliseconds.
+	eraParam   = "era"
 	afterParam = "after"
 	waitParam  = "waitMs"
 
@@ -32,10 +35,13 @@
 var (
 	// errStale is the answer of a daemon that does not watch the store, or whose last answer
 	// from it is older than maxAge. errTooOld is the answer of a daemon that no longer has the
-	// changes after the revision. Both texts are sent to the querying daemon.
+	// changes after the revision, and errOtherEra of one that has changes of another era of the
+	// store. The texts are sent to the querying daemon.
 	errStale  = errors.New("this daemon does not hear the store now: ask the store")
 	errTooOld = errors.New("this daemon does not keep changes so old: ask the store")
 
+	errOtherEra = errors.New("this daemon has changes of another era of the store: ask the store")
+
 	relayedAnswers = metrics.GetOrCreateCounter(`rhubarbswitch_relay_answers_total{result="changes"}`)
 	refusedAnswers = metrics.GetOrCreateCounter(`rhubarbswitch_relay_answers_total{result="refused"}`)
 )
@@ -55,8 +61,9 @@
 
 	mu sync.Mutex
 	// watching is set while this daemon watches the store itself. Then batches has all changes
-	// after oldestRevision up to revision, as of lastAnswerAt.
+	// of an era after oldestRevision up to revision, as of lastAnswerAt.
 	watching                 bool
+	era                      uint64
 	oldestRevision, revision uint64
 	lastAnswerAt             time.Duration
 	batches                  []batch
@@ -79,10 +86,12 @@
 	return &Feed{clock: clock, maxAge: maxAge, changed: make(chan struct{})}
 }
 
-// Restart starts relaying the changes after a revision that the store has just reported.
-func (f *Feed) Restart(revision uint64) {
+// Restart starts relaying the changes after a revision of an era that the store has just
+// reported.
+func (f *Feed) Restart(era, revision uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.era = era
 	f.watching, f.oldestRevision, f.revision, f.lastAnswerAt, f.batches = true, revision, revision, f.clock(), nil
 	f.wakeWaiters()
 }
@@ -133,13 +142,13 @@
 	f.changed = make(chan struct{})
 }
 
-// Wait returns the changes after a revision. If there are none, it waits for the first one, at
+// Wait returns the changes after a revision of an era. If there are none, it waits for the first one, at
 // most for wait, and then returns none. It fails as soon as the store's last answer becomes
 // older than maxAge.
-func (f *Feed) Wait(ctx context.Context, after uint64, wait time.Duration) (Changes, error) {
+func (f *Feed) Wait(ctx context.Context, era, after uint64, wait time.Duration) (Changes, error) {
 	until := f.clock() + wait
 	for {
-		c, changed, left, err := f.changesAfter(after)
+		c, changed, left, err := f.changesAfter(era, after)
 		now := f.clock()
 		if err != nil || len(c.Batches) > 0 || now >= until {
 			return c, err
@@ -156,9 +165,9 @@
 	}
 }
 
-// changesAfter returns the changes after a revision, a channel that is closed at the next
+// changesAfter returns the changes after a revision of an era, a channel that is closed at the next
 // change, and how long the feed stays up to date without another answer of the store.
-func (f *Feed) changesAfter(after uint64) (Changes, <-chan struct{}, time.Duration, error) {
+func (f *Feed) changesAfter(era, after uint64) (Changes, <-chan struct{}, time.Duration, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock()
@@ -167,6 +176,8 @@
 	switch {
 	case !f.watching || now-f.lastAnswerAt > f.maxAge:
 		return c, nil, 0, errStale
+	case era != f.era:
+		return c, nil, 0, errOtherEra
 	case after < f.oldestRevision:
 		return c, nil, 0, errTooOld
 	}
@@ -178,9 +189,11 @@
 	return c, f.changed, f.lastAnswerAt + f.maxAge - now + time.Millisecond, nil
 }
 
-// Query returns the URL query for the changes after a revision, which may wait for one.
-func Query(after uint64, wait time.Duration) url.Values {
+// Query returns the URL query for the changes after a revision of an era, which may wait for
+// one.
+func Query(era, after uint64, wait time.Duration) url.Values {
 	return url.Values{
+		eraParam:   {strconv.FormatUint(era, 10)},
 		afterParam: {strconv.FormatUint(after, 10)},
 		waitParam:  {strconv.FormatInt(wait.Milliseconds(), 10)},
 	}
@@ -188,15 +201,16 @@
 
 // ServeHTTP answers a query of another daemon.
 func (f *Feed) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	era, errEra := strconv.ParseUint(cmp.Or(r.FormValue(eraParam), "0"), 10, 64)
 	after, err := strconv.ParseUint(r.FormValue(afterParam), 10, 64)
 	wait, errWait := strconv.ParseUint(r.FormValue(waitParam), 10, 31)
-	if err = errors.Join(err, errWait); err != nil {
-		http.Error(w, "give "+afterParam+" and "+waitParam+" as whole numbers: "+err.Error(), http.StatusBadRequest)
+	if err = errors.Join(err, errWait, errEra); err != nil {
+		http.Error(w, "give "+eraParam+", "+afterParam+" and "+waitParam+" as whole numbers: "+err.Error(), http.StatusBadRequest)
 		return
 	}
-	c, err := f.Wait(r.Context(), after, time.Duration(wait)*time.Millisecond)
+	c, err := f.Wait(r.Context(), era, after, time.Duration(wait)*time.Millisecond)
 	switch {
-	case errors.Is(err, errTooOld):
+	case errors.Is(err, errTooOld), errors.Is(err, errOtherEra):
 		refusedAnswers.Inc()
 		http.Error(w, err.Error(), http.StatusGone)
 		return
--- a/internal/relay/feed_test.go
+++ b/internal/relay/feed_test.go
@@ -18,7 +18,7 @@
 func (c *fakeClock) advance(d time.Duration) { c.at.Add(int64(d)) }
 func batchOf(text string) json.RawMessage    { return json.RawMessage(`["` + text + `"]`) }
 func changesNow(f *Feed, after uint64) (Changes, error) {
-	return f.Wait(context.Background(), after, 0)
+	return f.Wait(context.Background(), 0, after, 0)
 }
 
 func TestChangesAfterARevision(t *testing.T) {
@@ -26,7 +26,7 @@
 	f := NewFeed(clock.now, time.Second)
 	_, err := changesNow(f, 0)
 	require.ErrorIs(t, err, errStale)
-	f.Restart(10)
+	f.Restart(0, 10)
 	_, err = changesNow(f, 9)
 	require.ErrorIs(t, err, errTooOld)
 	f.Add(12, batchOf("a"), true)
@@ -56,8 +56,8 @@
 func TestStaleChangesAreNotRelayed(t *testing.T) {
 	began := time.Now()
 	f := NewFeed(func() time.Duration { return time.Since(began) }, 100*time.Millisecond)
-	f.Restart(1)
-	_, err := f.Wait(context.Background(), 1, time.Minute)
+	f.Restart(0, 1)
+	_, err := f.Wait(context.Background(), 0, 1, time.Minute)
 	require.ErrorIs(t, err, errStale)
 	require.Less(t, time.Since(began), time.Second)
 	_, err = changesNow(f, 1)
@@ -88,19 +88,34 @@
 		}
 		return resp.StatusCode, c
 	}
-	status, _ := query(Query(1, 0).Encode())
+	status, _ := query(Query(0, 1, 0).Encode())
 	require.Equal(t, http.StatusServiceUnavailable, status)
 	require.True(t, f.RecentlyQueried())
-	f.Restart(5)
-	status, _ = query(Query(1, 0).Encode())
+	f.Restart(0, 5)
+	status, _ = query(Query(0, 1, 0).Encode())
 	require.Equal(t, http.StatusGone, status)
-	status, c := query(Query(5, 10*time.Millisecond).Encode())
+	status, c := query(Query(0, 5, 10*time.Millisecond).Encode())
 	require.Equal(t, http.StatusOK, status)
 	require.Equal(t, Changes{Revision: 5}, c)
 	time.AfterFunc(20*time.Millisecond, func() { f.Add(6, batchOf("x"), true) })
-	status, c = query(Query(5, time.Minute).Encode())
+	status, c = query(Query(0, 5, time.Minute).Encode())
 	require.Equal(t, http.StatusOK, status)
 	require.Equal(t, Changes{Revision: 6, Batches: []json.RawMessage{batchOf("x")}}, c)
 	status, _ = query("after=x")
 	require.Equal(t, http.StatusBadRequest, status)
 }
+
+// TestFeedServesOneEra queries a feed of one era of the store for the changes of others.
+// Revisions of different eras can't be compared.
+func TestFeedServesOneEra(t *testing.T) {
+	f := NewFeed(func() time.Duration { return 0 }, time.Second)
+	f.Restart(2, 10)
+	f.Add(11, json.RawMessage(`[]`), true)
+	for _, era := range []uint64{0, 1, 3} {
+		_, err := f.Wait(context.Background(), era, 10, 0)
+		require.ErrorIs(t, err, errOtherEra)
+	}
+	c, err := f.Wait(context.Background(), 2, 10, 0)
+	require.NoError(t, err)
+	require.Len(t, c.Batches, 1)
+}
--- a/internal/stub/site/server.go
+++ b/internal/stub/site/server.go
@@ -60,6 +60,8 @@
 	acceptedOrders uint64      // orders accepted since the start that changed something
 	staged         []string    // models whose weights are on the host
 	member         *Membership // nil without a group
+	writes         uint64      // writes of the entry since the start
+	highestEpoch   uint64      // of an order to join, since the start
 	// groupMembers are the IDs of the group's servers by rank.
 	groupMembers []string
 	model        string // model of the group
@@ -78,6 +80,10 @@
 	// OrderDelay is the time from the arrival of an order until it is carried out, without an
 	// answer. 0 carries out and answers orders at once.
 	OrderDelay time.Duration
+	// Leaving says in all answers that the server leaves.
+	Leaving bool
+	// Quiet, if positive, turns requests away with 503 and asks for no others for this long.
+	Quiet time.Duration
 }
 
 // Start starts the server, or restarts it after a crash, and registers it. Staged weights
@@ -100,7 +106,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.local, v.address, v.born = local, address, born
-	v.running, v.listed, v.state = true, true, "ready"
+	v.running, v.listed, v.state, v.writes, v.highestEpoch = true, true, "ready", 0, 0
 	v.register()
 	return nil
 }
@@ -109,7 +115,7 @@
 func (v *Server) entry() map[string]any {
 	e := map[string]any{
 		"service": v.Service, "address": v.address, "zone": v.Zone, "version": "v1", "slots": 8, "state": v.state,
-		"coldLeftMs": 0, "born": v.born,
+		"coldLeftMs": 0, "born": v.born, "seq": v.writes,
 	}
 	if v.Domain != "" {
 		e["domain"], e["staged"], e["group"], e["models"], e["stage"] = v.Domain, v.staged, v.member, v.models(), "mixed"
@@ -128,6 +134,7 @@
 func (v *Server) register() {
 	v.site.updateHead(v)
 	if v.running && v.listed {
+		v.writes++
 		v.site.Store.Put("servers", v.ID, v.entry())
 	}
 }
@@ -202,6 +209,7 @@
 func (v *Server) handleReport(w http.ResponseWriter) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.addNotice(w.Header())
 	serve.Reply(w, http.StatusOK, map[string]any{
 		"stage": "mixed", "models": v.models(), "domain": v.Domain, "staged": v.staged, "group": v.member, "busy": false,
 		"seq": v.acceptedOrders, "queued": 0, "running": 0, "born": v.born, "pace": 1.0,
@@ -262,7 +270,11 @@
 		v.acceptedOrders++
 		v.changeAfter(t.LoadTime, func() { v.staged = []string{o.Model} })
 		return http.StatusAccepted
+	case o.Op == "join" && o.Epoch < v.highestEpoch:
+		return http.StatusPreconditionFailed
 	case o.Op == "join":
+		v.highestEpoch = o.Epoch
+		v.site.checkEpoch(o)
 		v.acceptedOrders++
 		if v.member != nil && !inGroup && len(v.groupMembers) > 0 {
 			v.site.checkJoinElsewhere(v, v.groupMembers, v.member, o.Group)
@@ -322,6 +334,14 @@
 	})
 }
 
+// addNotice adds what the server states about itself to the header of an answer. The caller
+// holds mu.
+func (v *Server) addNotice(h http.Header) {
+	if v.faults.Leaving {
+		h.Set("Server-Leaving", "1")
+	}
+}
+
 // handleRequest runs a request, or answers that it does not run it: for another server, or for
 // a group that this server does not serve.
 func (v *Server) handleRequest(w http.ResponseWriter, r *http.Request) {
@@ -332,7 +352,15 @@
 	v.mu.Lock()
 	open := v.Domain == "" || v.member != nil && v.member.State == stateOpen && v.model == r.Header.Get("X-Model")
 	faults, m := v.faults, v.member
+	v.addNotice(h)
 	v.mu.Unlock()
+	v.site.recordArrival(v, id, faults)
+	if faults.Quiet > 0 {
+		h.Set("X-Not-Run", "1")
+		h.Set("Retry-After", strconv.FormatFloat(faults.Quiet.Seconds(), 'f', 3, 64))
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if r.Header.Get("X-Expect-Instance") != v.ID || !open {
 		h.Set("X-Not-Run", "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
--- a/internal/stub/site/site.go
+++ b/internal/stub/site/site.go
@@ -54,9 +54,12 @@
 	heads   map[string]Membership // by server: membership of each running server with rank 0
 	// readyMembers are the servers that have been ready, by formation.
 	readyMembers map[Membership]map[string]bool
-	lastBorn     int64 // the last start number; each start of a server gets a higher one
-	violations   []string
-	runs         []Run
+	// formationMembers are the members named in orders to join, by formation.
+	formationMembers map[Membership]string
+	arrivals         []Arrival
+	lastBorn         int64 // the last start number; each start of a server gets a higher one
+	violations       []string
+	runs             []Run
 }
 
 // Run is one run of a request at a server.
@@ -68,6 +71,16 @@
 	EndedAt time.Time
 }
 
+// Arrival is the arrival of a request at a server, whether the server runs it or not.
+type Arrival struct {
+	Request, Server string
+	At              time.Time
+	// Leaving is whether the answer says that the server leaves. Quiet is for how long it asks
+	// for no further requests; zero if it does not.
+	Leaving bool
+	Quiet   time.Duration
+}
+
 // New starts a site with an empty store and no servers.
 func New(timing Timing) (*Site, error) {
 	store, err := OpenStore()
@@ -77,7 +90,7 @@
 	s := &Site{
 		Store: store, Timing: timing, done: make(chan struct{}), lastBorn: time.Now().UnixMilli(),
 		servers: make(map[string]*Server), heads: make(map[string]Membership),
-		readyMembers: make(map[Membership]map[string]bool),
+		readyMembers: make(map[Membership]map[string]bool), formationMembers: make(map[Membership]string),
 	}
 	go s.watchHeads()
 	return s, nil
@@ -160,7 +173,8 @@
 	return found
 }
 
-func (s *Site) server(id string) *Server {
+// Server returns a server by ID, or nil.
+func (s *Site) Server(id string) *Server {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.servers[id]
@@ -169,7 +183,7 @@
 // isComplete reports whether every listed server is running and a member of the formation.
 func (s *Site) isComplete(members []string, m *Membership) bool {
 	for _, id := range members {
-		v := s.server(id)
+		v := s.Server(id)
 		if v == nil {
 			return false
 		}
@@ -255,7 +269,7 @@
 		ids := slices.Collect(maps.Keys(s.heads))
 		s.mu.Unlock()
 		for _, id := range ids {
-			s.server(id).checkMembers()
+			s.Server(id).checkMembers()
 		}
 	}
 }
@@ -280,6 +294,31 @@
 	s.runs[run].EndedAt = time.Now()
 }
 
+func (s *Site) recordArrival(v *Server, request string, f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.arrivals = append(s.arrivals, Arrival{Request: request, Server: v.ID, At: time.Now(), Leaving: f.Leaving, Quiet: f.Quiet})
+}
+
+// Arrivals returns all arrivals of requests so far, in order.
+func (s *Site) Arrivals() []Arrival {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.arrivals)
+}
+
+// checkEpoch checks that a formation never has two lists of members.
+func (s *Site) checkEpoch(o order) {
+	f, members := Membership{Name: o.Group, Epoch: o.Epoch}, fmt.Sprint(o.Members)
+	s.mu.Lock()
+	before, known := s.formationMembers[f]
+	s.formationMembers[f] = members
+	s.mu.Unlock()
+	if known && before != members {
+		s.addViolation("epoch %d of %s has the members %s and %s", o.Epoch, o.Group, before, members)
+	}
+}
+
 // Runs returns all runs so far, in the order of their start.
 func (s *Site) Runs() []Run {
 	s.mu.Lock()
--- a/internal/stub/site/store.go
+++ b/internal/stub/site/store.go
@@ -38,6 +38,8 @@
 // change is one entry of the store's history, in the form of a watch event.
 type change struct {
 	kind    string
+	at      time.Time
+	foreign bool   // made by an operator or a server, not by a daemon
 	Deleted bool   `json:"deleted"`
 	Object  Object `json:"object"`
 }
@@ -48,9 +50,10 @@
 
 	mu           sync.Mutex
 	rev          uint64
+	era          uint64 // sent with each answer
 	objects      map[string]map[string]Object
-	history      []change
-	historyStart uint64 // the history holds the changes after this revision
+	history      []change // all changes of this era and the copy that it began with
+	historyStart uint64   // watches get the changes after this revision
 	changed      chan struct{}
 	faults       StoreFaults
 	writes       int
@@ -88,18 +91,22 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.put(kind, Object{Meta: Meta{Name: name}, Spec: raw})
+	s.put(kind, Object{Meta: Meta{Name: name}, Spec: raw}, true)
 }
 
 // Remove deletes an object.
 func (s *Store) Remove(kind, name string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.remove(kind, name)
+}
+
+func (s *Store) remove(kind, name string) {
 	if o, ok := s.objects[kind][name]; ok {
 		s.rev++
 		delete(s.objects[kind], name)
 		o.Meta.Rev = s.rev
-		s.appendChange(change{kind: kind, Deleted: true, Object: o})
+		s.appendChange(change{kind: kind, foreign: true, Deleted: true, Object: o})
 	}
 }
 
@@ -108,7 +115,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.rev++
-	s.historyStart, s.history = s.rev, nil
+	s.historyStart = s.rev
 }
 
 // SetFaults replaces the store's faults and lets running watches check them.
@@ -142,7 +149,7 @@
 	return ok && json.Unmarshal(o.Spec, into) == nil
 }
 
-func (s *Store) put(kind string, o Object) Object {
+func (s *Store) put(kind string, o Object, foreign bool) Object {
 	if s.objects[kind] == nil {
 		s.objects[kind] = make(map[string]Object)
 	}
@@ -156,11 +163,12 @@
 		o.Meta.Created = old.Meta.Created
 	}
 	s.objects[kind][o.Meta.Name] = o
-	s.appendChange(change{kind: kind, Object: o})
+	s.appendChange(change{kind: kind, foreign: foreign, Object: o})
 	return o
 }
 
 func (s *Store) appendChange(c change) {
+	c.at = time.Now()
 	s.history = append(s.history, c)
 	s.notifyWatches()
 }
@@ -176,6 +184,7 @@
 	s.mu.Lock()
 	s.calls++
 	faults := s.faults
+	s.setEra(w)
 	s.mu.Unlock()
 	time.Sleep(faults.Delay)
 	switch {
@@ -195,6 +204,7 @@
 func (s *Store) get(w http.ResponseWriter, kind, name string) {
 	s.mu.Lock()
 	o, ok := s.objects[kind][name]
+	s.setEra(w)
 	s.mu.Unlock()
 	if !ok {
 		w.WriteHeader(http.StatusNotFound)
@@ -206,6 +216,7 @@
 func (s *Store) list(w http.ResponseWriter, r *http.Request, kind string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.setEra(w)
 	var names []string
 	for name := range s.objects[kind] {
 		if name > r.URL.Query().Get("after") {
@@ -233,13 +244,14 @@
 	end := time.After(time.Duration(wait) * time.Millisecond)
 	for timedOut := false; ; {
 		s.mu.Lock()
+		s.setEra(w)
 		events, at, changed := []change{}, s.rev, s.changed
 		for _, c := range s.history {
-			if c.kind == kind && c.Object.Meta.Rev > from {
+			if c.kind == kind && c.Object.Meta.Rev > max(from, s.historyStart) {
 				events = append(events, c)
 			}
 		}
-		historyDropped, faultStatus := from < s.historyStart, s.faults.Status
+		historyDropped, faultStatus := from < s.historyStart || from > s.rev, s.faults.Status
 		s.mu.Unlock()
 		switch {
 		case faultStatus != 0:
@@ -277,18 +289,21 @@
 	lost := faults.LoseOneIn > 0 && s.writes%faults.LoseOneIn == 0
 	s.mu.Unlock()
 	if lost {
-		time.AfterFunc(faults.LostWriteDelay, func() { s.apply(r.Method, kind, name, o) })
+		time.AfterFunc(faults.LostWriteDelay, func() { s.apply(nil, r.Method, kind, name, o) })
 		panic(http.ErrAbortHandler)
 	}
-	status, answer := s.apply(r.Method, kind, name, o)
+	status, answer := s.apply(w, r.Method, kind, name, o)
 	serve.Reply(w, status, answer)
 }
 
 // apply carries out a write if its condition on existence and revision holds. It returns the
-// status and body of the answer.
-func (s *Store) apply(method, kind, name string, o Object) (int, any) {
+// status and body of the answer, and sets its era unless w is nil.
+func (s *Store) apply(w http.ResponseWriter, method, kind, name string, o Object) (int, any) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if w != nil {
+		s.setEra(w)
+	}
 	current, exists := s.objects[kind][name]
 	switch {
 	case method == http.MethodPost && exists, o.Meta.Rev != 0 && exists && o.Meta.Rev != current.Meta.Rev:
@@ -297,5 +312,5 @@
 		return http.StatusNotFound, nil
 	}
 	o.Meta.Name = name
-	return http.StatusOK, s.put(kind, o)
+	return http.StatusOK, s.put(kind, o, false)
 }
