soak: store that comes back from an older copy, servers that leave, servers that ask for quiet

The soak gets a fault each, overlapping with the others, and checks from outside: no request at a server 3 s after a daemon has passed on that it leaves; no more than two at one that asked for quiet; no epoch with two lists of members; no return to a drained server or an evacuated data centre by a process that knew of it, whatever disturbs it later.

The new kinds are drawn from a stream of their own, so that the kept seeds draw what they drew.

--- a/internal/stub/site/server.go
+++ b/internal/stub/site/server.go
@@ -66,8 +66,10 @@
 	groupMembers []string
 	model        string // model of the group
 	faults       Faults
-	streams      int       // streams that the server is sending as a head
-	memberLostAt time.Time // since when the head has lacked a member, or zero
+	leaving      bool          // says in all answers that it leaves, until it starts again
+	quiet        time.Duration // if positive, turns requests away and asks for no others for this long
+	streams      int           // streams that the server is sending as a head
+	memberLostAt time.Time     // since when the head has lacked a member, or zero
 }
 
 // Faults are the faults that a server shows; the zero value is a correct server.
@@ -80,10 +82,6 @@
 	// OrderDelay is the time from the arrival of an order until it is carried out, without an
 	// answer. 0 carries out and answers orders at once.
 	OrderDelay time.Duration
-	// Leaving says in all answers that the server leaves.
-	Leaving bool
-	// Quiet, if positive, turns requests away with 503 and asks for no others for this long.
-	Quiet time.Duration
 }
 
 // Start starts the server, or restarts it after a crash, and registers it. Staged weights
@@ -106,7 +104,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.local, v.address, v.born = local, address, born
-	v.running, v.listed, v.state, v.writes, v.highestEpoch = true, true, "ready", 0, 0
+	v.running, v.listed, v.state, v.writes, v.highestEpoch, v.leaving = true, true, "ready", 0, 0, false
 	v.register()
 	return nil
 }
@@ -183,6 +181,22 @@
 	v.faults = f
 }
 
+// Leave makes the server say in all its answers that it leaves, until it starts again. Its entry
+// does not change.
+func (v *Server) Leave() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.leaving = true
+}
+
+// SetQuiet makes the server turn requests away with 503 and ask for no others for a time; 0
+// ends that.
+func (v *Server) SetQuiet(d time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.quiet = d
+}
+
 // Member returns a copy of the server's membership, or nil.
 func (v *Server) Member() *Membership {
 	v.mu.Lock()
@@ -337,7 +351,7 @@
 // addNotice adds what the server states about itself to the header of an answer. The caller
 // holds mu.
 func (v *Server) addNotice(h http.Header) {
-	if v.faults.Leaving {
+	if v.leaving {
 		h.Set("Server-Leaving", "1")
 	}
 }
@@ -353,11 +367,12 @@
 	open := v.Domain == "" || v.member != nil && v.member.State == stateOpen && v.model == r.Header.Get("X-Model")
 	faults, m := v.faults, v.member
 	v.addNotice(h)
+	arrival := Arrival{Request: id, Server: v.ID, Born: v.born, At: time.Now(), Leaving: v.leaving, Quiet: v.quiet}
 	v.mu.Unlock()
-	v.site.recordArrival(v, id, faults)
-	if faults.Quiet > 0 {
+	v.site.recordArrival(arrival)
+	if arrival.Quiet > 0 {
 		h.Set("X-Not-Run", "1")
-		h.Set("Retry-After", strconv.FormatFloat(faults.Quiet.Seconds(), 'f', 3, 64))
+		h.Set("Retry-After", strconv.FormatFloat(arrival.Quiet.Seconds(), 'f', 3, 64))
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/stub/site/site.go
+++ b/internal/stub/site/site.go
@@ -74,6 +74,7 @@
 // Arrival is the arrival of a request at a server, whether the server runs it or not.
 type Arrival struct {
 	Request, Server string
+	Born            int64 // of the server
 	At              time.Time
 	// Leaving is whether the answer says that the server leaves. Quiet is for how long it asks
 	// for no further requests; zero if it does not.
@@ -294,10 +295,10 @@
 	s.runs[run].EndedAt = time.Now()
 }
 
-func (s *Site) recordArrival(v *Server, request string, f Faults) {
+func (s *Site) recordArrival(a Arrival) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.arrivals = append(s.arrivals, Arrival{Request: request, Server: v.ID, At: time.Now(), Leaving: f.Leaving, Quiet: f.Quiet})
+	s.arrivals = append(s.arrivals, a)
 }
 
 // Arrivals returns all arrivals of requests so far, in order.
--- a/internal/stub/soak/check.go
+++ b/internal/stub/soak/check.go
@@ -61,6 +61,10 @@
 	routeAddedAt   []time.Time              // when each extra route was configured, by number
 	routesServed   map[[2]int][]servedRoute // by daemon and incarnation
 	runCount       int                      // runs at servers
+	// processStartedAt is when each process started, by daemon and incarnation.
+	processStartedAt map[[2]int]time.Time
+	freezes          map[int][]time.Time  // when each daemon was frozen
+	leavingSince     map[lifeAt]time.Time // when a life of a daemon first passed on that a server leaves
 }
 
 // evacuation is a time during which the operators had a data centre evacuated; to is zero
@@ -80,6 +84,7 @@
 	return &checker{
 		timeline: t, startedAt: startedAt, calls: make(map[string]*call), callCounts: make(map[string]int), reported: make(map[string]bool),
 		drainStartedAt: make(map[string]time.Time), routesServed: make(map[[2]int][]servedRoute),
+		processStartedAt: make(map[[2]int]time.Time), freezes: make(map[int][]time.Time), leavingSince: make(map[lifeAt]time.Time),
 	}
 }
 
@@ -202,6 +207,7 @@
 func (k *checker) checkCompleteAnswer(c *call) {
 	a := c.Answer
 	stamp := a.Header.Get("X-Server-Stamp")
+	k.recordLeaving(c, stamp)
 	switch {
 	case a.Status == http.StatusOK:
 		server, own := strings.CutSuffix(stamp, "."+c.ID)
@@ -279,16 +285,32 @@
 	undisturbed := func(from time.Time) bool {
 		return k.timeline.undisturbed(c.Daemon, from, run.StartedAt, false) && !k.timeline.disturbed(scopeServers, c.SentAt, run.StartedAt, false)
 	}
-	if from, ok := k.drainStartedAt[run.Server]; ok && run.StartedAt.After(from.Add(drainTimeout)) && undisturbed(from) {
+	if from, ok := k.drainStartedAt[run.Server]; ok && run.StartedAt.After(from.Add(drainTimeout)) && (undisturbed(from) || k.knew(c, from, drainTimeout)) {
 		k.addFindingLocked("drain", "%s ran at %s, %s after that server began to drain", c.ID, run.Server, run.StartedAt.Sub(from))
 	}
 	for _, o := range k.evacuations {
-		if o.zone == run.Zone && run.StartedAt.After(o.from.Add(evacuationTimeout)) && (o.to.IsZero() || run.StartedAt.Before(o.to)) && undisturbed(o.from) {
+		if o.zone == run.Zone && run.StartedAt.After(o.from.Add(evacuationTimeout)) && (o.to.IsZero() || run.StartedAt.Before(o.to)) &&
+			(undisturbed(o.from) || k.knew(c, o.from, evacuationTimeout)) {
 			k.addFindingLocked("evacuation", "%s ran in %s, %s after that data centre was evacuated", c.ID, run.Zone, run.StartedAt.Sub(o.from))
 		}
 	}
 }
 
+// knew reports whether the process that took a request must have known something before that
+// was written at from, since it was not disturbed for as long as it may take to know it. No
+// later disturbance excuses that it acts as if it did not know it any more.
+func (k *checker) knew(c *call, from time.Time, within time.Duration) bool {
+	startedAt, ok := k.processStartedAt[[2]int{c.Daemon, c.Incarnation}]
+	return ok && startedAt.Before(from) && c.SentAt.After(from.Add(within)) && k.timeline.undisturbed(c.Daemon, from, from.Add(within), false)
+}
+
+// recordStart records the start of a daemon's process.
+func (k *checker) recordStart(daemon, incarnation int, at time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.processStartedAt[[2]int{daemon, incarnation}] = at
+}
+
 // checkRunsOfCall checks all runs of one request: that there are not too many, that a refused
 // write has none, and that a stream ends once its caller has disconnected.
 func (k *checker) checkRunsOfCall(c *call, runs []site.Run) {
--- a/internal/stub/soak/daemon.go
+++ b/internal/stub/soak/daemon.go
@@ -51,6 +51,7 @@
 	log              *os.File
 	timeline         *timeline
 	addFinding       func(promise, format string, args ...any)
+	recordStart      func(daemon, incarnation int, at time.Time)
 	supervisionEnded chan struct{} // closed once the daemon is not restarted any more
 
 	mu          sync.Mutex
@@ -71,7 +72,7 @@
 	ip := fmt.Sprintf("%s%d", r.prefix, i+1)
 	d := &daemon{
 		index: i, name: fmt.Sprintf("gateway-%d", i), readinessAddress: fmt.Sprintf("%s:%d", ip, readinessPort),
-		timeline: &r.timeline, addFinding: r.checker.addFinding, supervisionEnded: make(chan struct{}),
+		timeline: &r.timeline, addFinding: r.checker.addFinding, recordStart: r.checker.recordStart, supervisionEnded: make(chan struct{}),
 	}
 	callers := fmt.Sprintf("%s:%d", ip, callersPort)
 	var err error
@@ -111,6 +112,7 @@
 	defer d.mu.Unlock()
 	d.process, d.endRequested, d.gracefulStop = p, false, false
 	d.incarnation++
+	d.recordStart(d.index, d.incarnation, time.Now())
 	for _, s := range d.absences {
 		d.timeline.end(s)
 	}
--- a/internal/stub/soak/faults.go
+++ b/internal/stub/soak/faults.go
@@ -51,6 +51,7 @@
 	{DaemonPause, false, 5 * time.Second, func(r *run, f Fault) func() {
 		d := r.pickDaemon(f)
 		p, _ := d.current()
+		r.checker.recordFreeze(d.index, time.Now())
 		return r.recordDuring(d.index, func() { p.Signal(syscall.SIGSTOP) }, func() { p.Signal(syscall.SIGCONT) })
 	}},
 	{DaemonHup, true, time.Second, func(r *run, f Fault) func() {
--- a/internal/stub/soak/plan.go
+++ b/internal/stub/soak/plan.go
@@ -47,6 +47,8 @@
 	ServerErrors   Kind = "server-errors"
 	ServerHang     Kind = "server-hang"
 	ServerUnlisted Kind = "server-unlisted" // the entry of a live server expires
+	ServerLeaving  Kind = "server-leaving"  // a server says in its answers that it leaves
+	ServerQuiet    Kind = "server-quiet"    // a server turns requests away and asks for a pause
 	OrdersLate     Kind = "orders-late"
 
 	StoreDown    Kind = "store-down"
@@ -54,6 +56,7 @@
 	StoreSlow    Kind = "store-slow"
 	StoreLost    Kind = "store-lost" // some writes are not answered, but carried out at once or late
 	StoreHistory Kind = "store-history"
+	StoreRestore Kind = "store-restore" // the store comes back from an older copy
 
 	ConfigChange Kind = "config-change"
 	ConfigStorm  Kind = "config-storm"
@@ -87,6 +90,9 @@
 	// minDuration is the shortest duration of a disturbance, and the shortest delay in a
 	// series.
 	minDuration = 50 * time.Millisecond
+	// seriesStream times the number of a series is the random stream of its draws. The streams
+	// below are used for requests.
+	seriesStream = 16
 	// plannedInterval is the mean time between actions of operators, which also occur in calm
 	// periods.
 	plannedInterval = 4 * time.Second
@@ -94,9 +100,9 @@
 
 // Kinds returns all kinds of disturbances.
 func Kinds() []Kind {
-	kinds := make([]Kind, len(catalogue))
-	for i, t := range catalogue {
-		kinds[i] = t.kind
+	var kinds []Kind
+	for _, t := range slices.Concat(catalogue, laterCatalogue) {
+		kinds = append(kinds, t.kind)
 	}
 	return kinds
 }
@@ -112,10 +118,22 @@
 }
 
 // Draw returns the disturbances that a seed determines for a run of a length, sorted by start.
-// It draws from the given kinds, or from all if none is given.
+// It draws from the given kinds, or from all if none is given. The kinds of each series of the
+// catalogue are drawn by themselves, so that a seed keeps the disturbances that it had before a
+// series was added.
 func Draw(seed uint64, length time.Duration, kinds []Kind) []Fault {
-	d := &planner{rand: rand.New(rand.NewPCG(seed, 0)), length: length}
-	for _, t := range catalogue {
+	var faults []Fault
+	for series, specs := range [][]kindSpec{catalogue, laterCatalogue} {
+		faults = append(faults, drawSeries(rand.New(rand.NewPCG(seed, uint64(series)*seriesStream)), specs, length, kinds)...)
+	}
+	slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
+	return faults
+}
+
+// drawSeries draws the disturbances of one series.
+func drawSeries(draw *rand.Rand, specs []kindSpec, length time.Duration, kinds []Kind) []Fault {
+	d := &planner{rand: draw, length: length}
+	for _, t := range specs {
 		switch {
 		case len(kinds) > 0 && !slices.Contains(kinds, t.kind):
 		case t.planned:
@@ -134,7 +152,6 @@
 	for at := time.Duration(0); len(d.plannedKinds) > 0 && at < length; at += d.between(0, 2*plannedInterval) {
 		d.add(d.plannedKinds, at)
 	}
-	slices.SortStableFunc(d.faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return d.faults
 }
 
--- a/internal/stub/soak/soak.go
+++ b/internal/stub/soak/soak.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -207,11 +208,17 @@
 	}
 	stop()
 	r.background.Wait()
+	r.check()
+}
+
+// check checks what has reached the servers so far.
+func (r *run) check() {
 	r.checker.checkRuns(r.site.Runs(), r.site.Violations())
+	r.checker.checkNotices(r.site.Arrivals())
 }
 
 func (r *run) disturb(f Fault) {
-	for _, t := range catalogue {
+	for _, t := range slices.Concat(catalogue, laterCatalogue) {
 		if t.kind != f.Kind {
 			continue
 		}
@@ -232,7 +239,7 @@
 // checkPeriodically checks the runs at servers until the context ends.
 func (r *run) checkPeriodically(ctx context.Context) {
 	for sleepContext(ctx, checkInterval) {
-		r.checker.checkRuns(r.site.Runs(), r.site.Violations())
+		r.check()
 	}
 }
 
