fabric: deal domains by what fills the rest of them

A domain of 8 holds one group of 4 beside its spare, and the rest goes to groups of 2; the plan did not count that rest, so the small model got whole domains as well.

Change: a domain without groups goes to the model with which the model worst off for its share has most hosts once every domain that has groups is full, the rests included.

Ruled out: too few slots. Six heads carry the large model's work at a quarter of their slots.

--- a/internal/core/fabric/form.go
+++ b/internal/core/fabric/form.go
@@ -203,49 +203,30 @@
 // modelForUnstaged returns the model for a group of hosts that have no weights at all, or nil
 // if there are too few of them. Models that groups of the domain already serve come first: the
 // hosts left over by two groups of one model can make up another group of it; those left over
-// by groups of two models can't.
+// by groups of two models can't. A model that would get no hosts anywhere comes before them.
 func (p *Pool) modelForUnstaged(domain string, idle, free []string) *site.Model {
 	unstagedHosts := len(p.unstaged(idle))
 	if unstagedHosts == 0 {
 		return nil
 	}
-	reserved, models, planned := p.reservedSpares(domain), p.byHostsPerShare(), make(map[string]float64)
-	for _, m := range models {
-		planned[m.Name] = p.plannedHostsPerShare(m)
-	}
-	slices.SortStableFunc(models, func(a, b *site.Model) int {
-		if p.hostsPerShare(a) == 0 || p.hostsPerShare(b) == 0 {
-			return cmp.Compare(p.hostsPerShare(a), p.hostsPerShare(b)) // a model without any hosts comes first
-		}
-		if byPresence := min(1, p.groupedHosts(domain, b)) - min(1, p.groupedHosts(domain, a)); byPresence != 0 {
-			return byPresence
-		}
-		return cmp.Compare(planned[a.Name], planned[b.Name])
+	reserved := p.reservedSpares(domain)
+	models := slices.DeleteFunc(p.byHostsPerShare(), func(m *site.Model) bool {
+		return unstagedHosts < m.GroupSize || len(free) < m.GroupSize+reserved
 	})
-	for _, m := range models {
-		if unstagedHosts >= m.GroupSize && len(free) >= m.GroupSize+reserved {
-			return m
-		}
+	if len(models) == 0 {
+		return nil
 	}
-	return nil
-}
-
-// plannedHostsPerShare is like hostsPerShare, but counts the hosts that a model's groups have
-// or will have: a domain whose groups serve only this model will be filled with them. Counting
-// only present groups would give a model of small groups most domains before a model of large
-// groups gets its second.
-func (p *Pool) plannedHostsPerShare(m *site.Model) float64 {
-	hosts := 0
-	for domain := range p.totals.domainSize {
-		n := p.groupedHosts(domain, m)
-		if n > 0 && !p.servesOtherModels(domain, m) {
-			n = max(n, (p.domainSize(domain)-p.reservedSpares(domain))/m.GroupSize*m.GroupSize)
-		}
-		hosts += n
+	if p.groupedInDomain(domain) == 0 {
+		return p.modelForEmptyDomain(domain, models)
+	}
+	if m := models[0]; p.hostsPerShare(m) == 0 && !p.hasEmptyDomain() && p.plannedHosts()[m.Name] == 0 {
+		return m
 	}
-	return float64(hosts) / max(m.Share, 0.01)
+	if i := slices.IndexFunc(models, func(m *site.Model) bool { return p.groupedHosts(domain, m) > 0 }); i >= 0 {
+		return models[i]
+	}
+	return models[0]
 }
-
 // cheapestGroup returns the model whose next group in the domain makes the best use of loads:
 // the fewest loads, weighted by hostsPerShare. It also returns the hosts that may load the
 // model's weights. The model is nil if no group can be formed.
--- a/internal/core/fabric/totals.go
+++ b/internal/core/fabric/totals.go
@@ -2,6 +2,10 @@
 
 import "github.com/rhubarbswitch/rhubarbswitch/internal/core/site"
 
+// minShare is the least share of the work for which a model counts, so that one without any
+// still gets a group.
+const minShare = 0.01
+
 // totals are counts over hosts and groups. recount computes them when a tick begins and again
 // before hosts are given to groups: recounting for each decision would cost the product of
 // hosts and groups.
@@ -73,7 +77,7 @@
 // hostsPerShare is the number of hosts in active groups of a model, divided by the model's
 // share of the work. The model with the lowest value needs another group most.
 func (p *Pool) hostsPerShare(m *site.Model) float64 {
-	return float64(p.totals.activeHosts[m.Name]) / max(m.Share, 0.01)
+	return float64(p.totals.activeHosts[m.Name]) / max(m.Share, minShare)
 }
 
 // partitioned reports whether so many of a data centre's hosts are unresponsive that the
