--- a/internal/core/fabric/deal.go
+++ b/internal/core/fabric/deal.go
@@ -18,7 +18,9 @@
 // share. The models are not empty.
 func (p *Pool) modelForEmptyDomain(domain string, models []*site.Model) *site.Model {
 	planned := p.plannedHosts()
-	perShare := func(hosts map[string]int, m *site.Model) float64 { return float64(hosts[m.Name]) / max(m.Share, minShare) }
+	perShare := func(hosts map[string]int, m *site.Model) float64 {
+		return float64(hosts[m.Name]) / max(m.Share, minShare)
+	}
 	leastPerShare := func(first *site.Model) float64 {
 		hosts := maps.Clone(planned)
 		p.addFilled(hosts, domain, first)
--- a/internal/core/fabric/form.go
+++ b/internal/core/fabric/form.go
@@ -227,6 +227,7 @@
 	}
 	return models[0]
 }
+
 // cheapestGroup returns the model whose next group in the domain makes the best use of loads:
 // the fewest loads, weighted by hostsPerShare. It also returns the hosts that may load the
 // model's weights. The model is nil if no group can be formed.
