soak: a server that leaves, starts anew and leaves again is two lives

The rule ends with the life of the server, so the request was allowed.

Change: the checker keeps the two apart by born; the rest of the check is as strict as before.

--- a/internal/stub/soak/check.go
+++ b/internal/stub/soak/check.go
@@ -63,8 +63,7 @@
 	runCount       int                      // runs at servers
 	// processStartedAt is when each process started, by daemon and incarnation.
 	processStartedAt map[[2]int]time.Time
-	freezes          map[int][]time.Time  // when each daemon was frozen
-	leavingSince     map[lifeAt]time.Time // when a life of a daemon first passed on that a server leaves
+	freezes          map[int][]time.Time // when each daemon was frozen
 }
 
 // evacuation is a time during which the operators had a data centre evacuated; to is zero
@@ -84,7 +83,7 @@
 	return &checker{
 		timeline: t, startedAt: startedAt, calls: make(map[string]*call), callCounts: make(map[string]int), reported: make(map[string]bool),
 		drainStartedAt: make(map[string]time.Time), routesServed: make(map[[2]int][]servedRoute),
-		processStartedAt: make(map[[2]int]time.Time), freezes: make(map[int][]time.Time), leavingSince: make(map[lifeAt]time.Time),
+		processStartedAt: make(map[[2]int]time.Time), freezes: make(map[int][]time.Time),
 	}
 }
 
@@ -207,7 +206,6 @@
 func (k *checker) checkCompleteAnswer(c *call) {
 	a := c.Answer
 	stamp := a.Header.Get("X-Server-Stamp")
-	k.recordLeaving(c, stamp)
 	switch {
 	case a.Status == http.StatusOK:
 		server, own := strings.CutSuffix(stamp, "."+c.ID)
--- a/internal/stub/soak/notices.go
+++ b/internal/stub/soak/notices.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"strings"
 	"time"
 
 	"github.com/rhubarbswitch/rhubarbswitch/internal/stub/site"
@@ -28,17 +27,21 @@
 	k.freezes[daemon] = append(k.freezes[daemon], at)
 }
 
-// recordLeaving records that a daemon has passed on an answer that says that its server leaves.
-// The caller holds mu.
-func (k *checker) recordLeaving(c *call, stamp string) {
-	server, own := strings.CutSuffix(stamp, "."+c.ID)
-	if !own || c.Incarnation == 0 || c.Answer.Header.Get("Server-Leaving") == "" {
-		return
-	}
-	life := lifeAt{daemon: c.Daemon, incarnation: c.Incarnation, server: server}
-	if _, known := k.leavingSince[life]; !known {
-		k.leavingSince[life] = c.EndedAt
+// leavingSince returns when each life of a daemon first passed on an answer in which a life of a
+// server says that it leaves. The caller holds mu.
+func (k *checker) leavingSince(arrivals []site.Arrival) map[lifeAt]time.Time {
+	since := make(map[lifeAt]time.Time)
+	for _, a := range arrivals {
+		c := k.calls[a.Request]
+		if !a.Leaving || c == nil || c.Incarnation == 0 || c.Answer.Header.Get("X-Server-Stamp") != a.Server+"."+c.ID {
+			continue // turned away, or answered by another server
+		}
+		life := lifeAt{c.Daemon, c.Incarnation, a.Server, a.Born}
+		if at, known := since[life]; !known || c.EndedAt.Before(at) {
+			since[life] = c.EndedAt
+		}
 	}
+	return since
 }
 
 // frozen reports whether a daemon was frozen in a time.
@@ -56,6 +59,7 @@
 func (k *checker) checkNotices(arrivals []site.Arrival) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	leaving := k.leavingSince(arrivals)
 	quiet := make(map[lifeAt][]site.Arrival) // arrivals that were turned away
 	sent := make(map[lifeAt][]site.Arrival)  // all arrivals
 	for _, a := range arrivals {
@@ -63,8 +67,10 @@
 		if c == nil || c.Incarnation == 0 {
 			continue // nobody's, or it has not ended, or its daemon has restarted meanwhile
 		}
-		k.checkLeaving(c, a)
 		life := lifeAt{c.Daemon, c.Incarnation, a.Server, a.Born}
+		if since, known := leaving[life]; known {
+			k.checkLeaving(c, a, since)
+		}
 		sent[life] = append(sent[life], a)
 		if a.Quiet > 0 {
 			quiet[life] = append(quiet[life], a)
@@ -85,10 +91,10 @@
 	}
 }
 
-// checkLeaving checks an arrival at a server that leaves.
-func (k *checker) checkLeaving(c *call, a site.Arrival) {
-	since, known := k.leavingSince[lifeAt{daemon: c.Daemon, incarnation: c.Incarnation, server: a.Server}]
-	if known && a.Leaving && c.SentAt.After(since.Add(drainTimeout)) && !k.frozen(c.Daemon, since, a.At) {
+// checkLeaving checks an arrival at a server that leaves, which the daemon has known since some
+// time.
+func (k *checker) checkLeaving(c *call, a site.Arrival, since time.Time) {
+	if c.SentAt.After(since.Add(drainTimeout)) && !k.frozen(c.Daemon, since, a.At) {
 		k.addFindingLocked("leaving", "%s reached %s, %s after daemon %d had passed on that it leaves", c.ID, a.Server, a.At.Sub(since), c.Daemon)
 	}
 }
