fabric: of equal models the one with fewer groups gets a domain

Four servers of a domain go at once, so each loss takes half of the large model.

What binds: a domain that has lost four of 19 hosts can't hold a group of 16 until others come and load for 16 s, and every domain is hit once in 15 s.

--- a/internal/core/fabric/deal.go
+++ b/internal/core/fabric/deal.go
@@ -15,7 +15,8 @@
 // modelForEmptyDomain returns which of some models a domain without groups should be filled
 // with first, so that the model that is worst off for its share has as many hosts as possible
 // once all domains that have groups are full. Of equals it is the model with fewer hosts for its
-// share. The models are not empty.
+// share, then the one with fewer groups, of which each loss takes a larger part of it. The models
+// are not empty.
 func (p *Pool) modelForEmptyDomain(domain string, models []*site.Model) *site.Model {
 	planned := p.plannedHosts()
 	perShare := func(hosts map[string]int, m *site.Model) float64 {
@@ -31,7 +32,7 @@
 		return least
 	}
 	return slices.MinFunc(models, func(a, b *site.Model) int {
-		return cmp.Or(cmp.Compare(leastPerShare(b), leastPerShare(a)), cmp.Compare(perShare(planned, a), perShare(planned, b)))
+		return cmp.Or(cmp.Compare(leastPerShare(b), leastPerShare(a)), cmp.Compare(perShare(planned, a), perShare(planned, b)), cmp.Compare(planned[a.Name]/a.GroupSize, planned[b.Name]/b.GroupSize))
 	})
 }
 
