relay: configuration and evacuations too, and over all data centres where each is small

Change: while a daemon gets its hosts from another one, it gets configuration and evacuations from the same one, by a query that waits as long as a watch of the store. That feed is as fresh as the one of hosts: it refuses as soon as the source does not hear the store, and the query ends with the link. Daemons of data centres with fewer than 8 rank over the whole deployment.

--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -164,11 +164,11 @@
 	return g.Wait()
 }
 
-// peerHandler serves the requests of other daemons: queries for changes of hosts, and
+// peerHandler serves the requests of other daemons: queries for changes in the store, and
 // notifications of suspected engines.
 func (d *Daemon) peerHandler() http.Handler {
 	mux := chi.NewRouter()
-	mux.Handle(relay.Path, d.platform.ChangesHandler())
+	mux.Handle(relay.PathPrefix+"*", d.platform.ChangesHandler())
 	mux.Handle(relay.SuspectPath, relay.SuspectHandler(func(host string) { d.Post(step.HostSuspected{Host: host}) }))
 	return mux
 }
--- a/internal/gateway/platform.go
+++ b/internal/gateway/platform.go
@@ -16,7 +16,7 @@
 	// Follow registers this daemon in the platform's store, and posts the store's contents and
 	// changes to the subscriber until the context ends.
 	Follow(ctx context.Context, s Subscriber)
-	// ChangesHandler answers other daemons that query changes of hosts.
+	// ChangesHandler answers other daemons that query changes in the store.
 	ChangesHandler() http.Handler
 	// ReadLease and WriteLease execute the effects of the same names.
 	ReadLease(ctx context.Context, r step.ReadLease) step.LeaseAnswered
--- a/internal/relay/feed.go
+++ b/internal/relay/feed.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// Path is the HTTP path of queries for changes.
-	Path = "/changes/hosts"
+	// PathPrefix is the HTTP path of queries for changes, without the name of the feed.
+	PathPrefix = "/changes/"
 	// eraParam is the store's era that the querying daemon knows; 0 if it is missing. afterParam
 	// is the revision of that era up to which it has the changes. waitParam is how long the
 	// answer may wait for a change, in milliseconds.
@@ -53,11 +53,14 @@
 	Batches  []json.RawMessage `json:"batches"`
 }
 
-// Feed keeps the latest changes of hosts that this daemon has received from the store, and
-// serves them to other daemons. It is safe for concurrent use.
+// Feed keeps the latest changes of one kind of object that this daemon has received from the
+// store, and serves them to other daemons. It is safe for concurrent use.
 type Feed struct {
 	clock  func() time.Duration
 	maxAge time.Duration
+	// primary is the feed whose answers of the store show that this daemon hears the store; the
+	// feed itself unless it is a companion.
+	primary *Feed
 
 	mu sync.Mutex
 	// watching is set while this daemon watches the store itself. Then batches has all changes
@@ -83,7 +86,24 @@
 // only while the store's last answer is not older than maxAge. The clock must also advance
 // while the machine is suspended.
 func NewFeed(clock func() time.Duration, maxAge time.Duration) *Feed {
-	return &Feed{clock: clock, maxAge: maxAge, changed: make(chan struct{})}
+	f := &Feed{clock: clock, maxAge: maxAge, changed: make(chan struct{})}
+	f.primary = f
+	return f
+}
+
+// NewCompanion returns the feed of a kind that rarely changes. Its watch waits for a change
+// much longer than maxAge, so that the age of its own last answer says nothing. It is up to
+// date as long as the primary feed is, because a watch that an outage may have cut off from the
+// store is sent again.
+func (f *Feed) NewCompanion() *Feed {
+	return &Feed{clock: f.clock, maxAge: f.maxAge, changed: make(chan struct{}), primary: f}
+}
+
+// heardStoreAt returns when the store last answered the watch of this feed.
+func (f *Feed) heardStoreAt() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lastAnswerAt
 }
 
 // Restart starts relaying the changes after a revision of an era that the store has just
@@ -168,13 +188,14 @@
 // changesAfter returns the changes after a revision of an era, a channel that is closed at the next
 // change, and how long the feed stays up to date without another answer of the store.
 func (f *Feed) changesAfter(era, after uint64) (Changes, <-chan struct{}, time.Duration, error) {
+	heardAt := f.primary.heardStoreAt()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock()
 	f.queried, f.lastQueryAt = true, now
 	c := Changes{Revision: max(f.revision, after)}
 	switch {
-	case !f.watching || now-f.lastAnswerAt > f.maxAge:
+	case !f.watching || now-heardAt > f.maxAge:
 		return c, nil, 0, errStale
 	case era != f.era:
 		return c, nil, 0, errOtherEra
@@ -186,7 +207,7 @@
 			c.Batches = append(c.Batches, b.events)
 		}
 	}
-	return c, f.changed, f.lastAnswerAt + f.maxAge - now + time.Millisecond, nil
+	return c, f.changed, heardAt + f.maxAge - now + time.Millisecond, nil
 }
 
 // Query returns the URL query for the changes after a revision of an era, which may wait for
--- a/internal/relay/sources.go
+++ b/internal/relay/sources.go
@@ -1,11 +1,11 @@
-// Package relay distributes changes of the deployment's hosts among the gateway daemons of a
-// data centre, so that only a few of many daemons watch the platform's store. Each call to the
-// store has a cost, and without a relay every daemon would make one for every change.
+// Package relay distributes changes in the platform's store among the gateway daemons, so that
+// only a few of many daemons watch the store. Each call to the store has a cost, and without a
+// relay every daemon would make one for every change.
 //
-// A daemon queries one that ranks above it (Sources), over the data centre's own network. All
-// daemons compute the same ranking, so queries form no cycle. A daemon that watches the store
-// keeps the latest changes for others (Feed). If the queried daemon does not answer, or its
-// own data is stale, the daemon goes back to the store.
+// A daemon queries one that ranks above it (Sources), of its own data centre if that has enough
+// of them. All daemons compute the same ranking, so queries form no cycle. A daemon that watches
+// the store keeps the latest changes for others (Feed). If the queried daemon does not answer,
+// or its own data is stale, the daemon goes back to the store.
 //
 // Correctness does not depend on who queries whom: the changes and revisions are always those
 // of the store, whichever way they arrive.
@@ -24,9 +24,9 @@
 )
 
 const (
-	// minDaemonsToRelay is the number of daemons in a data centre from which on changes are
-	// relayed. Fewer daemons cost the store little, and a daemon that queries another one
-	// depends on it.
+	// minDaemonsToRelay is the number of daemons from which on changes are relayed: within a
+	// data centre that has so many, else among all daemons. Fewer cost the store little, and a
+	// daemon that queries another one depends on it.
 	minDaemonsToRelay = 8
 	// The primary sources are the highest-ranking daemons, which the others query first. There
 	// is one for every daemonsPerSource daemons of a data centre, and at least minSources, so
@@ -63,9 +63,11 @@
 // SetDaemons sets the daemons of the deployment and recomputes the candidates, which all rank
 // above this daemon. The daemon with the highest rank has none.
 func (s *Sources) SetDaemons(daemons []Daemon) {
-	nearby := slices.DeleteFunc(slices.Clone(daemons), func(d Daemon) bool {
-		return d.DataCentre != s.self.DataCentre || d.Address == "" || d.Name == s.self.Name
-	})
+	others := slices.DeleteFunc(slices.Clone(daemons), func(d Daemon) bool { return d.Address == "" || d.Name == s.self.Name })
+	nearby := slices.DeleteFunc(slices.Clone(others), func(d Daemon) bool { return d.DataCentre != s.self.DataCentre })
+	if len(nearby)+1 < minDaemonsToRelay {
+		nearby = others
+	}
 	nearby = append(nearby, s.self)
 	s.candidates = nil
 	if len(nearby) < minDaemonsToRelay {
