--- a/internal/relay/sources.go
+++ b/internal/relay/sources.go
@@ -24,10 +24,14 @@
 )
 
 const (
-	// minDaemonsToRelay is the number of daemons from which on changes are relayed: within a
-	// data centre that has so many, else among all daemons. Fewer cost the store little, and a
-	// daemon that queries another one depends on it.
+	// minDaemonsToRelay is the number of daemons in a data centre from which on changes are
+	// relayed there. Fewer daemons cost the store little, and a daemon that queries another one
+	// depends on it.
 	minDaemonsToRelay = 8
+	// minDaemonsToRelayFar is the number of daemons of a deployment from which on those of a
+	// smaller data centre query daemons of others. Such a query also depends on the links
+	// between data centres.
+	minDaemonsToRelayFar = 16
 	// The primary sources are the highest-ranking daemons, which the others query first. There
 	// is one for every daemonsPerSource daemons of a data centre, and at least minSources, so
 	// that the loss of one affects only part of the others.
@@ -65,12 +69,13 @@
 func (s *Sources) SetDaemons(daemons []Daemon) {
 	others := slices.DeleteFunc(slices.Clone(daemons), func(d Daemon) bool { return d.Address == "" || d.Name == s.self.Name })
 	nearby := slices.DeleteFunc(slices.Clone(others), func(d Daemon) bool { return d.DataCentre != s.self.DataCentre })
+	least := minDaemonsToRelay
 	if len(nearby)+1 < minDaemonsToRelay {
-		nearby = others
+		nearby, least = others, minDaemonsToRelayFar
 	}
 	nearby = append(nearby, s.self)
 	s.candidates = nil
-	if len(nearby) < minDaemonsToRelay {
+	if len(nearby) < least {
 		return
 	}
 	slices.SortFunc(nearby, compareRank)
--- a/internal/relay/sources_test.go
+++ b/internal/relay/sources_test.go
@@ -26,9 +26,12 @@
 
 func TestFewDaemonsQueryNoOther(t *testing.T) {
 	few := daemons(minDaemonsToRelay - 1)
-	all := append(few, Daemon{Name: "mute", DataCentre: "a"})
+	all := append(few, Daemon{Name: "far", DataCentre: "b", Address: "10.0.1.1:1"}, Daemon{Name: "mute", DataCentre: "a"})
+	for i := len(all); i < minDaemonsToRelayFar; i++ {
+		all = append(all, Daemon{Name: fmt.Sprintf("far%d", i), DataCentre: "b", Address: fmt.Sprintf("10.0.1.%d:1", i)})
+	}
 	for _, d := range few {
-		_, ok := sourcesOf(d, all).Pick(0)
+		_, ok := sourcesOf(d, all).Pick(0) // one of all has no address
 		require.False(t, ok, d.Name)
 	}
 }
