gateway: epochs without eras as before; the lease of an era is looked for by stale reads

Cause, found by reading the change: with fewer low bits the epochs on a store without eras would be below those that an earlier release gave to the same engines, which refuse such joins until they restart. And a deployment of 195 daemons would make 585 full reads in the 2.5 s in which nobody may create the lease of an era.

Change: without eras the revision is shifted by 20 bits as before. The era stands above 36 bits of revision, so that also the step from no era to the first one rises for 268 million revisions. Reads of the lease are always stale ones; each write is conditional.

--- a/internal/core/fabric/lease.go
+++ b/internal/core/fabric/lease.go
@@ -175,7 +175,7 @@
 	case l.mayTake(now):
 		l.write(now, l.takeoverLease(), out)
 	case now >= l.nextReadAt:
-		l.read(now, true, out)
+		l.read(now, out)
 	}
 }
 
@@ -195,15 +195,15 @@
 		lease.Holder, lease.Incarnation = l.self, l.incarnation
 		l.write(now, lease, out)
 	case l.era > 0 && now >= l.nextReadAt:
-		l.read(now, false, out)
+		l.read(now, out)
 	}
 }
 
-// read reads the lease.
-func (l *Lease) read(now time.Duration, allowStale bool, out *step.Out) {
+// read reads the lease. A stale answer is good enough, as every write is conditional.
+func (l *Lease) read(now time.Duration, out *step.Out) {
 	l.nextReadAt = now + readInterval
 	l.pending, l.sentAt, l.pendingWrite = l.nextOp(), now, false
-	out.Add(step.ReadLease{Op: l.pending, Era: l.era, AllowStale: allowStale})
+	out.Add(step.ReadLease{Op: l.pending, Era: l.era, AllowStale: true})
 }
 
 // takeoverLease keeps what the last holder recorded about join delays and loads.
--- a/internal/core/gateway/control.go
+++ b/internal/core/gateway/control.go
@@ -13,14 +13,22 @@
 	// lease holder. The bits above are the lease revision at which it took control plus the
 	// store's era shifted by revisionBits.
 	formationBits = 12
-	// revisionBits exceeds what the store can lose at once, so that no epoch of an era reaches
-	// those of the next one, although the store gives out revisions again. Epochs of the first
-	// 512 eras stay exact in clients whose numbers are floating point.
-	revisionBits = 32
+	// revisionBits keeps the epochs of an era above all of the one before, although the store
+	// gives out revisions again. Epochs of the first 32 eras stay exact in engines that read
+	// numbers as floating point.
+	revisionBits = 36
+	// formationBitsWithoutEras is formationBits where the store has no eras. Engines refuse
+	// epochs below those that earlier releases gave them.
+	formationBitsWithoutEras = 20
 )
 
 // firstEpoch is the epoch below those of the holder that took control at a revision.
-func firstEpoch(era, revision uint64) uint64 { return (era<<revisionBits + revision) << formationBits }
+func firstEpoch(era, revision uint64) uint64 {
+	if era == 0 {
+		return revision << formationBitsWithoutEras
+	}
+	return (era<<revisionBits + revision) << formationBits
+}
 
 // minPassIntervalPerHost, multiplied by the number of hosts, is the shortest interval between
 // two passes over the groups. A pass costs about a microsecond per host, and each answered
