--- a/internal/relay/feed.go
+++ b/internal/relay/feed.go
@@ -37,9 +37,8 @@
 	// from it is older than maxAge. errTooOld is the answer of a daemon that no longer has the
 	// changes after the revision, and errOtherEra of one that has changes of another era of the
 	// store. The texts are sent to the querying daemon.
-	errStale  = errors.New("this daemon does not hear the store now: ask the store")
-	errTooOld = errors.New("this daemon does not keep changes so old: ask the store")
-
+	errStale    = errors.New("this daemon does not hear the store now: ask the store")
+	errTooOld   = errors.New("this daemon does not keep changes so old: ask the store")
 	errOtherEra = errors.New("this daemon has changes of another era of the store: ask the store")
 
 	relayedAnswers = metrics.GetOrCreateCounter(`rhubarbswitch_relay_answers_total{result="changes"}`)
@@ -162,9 +161,9 @@
 	f.changed = make(chan struct{})
 }
 
-// Wait returns the changes after a revision of an era. If there are none, it waits for the first one, at
-// most for wait, and then returns none. It fails as soon as the store's last answer becomes
-// older than maxAge.
+// Wait returns the changes after a revision of an era. If there are none, it waits for the
+// first one, at most for wait, and then returns none. It fails as soon as the store's last
+// answer becomes older than maxAge.
 func (f *Feed) Wait(ctx context.Context, era, after uint64, wait time.Duration) (Changes, error) {
 	until := f.clock() + wait
 	for {
@@ -185,8 +184,8 @@
 	}
 }
 
-// changesAfter returns the changes after a revision of an era, a channel that is closed at the next
-// change, and how long the feed stays up to date without another answer of the store.
+// changesAfter returns the changes after a revision of an era, a channel that is closed at the
+// next change, and how long the feed stays up to date without another answer of the store.
 func (f *Feed) changesAfter(era, after uint64) (Changes, <-chan struct{}, time.Duration, error) {
 	heardAt := f.primary.heardStoreAt()
 	f.mu.Lock()
