gateway: log what a broken attempt asked for, and count the ends of attempts

The log named requests by the caller's ID, which is new with each repeat.

RS2008 has a hash of the content, whether the answer had begun and the events of this attempt; rhubarbswitch_attempts_ended_total counts ends by kind. step.Call has the method and the query for it, and the hash of the body is called what it is.

--- a/internal/core/gateway/calls.go
+++ b/internal/core/gateway/calls.go
@@ -63,12 +63,14 @@
 	ranAttempts      int            // attempts that may have run
 	attempt          step.AttemptID // the last attempt, at host
 	host             string
-	answerBegan      bool     // the last attempt has begun to answer
-	moving           bool     // the last attempt is being cancelled to move the request
-	callerGone       bool     // the caller disconnected
-	failedHosts      []string // hosts where an attempt failed
-	events           int      // events delivered, over all attempts
-	hasFailureAnswer bool     // the last attempt ended with a complete 5xx answer
+	sentAt           time.Duration // when the last attempt was started
+	eventsBefore     int           // events delivered by earlier attempts
+	answerBegan      bool          // the last attempt has begun to answer
+	moving           bool          // the last attempt is being cancelled to move the request
+	callerGone       bool          // the caller disconnected
+	failedHosts      []string      // hosts where an attempt failed
+	events           int           // events delivered, over all attempts
+	hasFailureAnswer bool          // the last attempt ended with a complete 5xx answer
 }
 
 func (s *State) onCall(now time.Duration, r step.Call, out *step.Out) {
@@ -133,6 +135,7 @@
 	c.attempts++
 	c.attempt = step.AttemptID(string(c.req.ID) + "." + strconv.Itoa(c.attempts))
 	c.host, c.answerBegan, c.moving = t.Host.ID, false, false
+	c.sentAt, c.eventsBefore = now, c.events
 	f := step.Forward{
 		ID: c.req.ID, Attempt: c.attempt, Host: t.Host.ID, Address: t.Host.Address, Service: c.service,
 		Team: c.team, Urgency: c.urgency, Deadline: c.deadline,
@@ -157,6 +160,15 @@
 	}
 }
 
+// contentHash identifies what the request asks for: callers that send it again use another ID.
+func (c *call) contentHash() uint64 {
+	h := c.req.BodyHash
+	for _, part := range []string{c.team, c.req.Method, c.req.Host, c.req.Path, c.req.Query} {
+		h = rendezvous.Mix(h ^ rendezvous.Hash(part))
+	}
+	return h
+}
+
 func (s *State) model(c *call) string {
 	if service := s.config.Services[c.service]; service != nil && service.Engine != nil {
 		return c.req.Model
@@ -286,6 +298,10 @@
 	if mayHaveRun {
 		c.ranAttempts++
 	}
+	if e.Ending == step.EndedBroken {
+		out.Log(event.AttemptBroken, event.F("request", c.req.CallerID), event.F("attempt", c.attempt), event.F("host", c.host), event.F("content", fmt.Sprintf("%016x", c.contentHash())),
+			event.F("begun", c.answerBegan), event.F("attemptEvents", c.events-c.eventsBefore), event.F("millis", (now-c.sentAt).Milliseconds()))
+	}
 	switch {
 	case e.Ending == step.EndedComplete:
 		out.Add(step.Deliver{ID: c.req.ID, Attempt: c.attempt})
--- a/internal/core/step/gateway.go
+++ b/internal/core/step/gateway.go
@@ -11,8 +11,10 @@
 	ID RequestID
 	// CallerID is the caller's own identifier of the request; it appears in logs.
 	CallerID string
+	Method   string
 	Host     string // value of the Host header
 	Path     string // without the query
+	Query    string
 	Key      string // identifies the caller's team
 	// Model, PromptTokens and MaxTokens are set if the request generates text.
 	Model        string
@@ -21,8 +23,8 @@
 	// Deadline is the monotonic time at which the caller gives up; zero if the request does not
 	// state one.
 	Deadline time.Duration
-	// Fingerprint is a hash of the content.
-	Fingerprint uint64
+	// BodyHash is a hash of the body.
+	BodyHash uint64
 }
 
 // Forward starts one attempt of an admitted Call. ForwardEnded reports its end.
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -18,6 +18,7 @@
 	TargetDied             ID = 2005
 	RequestSent            ID = 2006
 	RequestMoved           ID = 2007
+	AttemptBroken          ID = 2008
 	ClaimOwnerUnresponsive ID = 3001
 	ClaimUnreachable       ID = 3002
 	GroupFormed            ID = 4001
@@ -87,6 +88,7 @@
 	{TargetDied, slog.LevelWarn, "target died while running a request", "Check the host named; if requests are quarantined see docs/operations/poison-request.md."},
 	{RequestSent, slog.LevelInfo, "request sent to a target", ""},
 	{RequestMoved, slog.LevelInfo, "target stalled; request moved to another target", "If frequent for one host, check the host named."},
+	{AttemptBroken, slog.LevelInfo, "connection to a target ended before the answer was complete", "If one content stands in several of these, see docs/OPERATIONS.md."},
 	{ClaimOwnerUnresponsive, slog.LevelInfo, "daemon asked to write a claim did not answer; claim is written here", ""},
 	{ClaimUnreachable, slog.LevelWarn, "call refused: its claim could not be written", "Check the platform; callers retry with the same key."},
 	{GroupFormed, slog.LevelInfo, "group assigned to hosts", ""},
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -45,6 +45,7 @@
 	defer cancel()
 	a.ctx = ctx
 	a.result.Ending = a.run()
+	countAttemptEnd(a.result.Ending)
 	a.result.Delivered = x.eventsDelivered
 	a.stopStallTimer()
 	return a.result
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -40,9 +40,9 @@
 		return
 	}
 	call := step.Call{
-		ID: x.id, CallerID: callHeader.ID, Host: r.Host, Path: r.URL.EscapedPath(), Key: callHeader.Key,
+		ID: x.id, CallerID: callHeader.ID, Method: r.Method, Host: r.Host, Path: r.URL.EscapedPath(), Query: r.URL.RawQuery, Key: callHeader.Key,
 		Model: callHeader.Model, PromptTokens: callHeader.PromptTokens, MaxTokens: callHeader.MaxTokens,
-		Fingerprint: xxhash.Sum64(x.body),
+		BodyHash: xxhash.Sum64(x.body),
 	}
 	if callHeader.TimeLeft > 0 {
 		call.Deadline = x.arrivedAt + callHeader.TimeLeft
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "github.com/VictoriaMetrics/metrics"
+import (
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
+)
 
 var (
 	// requestSeconds is the time from the end of a request's header to the end of its answer.
@@ -8,3 +12,8 @@
 	// answerBeginSeconds is the time from the start of an attempt to the header of its answer.
 	answerBeginSeconds = metrics.NewHistogram("rhubarbswitch_answer_begin_seconds")
 )
+
+// countAttemptEnd counts the end of an attempt by how it ended.
+func countAttemptEnd(e step.Ending) {
+	metrics.GetOrCreateCounter(`rhubarbswitch_attempts_ended_total{ending="` + e.String() + `"}`).Inc()
+}
