--- a/internal/stub/site/server.go
+++ b/internal/stub/site/server.go
@@ -85,8 +85,14 @@
 }
 
 // Start starts the server, or restarts it after a crash, and registers it. Staged weights
-// survive a crash.
+// survive a crash. It does nothing if the server is running.
 func (v *Server) Start() error {
+	v.mu.Lock()
+	running := v.running
+	v.mu.Unlock()
+	if running {
+		return nil
+	}
 	local, err := serve.Open(v, serve.Hooks{})
 	if err != nil {
 		return err
@@ -152,8 +158,20 @@
 // server has restarted by then.
 func (v *Server) Crash(entryTTL time.Duration) {
 	v.mu.Lock()
+	born := v.born
+	v.mu.Unlock()
+	v.endIncarnation(born, entryTTL)
+}
+
+// endIncarnation is Crash for one incarnation. It returns false if that one has ended before.
+func (v *Server) endIncarnation(born int64, entryTTL time.Duration) bool {
+	v.mu.Lock()
+	if v.born != born || !v.running {
+		v.mu.Unlock()
+		return false
+	}
 	v.running, v.member, v.model, v.groupMembers, v.acceptedOrders = false, nil, "", nil, 0
-	born, local := v.born, v.local
+	local := v.local
 	v.site.updateHead(v)
 	v.mu.Unlock()
 	local.Close()
@@ -164,6 +182,7 @@
 			v.site.Store.Remove("servers", v.ID)
 		}
 	})
+	return true
 }
 
 // Drain announces in the server's entry that it is draining.
@@ -389,6 +408,9 @@
 	run := v.site.beginRun(v, r, string(body))
 	defer v.site.endRun(run)
 	h.Set("X-Server-Stamp", v.ID+"."+id)
+	if c := v.site.crasherOf(r, string(body)); c != nil {
+		v.crashUnder(c, w, id, arrival.Born)
+	}
 	switch {
 	case faults.Hang:
 		<-r.Context().Done()
--- a/internal/stub/site/site.go
+++ b/internal/stub/site/site.go
@@ -57,6 +57,8 @@
 	// formationMembers are the members named in orders to join, by formation.
 	formationMembers map[Membership]string
 	arrivals         []Arrival
+	crasher          Crasher
+	crashes          []Crash
 	lastBorn         int64 // the last start number; each start of a server gets a higher one
 	violations       []string
 	runs             []Run
--- a/test/process/gateway_test.go
+++ b/test/process/gateway_test.go
@@ -81,6 +81,7 @@
 func (f *gatewayCluster) startDaemon(i int) *gatewayDaemon {
 	d := &gatewayDaemon{callersAddress: freeAddress(f.t), readyAddress: freeAddress(f.t), stdoutDrained: make(chan struct{})}
 	set := f.site.Settings(fmt.Sprintf("gateway-%d", i), "zone-a", d.callersAddress, d.readyAddress, f.site.Store.Address)
+	set["links"] = freeAddress(f.t)
 	maps.Copy(set, f.extraSettings)
 	settings, err := json.Marshal(set)
 	require.NoError(f.t, err)
@@ -111,12 +112,17 @@
 // instance headers are forged; the daemon must replace them. extraHeader adds headers or
 // replaces the default ones.
 func (d *gatewayDaemon) request(method, path, id string, extraHeader map[string]string) load.FrontedAnswer {
+	return d.requestWithBody(method, path, id, "a body", extraHeader)
+}
+
+// requestWithBody is request with another body.
+func (d *gatewayDaemon) requestWithBody(method, path, id, body string, extraHeader map[string]string) load.FrontedAnswer {
 	header := map[string]string{
 		"X-Request-Id": id, "X-Credential": site.Key, "X-Deadline-Ms": "6000", "X-Tenant": "forged", "X-Expect-Instance": "forged",
 	}
 	maps.Copy(header, extraHeader)
 	return siteCaller.Send(context.Background(), d.callersAddress, load.FrontedCall{
-		Method: method, Host: site.Host, Path: path, Body: "a body", Header: header,
+		Method: method, Host: site.Host, Path: path, Body: body, Header: header,
 	})
 }
 
