quarantine: evidence of crashes and verdicts over them, as plain decisions

Nothing uses the package yet. Cause: the gateway remembers nothing of a request beyond one call (docs/incidents/2026-12-04-request-that-crashes-servers.md).

Why not core/poison: it proves a crash by a new incarnation at the same host, which on the users' platform comes after the seconds in which all daemons must know, mostly under a new ID; it condemns after two deaths without looking at what ran well; its memory is not bounded; and it knows one fingerprint a request. Its idea that the deaths must tell a request apart from those beside it is kept: here by the stage of the answer (a crash comes when it begins), by successes in between, and by requests that lack a rival being tried one at a time.

--- /dev/null
+++ b/internal/core/quarantine/decision.go
@@ -0,0 +1,104 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+// Decision is whether a request may be sent to a host.
+type Decision struct {
+	// Refused is the fingerprint for which the request is refused; valid if RetryAfter is
+	// positive.
+	Refused Fingerprint
+	// RetryAfter is the time after which the request may be let through; zero if it may be sent
+	// now.
+	RetryAfter time.Duration
+	// Trial is set if the request is let through to find out whether it is sound. It must be
+	// sent to one host only.
+	Trial bool
+}
+
+// Decide decides on a request with these fingerprints that is about to be sent to a host.
+func (t *Tracker) Decide(now time.Duration, fingerprints []Fingerprint) Decision {
+	var d Decision
+	var trials []*Verdict
+	for _, f := range fingerprints {
+		v := t.verdicts[f]
+		if v == nil {
+			continue
+		}
+		left := v.left(now)
+		if lacksAny(fingerprints, v.Rivals) {
+			trials = append(trials, v)
+			if left = 0; v.tried {
+				left = v.lastTrialAt + t.set.TrialInterval - now
+			}
+		}
+		if left > d.RetryAfter {
+			d.Refused, d.RetryAfter = f, left
+		}
+	}
+	if d.RetryAfter > 0 {
+		return d
+	}
+	for _, v := range trials {
+		v.tried, v.lastTrialAt, d.Trial = true, now, true
+	}
+	return d
+}
+
+func lacksAny(fingerprints, rivals []Fingerprint) bool {
+	for _, g := range rivals {
+		if !slices.Contains(fingerprints, g) {
+			return true
+		}
+	}
+	return false
+}
+
+// Condemned reports whether a verdict on one of the fingerprints is in force. Unlike Decide it
+// lets no request through as a trial.
+func (t *Tracker) Condemned(fingerprints []Fingerprint) bool {
+	for _, f := range fingerprints {
+		if t.verdicts[f] != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// Verdicts returns the verdicts in force, sorted by fingerprint.
+func (t *Tracker) Verdicts() []Verdict {
+	var all []Verdict
+	for _, v := range t.verdicts {
+		all = append(all, *v)
+	}
+	slices.SortFunc(all, func(a, b Verdict) int { return compare(a.Fingerprint, b.Fingerprint) })
+	return all
+}
+
+// Adopt takes over a verdict of another daemon, unless this one knows crashes or successes of
+// its own from which to decide.
+func (t *Tracker) Adopt(now time.Duration, v Verdict) []Change {
+	f := v.Fingerprint
+	if _, cleared := t.lastSuccess[f]; cleared || t.suspected[f] || t.verdicts[f] != nil || len(t.verdicts) >= maxVerdicts {
+		return nil
+	}
+	t.verdicts[f] = &Verdict{
+		Fingerprint: f, Rivals: v.Rivals, Hosts: v.Hosts, Level: v.Level,
+		since: now, ttl: t.ttl(v.Level), foreign: true,
+	}
+	delete(t.probations, f)
+	return []Change{{Verdict: *t.verdicts[f]}}
+}
+
+// Lift ends the verdict on a fingerprint, and forgets the crashes that led to it.
+func (t *Tracker) Lift(now time.Duration, f Fingerprint) []Change {
+	v := t.verdicts[f]
+	if v == nil {
+		return nil
+	}
+	delete(t.verdicts, f)
+	t.lastSuccess[f] = now
+	return append([]Change{{Verdict: *v, Ended: EndedLifted}}, t.evaluate(now)...)
+}
--- /dev/null
+++ b/internal/core/quarantine/quarantine.go
@@ -0,0 +1,143 @@
+// Package quarantine decides which requests a gateway refuses because they crash the hosts that
+// begin to answer them.
+//
+// A crash comes when a host begins to answer. So of the requests at a host that crashed, those
+// whose answers were under way are cleared, and those that were just beginning are suspects. If
+// it is not known of any that it was beginning, all that had not begun are.
+//
+// A request is suspected by its fingerprints, not by its ID: a caller that sends it again uses
+// another one. Hosts crash for other reasons too, with sound requests on board. Therefore a
+// fingerprint is condemned only if enough hosts crashed at different times as they began to
+// answer requests with it, and if none of them has run well in between. Of several fingerprints
+// that the same crashes speak against, requests that have only some are let through one at a
+// time, until it is clear which one it is.
+//
+// Daemons exchange crashes and successes; each decides by all that it knows. The package has no
+// clock, randomness or I/O.
+package quarantine
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Settings configure a Tracker.
+type Settings struct {
+	// MinCrashes is the number of hosts that must have crashed before a fingerprint is
+	// condemned.
+	MinCrashes int
+	// MinSpan is the least time between the first and the last of these crashes: hosts that
+	// lose their power or network together crash at the same time, whatever they run.
+	MinSpan time.Duration
+	// CrashTTL is how long a crash counts.
+	CrashTTL time.Duration
+	// VerdictTTL is how long requests with a condemned fingerprint are refused the first time.
+	// It doubles each time that the fingerprint is condemned again, up to MaxVerdictTTL.
+	VerdictTTL, MaxVerdictTTL time.Duration
+	// TrialInterval is the least time between two requests of this daemon that are let through
+	// to find out which of several fingerprints crashes hosts.
+	TrialInterval time.Duration
+}
+
+// Defaults returns the settings of a gateway.
+func Defaults() Settings {
+	return Settings{
+		MinCrashes: 3, MinSpan: 250 * time.Millisecond, CrashTTL: 10 * time.Minute,
+		VerdictTTL: 10 * time.Minute, MaxVerdictTTL: 24 * time.Hour, TrialInterval: time.Second,
+	}
+}
+
+// forgetInterval is the time between two runs of forget.
+const forgetInterval = time.Second
+
+// Tracker holds the crashes, successes and verdicts that a daemon knows. It is not safe for
+// concurrent use.
+type Tracker struct {
+	set     Settings
+	crashes []Crash // sorted by time
+	// lastSuccess is when a request with a suspected fingerprint last ran well.
+	lastSuccess map[Fingerprint]time.Duration
+	verdicts    map[Fingerprint]*Verdict
+	probations  map[Fingerprint]probation
+	suspected   map[Fingerprint]bool // as of the last evaluation
+	forgotAt    time.Duration        // when forget last ran
+}
+
+// New returns a Tracker that knows of no crashes.
+func New(set Settings) *Tracker {
+	return &Tracker{
+		set: set, lastSuccess: make(map[Fingerprint]time.Duration), verdicts: make(map[Fingerprint]*Verdict),
+		probations: make(map[Fingerprint]probation), suspected: make(map[Fingerprint]bool),
+	}
+}
+
+// Idle reports whether nothing is suspected, so that successes don't matter.
+func (t *Tracker) Idle() bool {
+	return len(t.suspected) == 0 && len(t.verdicts) == 0 && len(t.probations) == 0
+}
+
+// RecordCrash records what a daemon knows of a crash. It returns the verdicts that began and
+// ended, and whether the record is new.
+func (t *Tracker) RecordCrash(now time.Duration, c Crash) (changes []Change, isNew bool) {
+	if len(c.Suspects) == 0 || now-c.At > t.set.CrashTTL || !t.addCrash(c) {
+		return nil, false
+	}
+	return t.evaluate(now), true
+}
+
+// RecordSuccess records that a request with these fingerprints ran well at a time: a host began
+// to answer it and did not crash. It returns the fingerprints that were suspected until then and
+// no longer are, or whose verdict ends, beside the changes of verdicts.
+func (t *Tracker) RecordSuccess(now, at time.Duration, fingerprints []Fingerprint) (cleared []Fingerprint, changes []Change) {
+	for _, f := range fingerprints {
+		_, onProbation := t.probations[f]
+		v := t.verdicts[f]
+		if !t.suspected[f] && v == nil && !onProbation || v != nil && at+successValidity < v.lastCrashAt {
+			continue
+		}
+		if last, ok := t.lastSuccess[f]; ok && last >= at {
+			continue
+		}
+		t.lastSuccess[f] = at
+		delete(t.probations, f)
+		cleared = append(cleared, f)
+		if v != nil {
+			delete(t.verdicts, f)
+			changes = append(changes, Change{Verdict: *v, Ended: EndedSound})
+		}
+	}
+	if len(cleared) > 0 {
+		changes = append(changes, t.evaluate(now)...)
+	}
+	return cleared, changes
+}
+
+// Tick forgets what is too old, and returns the verdicts that ended by that.
+func (t *Tracker) Tick(now time.Duration) []Change {
+	var changes []Change
+	for _, f := range slices.SortedFunc(maps.Keys(t.verdicts), compare) {
+		v := t.verdicts[f]
+		if left := v.left(now); left > 0 {
+			continue
+		}
+		delete(t.verdicts, f)
+		t.probations[f] = probation{level: v.Level, until: now + v.ttl}
+		t.lastSuccess[f] = now // its crashes have been paid for
+		changes = append(changes, Change{Verdict: *v, Ended: EndedExpired})
+	}
+	for f, p := range t.probations {
+		if now >= p.until {
+			delete(t.probations, f)
+		}
+	}
+	before := len(t.crashes)
+	if now-t.forgotAt >= forgetInterval {
+		t.forgotAt = now
+		t.forget(now)
+	}
+	if len(changes) > 0 || len(t.crashes) != before {
+		changes = append(changes, t.evaluate(now)...)
+	}
+	return changes
+}
--- /dev/null
+++ b/internal/core/quarantine/quarantine_test.go
@@ -0,0 +1,287 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const ms = time.Millisecond
+
+func content(n uint64) Fingerprint { return Fingerprint{Content, n} }
+
+// world drives one Tracker. Each crash is of another host.
+type world struct {
+	*Tracker
+	t       *testing.T
+	now     time.Duration
+	crashed int
+}
+
+func newWorld(t *testing.T) *world {
+	return &world{Tracker: New(Defaults()), t: t, now: time.Hour}
+}
+
+func (w *world) crash(suspects ...Fingerprint) []Change {
+	w.crashed++
+	changes, isNew := w.RecordCrash(w.now, Crash{Host: fmt.Sprintf("h%d", w.crashed), Incarnation: 1, At: w.now, Begun: true, Suspects: suspects})
+	require.True(w.t, isNew)
+	return changes
+}
+
+func (w *world) success(fingerprints ...Fingerprint) []Change {
+	_, changes := w.RecordSuccess(w.now, w.now, fingerprints)
+	return changes
+}
+
+func (w *world) refused(fingerprints ...Fingerprint) bool {
+	return w.Decide(w.now, fingerprints).RetryAfter > 0
+}
+
+func TestCondemnedAfterThreeCrashes(t *testing.T) {
+	w := newWorld(t)
+	x := content(1)
+	require.True(t, w.Idle())
+	for range 2 {
+		require.Empty(t, w.crash(x))
+		require.False(t, w.refused(x))
+		w.now += 200 * ms
+	}
+	require.False(t, w.Idle())
+	changes := w.crash(x)
+	require.Len(t, changes, 1)
+	require.Equal(t, Began, changes[0].Ended)
+	require.Equal(t, []string{"h1", "h2", "h3"}, changes[0].Verdict.Hosts)
+	d := w.Decide(w.now, []Fingerprint{content(9), x})
+	require.Equal(t, Decision{Refused: x, RetryAfter: Defaults().VerdictTTL}, d)
+	require.True(t, w.Condemned([]Fingerprint{x}))
+	require.False(t, w.refused(content(2)), "another request")
+	require.Empty(t, w.crash(x), "the verdict is in force")
+}
+
+// TestHostsLostTogetherCondemnNothing crashes many hosts at the same time.
+func TestHostsLostTogetherCondemnNothing(t *testing.T) {
+	w := newWorld(t)
+	x := content(1)
+	for range 20 {
+		require.Empty(t, w.crash(x))
+		w.now += ms
+	}
+	w.now += time.Second
+	require.NotEmpty(t, w.crash(x), "another crash, at another time")
+}
+
+// TestSuccessClears lets requests run well between crashes, shortly before one, and after the
+// verdict.
+func TestSuccessClears(t *testing.T) {
+	w := newWorld(t)
+	x, y := content(1), content(2)
+	for range 10 {
+		require.Empty(t, w.crash(x, y))
+		w.now += 300 * ms
+		require.Empty(t, w.success(x))
+		w.success(y)
+		w.now += 300 * ms
+	}
+	for range 10 {
+		w.now += time.Second
+		require.Empty(t, w.crash(x))
+		cleared, _ := w.RecordSuccess(w.now, w.now-successValidity, []Fingerprint{x, y})
+		require.Equal(t, []Fingerprint{x}, cleared, "it ran well just before")
+	}
+	w.now += time.Second
+	for range 2 {
+		w.crash(x)
+		w.now += 300 * ms
+	}
+	require.Len(t, w.crash(x), 1)
+	require.Empty(t, w.success(y))
+	require.True(t, w.refused(x))
+	w.now += 100 * ms
+	changes := w.success(x)
+	require.Len(t, changes, 1)
+	require.Equal(t, EndedSound, changes[0].Ended)
+	require.False(t, w.refused(x))
+	require.Empty(t, w.Verdicts())
+}
+
+// TestRequestsThatHadNotBegunAreClearedByOnesThatHad reports a crash from two daemons.
+func TestRequestsThatHadNotBegunAreClearedByOnesThatHad(t *testing.T) {
+	for _, begunFirst := range []bool{true, false} {
+		w := newWorld(t)
+		waiting, begun := content(1), content(2)
+		for i := range 4 {
+			reports := []Crash{{Suspects: []Fingerprint{waiting}}, {Suspects: []Fingerprint{begun}, Begun: true}}
+			if begunFirst {
+				reports[0], reports[1] = reports[1], reports[0]
+			}
+			for _, c := range reports {
+				c.Host, c.Incarnation, c.At = "h", int64(i), w.now
+				w.RecordCrash(w.now, c)
+			}
+			w.now += 300 * ms
+		}
+		require.True(t, w.refused(begun))
+		require.False(t, w.refused(waiting))
+	}
+}
+
+// TestOneHostCrashesOnce reports each crash several times, in full and in part.
+func TestOneHostCrashesOnce(t *testing.T) {
+	w := newWorld(t)
+	x, y := content(1), content(2)
+	for range 5 {
+		c := Crash{Host: "h", Incarnation: 1, At: w.now, Begun: true, Suspects: []Fingerprint{x}}
+		w.RecordCrash(w.now, c)
+		_, isNew := w.RecordCrash(w.now, c)
+		require.False(t, isNew)
+		c.Suspects = []Fingerprint{x, y}
+		w.RecordCrash(w.now, c)
+		w.now += 300 * ms
+	}
+	require.Empty(t, w.Verdicts())
+	require.Len(t, w.crashes, 1)
+	require.Equal(t, []Fingerprint{x, y}, w.crashes[0].Suspects)
+}
+
+// TestRivalsAreTriedOneAtATime lets the same crashes speak against two fingerprints. A request
+// with only one of them is let through, one in each interval, until it runs well or crashes too.
+func TestRivalsAreTriedOneAtATime(t *testing.T) {
+	crashedWithBoth := func() *world {
+		w := newWorld(t)
+		for range 3 {
+			w.crash(content(1), content(2))
+			w.now += 300 * ms
+		}
+		require.True(t, w.refused(content(1), content(2)))
+		return w
+	}
+	w := crashedWithBoth()
+	require.Equal(t, Decision{Trial: true}, w.Decide(w.now, []Fingerprint{content(1)}))
+	w.now += 100 * ms
+	require.Equal(t, Decision{Refused: content(1), RetryAfter: Defaults().TrialInterval - 100*ms}, w.Decide(w.now, []Fingerprint{content(1)}))
+	require.Len(t, w.success(content(1)), 1)
+	require.False(t, w.refused(content(1)))
+	require.Equal(t, Decision{Refused: content(2), RetryAfter: w.verdicts[content(2)].left(w.now)}, w.Decide(w.now, []Fingerprint{content(2)}), "nothing else is left to blame")
+
+	w = crashedWithBoth()
+	for range 2 {
+		require.True(t, w.Decide(w.now, []Fingerprint{content(2)}).Trial)
+		w.crash(content(2))
+		w.now += Defaults().TrialInterval
+	}
+	require.Greater(t, w.Decide(w.now, []Fingerprint{content(2)}).RetryAfter, time.Minute, "the other one does not explain these crashes")
+	require.True(t, w.Decide(w.now, []Fingerprint{content(1)}).Trial)
+}
+
+// TestBetterExplanationReplacesVerdict condemns a fingerprint that was on board by chance.
+func TestBetterExplanationReplacesVerdict(t *testing.T) {
+	w := newWorld(t)
+	x, bystander := content(9), content(1)
+	for _, suspects := range [][]Fingerprint{{bystander}, {bystander, x}, {bystander, x}} {
+		w.crash(suspects...)
+		w.now += 300 * ms
+	}
+	require.True(t, w.Condemned([]Fingerprint{bystander}))
+	var changes []Change
+	for range 3 {
+		changes = append(changes, w.crash(x)...)
+		w.now += 300 * ms
+	}
+	require.Len(t, changes, 2)
+	require.False(t, w.refused(bystander), "the crash that is left is one")
+	require.True(t, w.refused(x))
+}
+
+// TestExpiredVerdictReturnsAtOnce lets a verdict expire. The next crash brings it back for twice
+// as long, until none has come for the time of the last one.
+func TestExpiredVerdictReturnsAtOnce(t *testing.T) {
+	w := newWorld(t)
+	x := content(1)
+	for range 3 {
+		w.crash(x)
+		w.now += 300 * ms
+	}
+	ttl := Defaults().VerdictTTL
+	for level := range 9 {
+		require.Equal(t, level, w.Verdicts()[0].Level)
+		w.now += ttl - time.Second
+		require.Empty(t, w.Tick(w.now))
+		require.True(t, w.refused(x))
+		w.now += time.Second
+		changes := w.Tick(w.now)
+		require.Len(t, changes, 1)
+		require.Equal(t, EndedExpired, changes[0].Ended)
+		require.False(t, w.refused(x))
+		w.now += time.Minute
+		require.Len(t, w.crash(x), 1)
+		ttl = min(2*ttl, Defaults().MaxVerdictTTL)
+	}
+	w.now += ttl
+	w.Tick(w.now)
+	w.now += ttl
+	w.Tick(w.now)
+	require.True(t, w.Idle())
+	require.Empty(t, w.crash(x))
+}
+
+func TestVerdictOfAnotherDaemon(t *testing.T) {
+	w := newWorld(t)
+	x, y := content(1), content(2)
+	adopted := Verdict{Fingerprint: x, Hosts: []string{"a", "b", "c"}, Level: 2}
+	require.Len(t, w.Adopt(w.now, adopted), 1)
+	require.Empty(t, w.Adopt(w.now, adopted))
+	require.Equal(t, 4*Defaults().VerdictTTL, w.Decide(w.now, []Fingerprint{x}).RetryAfter)
+	w.crash(y)
+	require.True(t, w.refused(x), "evidence on others does not end it")
+	require.Empty(t, w.Adopt(w.now, Verdict{Fingerprint: y}), "this daemon decides by its own evidence")
+	changes := w.Lift(w.now, x)
+	require.Len(t, changes, 1)
+	require.Equal(t, EndedLifted, changes[0].Ended)
+	require.Empty(t, w.Adopt(w.now, adopted))
+
+	w = newWorld(t)
+	w.Adopt(w.now, adopted)
+	require.Len(t, w.success(x), 1)
+	require.Empty(t, w.Adopt(w.now, adopted), "it has run well here")
+}
+
+// TestMemoryIsBounded reports crashes with fingerprints that never come again.
+func TestMemoryIsBounded(t *testing.T) {
+	w := newWorld(t)
+	n := uint64(0)
+	for range maxCrashes + maxCrashes/4 {
+		var suspects []Fingerprint
+		for range maxSuspects + 1 {
+			n++
+			suspects = append(suspects, content(n))
+		}
+		w.crash(suspects...)
+		w.success(suspects[0])
+		for i := range uint64(2) {
+			w.Adopt(w.now, Verdict{Fingerprint: content(1<<40 + 2*n + i)})
+		}
+		w.now += time.Second
+		w.Tick(w.now)
+	}
+	require.Len(t, w.crashes, maxCrashes)
+	require.LessOrEqual(t, len(w.suspected), maxCrashes*maxSuspects)
+	require.LessOrEqual(t, len(w.lastSuccess), maxCrashes+int(successRetention/time.Second)+1)
+	require.LessOrEqual(t, len(w.verdicts), maxVerdicts)
+}
+
+func TestFingerprintText(t *testing.T) {
+	for _, f := range []Fingerprint{{Content, 0xabc}, {ContentWithoutQuery, 1<<64 - 1}} {
+		text, err := f.MarshalText()
+		require.NoError(t, err)
+		var back Fingerprint
+		require.NoError(t, back.UnmarshalText(text))
+		require.Equal(t, f, back)
+	}
+	for _, text := range []string{"", "content", "content-", "content-xyz", "content-11112222333344445", "other-1"} {
+		var f Fingerprint
+		require.Error(t, f.UnmarshalText([]byte(text)), text)
+	}
+}
