--- a/internal/core/gateway/calls.go
+++ b/internal/core/gateway/calls.go
@@ -1,12 +1,14 @@
 package gateway
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"strconv"
 	"time"
 
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/place"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/quarantine"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/rendezvous"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/site"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
@@ -63,14 +65,22 @@
 	ranAttempts      int            // attempts that may have run
 	attempt          step.AttemptID // the last attempt, at host
 	host             string
+	address          string        // of the host
+	incarnation      int64         // of the host
 	sentAt           time.Duration // when the last attempt was started
 	eventsBefore     int           // events delivered by earlier attempts
+	firstEventAt     time.Duration // when the last attempt delivered its first event; zero before
 	answerBegan      bool          // the last attempt has begun to answer
 	moving           bool          // the last attempt is being cancelled to move the request
 	callerGone       bool          // the caller disconnected
 	failedHosts      []string      // hosts where an attempt failed
 	events           int           // events delivered, over all attempts
 	hasFailureAnswer bool          // the last attempt ended with a complete 5xx answer
+	trial            bool          // the last attempt finds out whether the request is sound
+	// awaitsProbe is the end of the last attempt if what follows depends on whether its host has
+	// crashed.
+	awaitsProbe *step.ForwardEnded
+	prints      []quarantine.Fingerprint // see fingerprints
 }
 
 func (s *State) onCall(now time.Duration, r step.Call, out *step.Out) {
@@ -125,6 +135,11 @@
 // sendToTarget sends the request to a target. If no target can take it, the request ends with
 // the fallback answer or, if that is empty or no attempt may have run, with a refusal.
 func (s *State) sendToTarget(now time.Duration, c *call, fallback step.Answer, out *step.Out) {
+	decision := s.quarantineDecision(now, c, c.attempts == 0)
+	if decision.RetryAfter > 0 {
+		s.endQuarantined(now, c, decision, fallback, out)
+		return
+	}
 	request := s.placement(now, c)
 	choice := s.targets.Choose(now, request)
 	if choice.Target == nil {
@@ -134,8 +149,9 @@
 	t := choice.Target
 	c.attempts++
 	c.attempt = step.AttemptID(string(c.req.ID) + "." + strconv.Itoa(c.attempts))
-	c.host, c.answerBegan, c.moving = t.Host.ID, false, false
-	c.sentAt, c.eventsBefore = now, c.events
+	c.host, c.address, c.incarnation = t.Host.ID, t.Host.Address, t.Host.Incarnation
+	c.answerBegan, c.moving, c.trial = false, false, decision.Trial
+	c.sentAt, c.eventsBefore, c.firstEventAt = now, c.events, 0
 	f := step.Forward{
 		ID: c.req.ID, Attempt: c.attempt, Host: t.Host.ID, Address: t.Host.Address, Service: c.service,
 		Team: c.team, Urgency: c.urgency, Deadline: c.deadline,
@@ -148,6 +164,9 @@
 	out.Log(event.RequestSent, event.F("request", c.req.CallerID), event.F("attempt", c.attempt), event.F("route", c.route.Name),
 		event.F("version", s.config.Version), event.F("team", c.team), event.F("host", c.host), event.F("inFlight", t.InFlight()),
 		event.F("firstByMillis", choice.TimeToFirstEvent.Milliseconds()), event.F("leftMillis", request.TimeLeft.Milliseconds()))
+	if c.trial {
+		out.Log(event.RequestTried, event.F("request", c.req.CallerID), event.F("host", c.host))
+	}
 	out.Add(f)
 }
 
@@ -160,15 +179,6 @@
 	}
 }
 
-// contentHash identifies what the request asks for: callers that send it again use another ID.
-func (c *call) contentHash() uint64 {
-	h := c.req.BodyHash
-	for _, part := range []string{c.team, c.req.Method, c.req.Host, c.req.Path, c.req.Query} {
-		h = rendezvous.Mix(h ^ rendezvous.Hash(part))
-	}
-	return h
-}
-
 func (s *State) model(c *call) string {
 	if service := s.config.Services[c.service]; service != nil && service.Engine != nil {
 		return c.req.Model
@@ -242,7 +252,7 @@
 // suspect, a suspicion is reported, and the request moves to another target if allowed.
 func (s *State) onStalled(now time.Duration, e step.AnswerStalled, out *step.Out) {
 	c := s.calls[e.ID]
-	if c == nil || c.attempt != e.Attempt || c.moving || c.callerGone {
+	if c == nil || c.attempt != e.Attempt || c.moving || c.callerGone || c.awaitsProbe != nil {
 		return
 	}
 	if c.route.Kind == site.Stream && e.TargetSilence < eventGapGrace {
@@ -262,7 +272,10 @@
 // mayMove reports whether a running attempt may be cancelled in favour of another target. If
 // so it spends the retry from the budget.
 func (s *State) mayMove(now time.Duration, c *call) bool {
-	if !c.route.MayRepeat() || c.attemptsSpent() || c.ranAttempts+1 >= c.route.MaxTargets {
+	if !c.route.MayRepeat() || c.attemptsSpent() || c.ranAttempts+1 >= c.route.MaxTargets || c.trial {
+		return false
+	}
+	if s.quarantineDecision(now, c, false).RetryAfter > 0 {
 		return false
 	}
 	request := s.placement(now, c)
@@ -299,8 +312,20 @@
 		c.ranAttempts++
 	}
 	if e.Ending == step.EndedBroken {
-		out.Log(event.AttemptBroken, event.F("request", c.req.CallerID), event.F("attempt", c.attempt), event.F("host", c.host), event.F("content", fmt.Sprintf("%016x", c.contentHash())),
+		out.Log(event.AttemptBroken, event.F("request", c.req.CallerID), event.F("attempt", c.attempt), event.F("host", c.host), event.F("fingerprints", names(c.fingerprints())),
 			event.F("begun", c.answerBegan), event.F("attemptEvents", c.events-c.eventsBefore), event.F("millis", (now-c.sentAt).Milliseconds()))
+		if s.probeAfterBreak(now, c, out) && c.route.MayRepeat() && !c.moving {
+			c.awaitsProbe = &e
+			return
+		}
+	}
+	s.conclude(now, c, e, out)
+}
+
+// conclude goes on with a request after the end of its attempt: it is answered, or sent again.
+func (s *State) conclude(now time.Duration, c *call, e step.ForwardEnded, out *step.Out) {
+	if e.Ending == step.EndedComplete || e.Ending == step.EndedError {
+		s.recordSuccess(now, cmp.Or(c.firstEventAt, now), c, out)
 	}
 	switch {
 	case e.Ending == step.EndedComplete:
@@ -320,11 +345,15 @@
 	moving := c.moving
 	c.failedHosts = append(c.failedHosts, c.host)
 	notRun := e.Ending == step.EndedUnsent || e.Ending == step.EndedRefused
-	mayRetry := notRun || c.route.MayRepeat() && c.ranAttempts < c.route.MaxTargets
+	mayRetry := notRun || c.route.MayRepeat() && c.ranAttempts < c.route.MaxTargets && !c.trial
 	// A move has spent its retry when it was decided, and an unsent attempt has reached no
 	// target.
 	exempt := moving || e.Ending == step.EndedUnsent
 	mayRetry = mayRetry && now < c.deadline && !c.attemptsSpent()
+	if decision := s.quarantineDecision(now, c, false); decision.RetryAfter > 0 {
+		s.endQuarantined(now, c, decision, answer, out)
+		return
+	}
 	if mayRetry {
 		if choice := s.targets.Peek(now, s.placement(now, c)); choice.Target == nil {
 			s.endWithoutTarget(now, c, choice, answer, out) // no retry is spent
--- /dev/null
+++ b/internal/core/gateway/crashes.go
@@ -0,0 +1,337 @@
+package gateway
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/quarantine"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/rendezvous"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/site"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/event"
+)
+
+const (
+	// beginPhase is how long after its first event an answer still counts as beginning.
+	beginPhase = 100 * time.Millisecond
+	// unbegunShareDelay is how long a daemon waits before it shares a crash of which it knows only
+	// requests that had not begun. Another daemon may know of one that had.
+	unbegunShareDelay = 200 * time.Millisecond
+	// A success is shared by the daemon that ranks first for its fingerprint at once, and by the
+	// others successShareStep later for each rank, unless they have heard of one by then.
+	successShareStep     = 25 * time.Millisecond
+	maxSuccessShareDelay = 500 * time.Millisecond
+)
+
+// crashWatch finds out which hosts crashed under which requests, exchanges that with the other
+// daemons, and keeps the verdicts on requests that crash hosts.
+type crashWatch struct {
+	tracker *quarantine.Tracker
+	// broken are attempts that ended with their connection while their answers began or before,
+	// by host. A host is being probed as long as it has any.
+	broken map[string][]brokenAttempt
+	// unbegun are crashes to be shared at their times unless a daemon knows of a request that had
+	// begun.
+	unbegun []unsharedCrash
+	// successes are to be shared at their times.
+	successes map[quarantine.Fingerprint]unsharedSuccess
+}
+
+type brokenAttempt struct {
+	request      step.RequestID
+	attempt      step.AttemptID
+	incarnation  int64 // of the host, when the attempt was sent
+	at           time.Duration
+	begun        bool
+	fingerprints []quarantine.Fingerprint
+}
+
+type unsharedCrash struct {
+	crash quarantine.Crash
+	dueAt time.Duration
+}
+
+type unsharedSuccess struct{ at, dueAt time.Duration }
+
+func newCrashWatch() crashWatch {
+	return crashWatch{
+		tracker: quarantine.New(quarantine.Defaults()), broken: make(map[string][]brokenAttempt),
+		successes: make(map[quarantine.Fingerprint]unsharedSuccess),
+	}
+}
+
+// CondemnedFingerprints returns the number of fingerprints whose requests are refused.
+func (s *State) CondemnedFingerprints() int { return len(s.crashes.tracker.Verdicts()) }
+
+// fingerprints returns what identifies a request to the quarantine.
+func (c *call) fingerprints() []quarantine.Fingerprint {
+	if c.prints == nil {
+		c.prints = append(c.prints, quarantine.Fingerprint{Kind: quarantine.Content, Hash: c.contentHash(c.req.Query)})
+		if c.req.Query != "" {
+			c.prints = append(c.prints, quarantine.Fingerprint{Kind: quarantine.ContentWithoutQuery, Hash: c.contentHash("")})
+		}
+	}
+	return c.prints
+}
+
+// contentHash identifies what the request asks for, with a query in place of its own.
+func (c *call) contentHash(query string) uint64 {
+	h := c.req.BodyHash
+	for _, part := range []string{c.team, c.req.Method, c.req.Host, c.req.Path, query} {
+		h = rendezvous.Mix(h ^ rendezvous.Hash(part))
+	}
+	return h
+}
+
+// isBeginning reports whether the answer to the running attempt is about to begin or has just
+// begun.
+func (c *call) isBeginning(now time.Duration) bool {
+	return c.events == c.eventsBefore || c.firstEventAt > 0 && now-c.firstEventAt < beginPhase
+}
+
+// probeAfterBreak records an attempt that ended with its connection, and has the host probed. It
+// returns false if the request can't have crashed the host.
+func (s *State) probeAfterBreak(now time.Duration, c *call, out *step.Out) bool {
+	if !c.isBeginning(now) {
+		return false
+	}
+	// A plain service says nothing before its whole answer.
+	begun := c.answerBegan || s.model(c) == ""
+	if len(s.crashes.broken[c.host]) == 0 {
+		out.Add(step.ProbeHost{Host: c.host, Address: c.address})
+	}
+	s.crashes.broken[c.host] = append(s.crashes.broken[c.host], brokenAttempt{
+		request: c.req.ID, attempt: c.attempt, incarnation: c.incarnation, at: now, begun: begun, fingerprints: c.fingerprints(),
+	})
+	return true
+}
+
+func (s *State) onStreamStarted(now time.Duration, e step.StreamStarted) {
+	if c := s.calls[e.ID]; c != nil && c.attempt == e.Attempt {
+		c.firstEventAt = now
+	}
+}
+
+// onProbed decides whether a host has crashed under the attempts that broke there, and goes on
+// with the requests that wait for it.
+func (s *State) onProbed(now time.Duration, e step.HostProbed, out *step.Out) {
+	attempts := s.crashes.broken[e.Host]
+	delete(s.crashes.broken, e.Host)
+	if e.Result == step.ProbeRefused {
+		for _, c := range crashesOf(e.Host, attempts) {
+			s.learnCrash(now, c, true, out)
+		}
+	}
+	for _, a := range attempts {
+		if c := s.calls[a.request]; c != nil && c.attempt == a.attempt && c.awaitsProbe != nil {
+			ended := *c.awaitsProbe
+			c.awaitsProbe = nil
+			s.conclude(now, c, ended, out)
+		}
+	}
+}
+
+// crashesOf returns the crash of each incarnation of a host at which attempts broke.
+func crashesOf(host string, attempts []brokenAttempt) []quarantine.Crash {
+	byIncarnation := make(map[int64]*quarantine.Crash)
+	for _, a := range attempts {
+		c := byIncarnation[a.incarnation]
+		if c == nil {
+			c = &quarantine.Crash{Host: host, Incarnation: a.incarnation, At: a.at}
+			byIncarnation[a.incarnation] = c
+		}
+		if a.begun && !c.Begun {
+			c.Begun, c.Suspects = true, nil
+		}
+		if a.begun != c.Begun {
+			continue
+		}
+		for _, f := range a.fingerprints {
+			if !slices.Contains(c.Suspects, f) {
+				c.Suspects = append(c.Suspects, f)
+			}
+		}
+	}
+	var all []quarantine.Crash
+	for _, incarnation := range slices.Sorted(maps.Keys(byIncarnation)) {
+		all = append(all, *byIncarnation[incarnation])
+	}
+	return all
+}
+
+// learnCrash records a crash that this daemon has found itself, or that another one reports.
+func (s *State) learnCrash(now time.Duration, c quarantine.Crash, own bool, out *step.Out) {
+	changes, isNew := s.crashes.tracker.RecordCrash(now, c)
+	if !isNew {
+		return
+	}
+	out.Log(event.TargetDied, event.F("host", c.Host), event.F("incarnation", c.Incarnation), event.F("own", own), event.F("begun", c.Begun),
+		event.F("suspects", names(c.Suspects)), event.F("ageMillis", (now-c.At).Milliseconds()))
+	s.recordRunningStreams(now, out)
+	s.applyVerdicts(changes, out)
+	if !own {
+		return
+	}
+	if c.Begun {
+		s.shareCrash(c, out)
+		return
+	}
+	s.crashes.unbegun = append(s.crashes.unbegun, unsharedCrash{crash: c, dueAt: now + unbegunShareDelay})
+}
+
+func (s *State) shareCrash(c quarantine.Crash, out *step.Out) {
+	c.Suspects = s.crashes.tracker.Suspects(c)
+	if len(c.Suspects) > 0 {
+		s.shareEvidence(quarantine.Evidence{Crashes: []quarantine.Crash{c}}, out)
+	}
+}
+
+// shareEvidence sends evidence to all other daemons. There is little of it: hosts crash seldom.
+func (s *State) shareEvidence(e quarantine.Evidence, out *step.Out) {
+	var addresses []string
+	for _, name := range slices.Sorted(maps.Keys(s.daemonAddresses)) {
+		if address := s.daemonAddresses[name]; address != "" && name != s.settings.Daemon {
+			addresses = append(addresses, address)
+		}
+	}
+	if len(addresses) > 0 {
+		out.Add(step.ShareEvidence{Addresses: addresses, Evidence: e})
+	}
+}
+
+func (s *State) onEvidence(now time.Duration, e quarantine.Evidence, out *step.Out) {
+	for _, c := range e.Crashes {
+		s.learnCrash(now, c, false, out)
+	}
+	for _, success := range e.Successes {
+		f := success.Fingerprint
+		_, changes := s.crashes.tracker.RecordSuccess(now, success.At, []quarantine.Fingerprint{f})
+		s.applyVerdicts(changes, out)
+		if own, ok := s.crashes.successes[f]; ok && own.at <= success.At {
+			delete(s.crashes.successes, f)
+		}
+	}
+}
+
+// recordSuccess records that a request ran well at a time, which clears what it is suspected of.
+func (s *State) recordSuccess(now, at time.Duration, c *call, out *step.Out) {
+	if s.crashes.tracker.Idle() {
+		return
+	}
+	cleared, changes := s.crashes.tracker.RecordSuccess(now, at, c.fingerprints())
+	for _, f := range cleared {
+		delay := min(time.Duration(s.rankFor(f))*successShareStep, maxSuccessShareDelay)
+		s.crashes.successes[f] = unsharedSuccess{at: at, dueAt: now + delay}
+	}
+	s.applyVerdicts(changes, out)
+}
+
+// rankFor is the rank of this daemon among all for a duty about a fingerprint.
+func (s *State) rankFor(f quarantine.Fingerprint) int {
+	own := rendezvous.Score(rendezvous.Hash(s.settings.Daemon), f.Hash, 0)
+	rank := 0
+	for name := range s.daemonAddresses {
+		if rendezvous.Score(rendezvous.Hash(name), f.Hash, 0) > own {
+			rank++
+		}
+	}
+	return rank
+}
+
+// recordRunningStreams records the streams in flight that have begun well.
+func (s *State) recordRunningStreams(now time.Duration, out *step.Out) {
+	for _, id := range slices.Sorted(maps.Keys(s.calls)) {
+		c := s.calls[id]
+		if c.firstEventAt > 0 && now-c.firstEventAt >= beginPhase && c.awaitsProbe == nil {
+			s.recordSuccess(now, c.firstEventAt, c, out)
+		}
+	}
+}
+
+// crashTick lets verdicts expire and shares what is due.
+func (s *State) crashTick(now time.Duration, out *step.Out) {
+	w := &s.crashes
+	if w.tracker.Idle() && len(w.unbegun) == 0 && len(w.successes) == 0 {
+		return
+	}
+	s.applyVerdicts(w.tracker.Tick(now), out)
+	s.recordRunningStreams(now, out)
+	w.unbegun = slices.DeleteFunc(w.unbegun, func(u unsharedCrash) bool {
+		if now < u.dueAt {
+			return false
+		}
+		if !w.tracker.KnowsBegun(u.crash) {
+			s.shareCrash(u.crash, out)
+		}
+		return true
+	})
+	var due quarantine.Evidence
+	for f, success := range w.successes {
+		if now >= success.dueAt {
+			due.Successes = append(due.Successes, quarantine.Success{Fingerprint: f, At: success.at})
+			delete(w.successes, f)
+		}
+	}
+	if len(due.Successes) > 0 {
+		slices.SortFunc(due.Successes, func(a, b quarantine.Success) int {
+			return strings.Compare(a.Fingerprint.String(), b.Fingerprint.String())
+		})
+		s.shareEvidence(due, out)
+	}
+}
+
+// applyVerdicts logs verdicts that began or ended. Attempts that wait for their turn at a host
+// are cancelled if their requests would be refused now.
+func (s *State) applyVerdicts(changes []quarantine.Change, out *step.Out) {
+	for _, change := range changes {
+		v := change.Verdict
+		if change.Ended != quarantine.Began {
+			out.Log(event.FingerprintReleased, event.F("fingerprint", v.Fingerprint), event.F("reason", change.Ended))
+			continue
+		}
+		out.Log(event.FingerprintCondemned, event.F("fingerprint", v.Fingerprint), event.F("hosts", strings.Join(v.Hosts, " ")),
+			event.F("rivals", names(v.Rivals)), event.F("level", v.Level))
+		s.cancelRefused(out)
+	}
+}
+
+func (s *State) cancelRefused(out *step.Out) {
+	for _, id := range slices.Sorted(maps.Keys(s.calls)) {
+		c := s.calls[id]
+		waits := c.firstEventAt == 0 && c.awaitsProbe == nil && !c.callerGone && !c.moving
+		if waits && (c.route.MayRepeat() || c.route.Kind == site.Stream) && s.crashes.tracker.CertainlyRefused(c.fingerprints()) {
+			out.Add(step.Cancel{ID: c.req.ID, Attempt: c.attempt})
+		}
+	}
+}
+
+// quarantineDecision decides whether a request may be sent to a host.
+func (s *State) quarantineDecision(now time.Duration, c *call, mayTry bool) quarantine.Decision {
+	if !s.crashes.tracker.HasVerdicts() {
+		return quarantine.Decision{}
+	}
+	return s.crashes.tracker.Decide(now, c.fingerprints(), mayTry)
+}
+
+// endQuarantined ends a request that is refused because requests like it crash hosts.
+func (s *State) endQuarantined(now time.Duration, c *call, d quarantine.Decision, fallback step.Answer, out *step.Out) {
+	out.Log(event.RequestQuarantined, event.F("request", c.req.CallerID), event.F("team", c.team), event.F("fingerprint", d.Refused), event.F("attempts", c.attempts))
+	if fallback.Status == 0 || c.ranAttempts == 0 {
+		fallback = step.Answer{
+			Status: 503, Code: step.CodeQuarantined, RetryAfter: d.RetryAfter,
+			Message: "requests like this one crash the targets that begin to answer them: don't send it again",
+		}
+	}
+	s.end(now, c, fallback, "quarantined", out)
+}
+
+// names returns fingerprints as they appear in logs.
+func names(fingerprints []quarantine.Fingerprint) string {
+	text := make([]string, len(fingerprints))
+	for i, f := range fingerprints {
+		text[i] = f.String()
+	}
+	return strings.Join(text, " ")
+}
--- /dev/null
+++ b/internal/core/gateway/crashes_test.go
@@ -0,0 +1,276 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/quarantine"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/site"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
+)
+
+// crashHarness is a daemon with many hosts. Requests with a body hash are sent by send.
+type crashHarness struct {
+	*harness
+	sent int
+}
+
+func newCrashHarness(t *testing.T) *crashHarness {
+	x := startedWithSlack(t)
+	x.crashed = make(map[string]bool)
+	var hosts []site.Host
+	for i := range 12 {
+		hosts = append(hosts, plainHost(fmt.Sprintf("p%d", i)), openHead(fmt.Sprintf("h%d", i)))
+	}
+	x.setHosts(hosts...)
+	x.setDaemons(3)
+	return &crashHarness{harness: x}
+}
+
+func (x *crashHarness) send(path string, body uint64) []step.Effect {
+	x.sent++
+	r := step.Call{ID: step.RequestID(fmt.Sprintf("r%d", x.sent)), CallerID: fmt.Sprintf("c%d", x.sent), Method: "POST", Host: "h", Path: path, Key: "key", BodyHash: body}
+	if path == "/chat/1" {
+		r.Model, r.PromptTokens = "m", 500
+	}
+	return x.reduce(r)
+}
+
+// crash ends an attempt with its host, whose answer had begun unless it is of a plain service.
+func (x *crashHarness) crash(f step.Forward) []step.Effect {
+	x.crashed[f.Host] = true
+	if f.Stream {
+		x.reduce(step.AnswerBegan{ID: f.ID, Attempt: f.Attempt})
+	}
+	return x.endAttempt(f, step.EndedBroken, 0)
+}
+
+func (x *crashHarness) requireRefused(effects []step.Effect) step.Answer {
+	x.t.Helper()
+	a := x.requireAnswer(effects)
+	require.Equal(x.t, 503, a.Status)
+	require.Equal(x.t, step.CodeQuarantined, a.Code)
+	require.Positive(x.t, a.RetryAfter)
+	return a
+}
+
+// withoutEvidence returns the effects other than the evidence that is shared, and that evidence.
+func withoutEvidence(effects []step.Effect) (kept []step.Effect, shared []step.ShareEvidence) {
+	for _, e := range effects {
+		if s, ok := e.(step.ShareEvidence); ok {
+			shared = append(shared, s)
+		} else {
+			kept = append(kept, e)
+		}
+	}
+	return kept, shared
+}
+
+// condemn crashes three hosts with a request that is sent once for each.
+func (x *crashHarness) condemn(path string, body uint64) {
+	for range 3 {
+		effects, _ := withoutEvidence(x.crash(x.requireForward(x.send(path, body))))
+		for _, e := range effects {
+			if f, ok := e.(step.Forward); ok {
+				x.endAttempt(f, step.EndedRefused, 503)
+			}
+		}
+		x.now += 300 * time.Millisecond
+	}
+}
+
+func TestRequestThatCrashesHostsIsRefused(t *testing.T) {
+	for _, path := range []string{"/read/1", "/once/1", "/chat/1"} {
+		x := newCrashHarness(t)
+		x.condemn(path, 1)
+		a := x.requireRefused(x.send(path, 1))
+		require.Greater(t, a.RetryAfter, time.Minute)
+		x.requireForward(x.send(path, 2))
+	}
+}
+
+// TestRetryWaitsForTheProbeOfItsHost lets the third crash come with the first attempt of a
+// request that may be sent again. The caller learns that it may have run.
+func TestRetryWaitsForTheProbeOfItsHost(t *testing.T) {
+	x := newCrashHarness(t)
+	for range 2 {
+		x.crash(x.requireForward(x.send("/once/1", 1)))
+		x.now += 300 * time.Millisecond
+	}
+	x.s.config.Routes[0].Kind, x.s.config.Routes[0].MaxTargets = site.Repeatable, 2
+	effects, _ := withoutEvidence(x.crash(x.requireForward(x.send("/once/1", 1))))
+	a := x.requireAnswer(effects)
+	require.Equal(t, 502, a.Status)
+	require.Equal(t, step.CodeTargetFailed, a.Code)
+}
+
+// TestCallerDisconnectsDuringProbe lets a caller leave after its attempt broke and before the
+// host was probed.
+func TestCallerDisconnectsDuringProbe(t *testing.T) {
+	x := newCrashHarness(t)
+	f := x.requireForward(x.send("/read/1", 1))
+	ended := step.ForwardEnded{AttemptEnded: step.AttemptEnded{ID: f.ID, Attempt: f.Attempt, Ending: step.EndedBroken}}
+	var effects []step.Effect
+	for _, e := range x.s.Reduce(step.Time{Mono: x.now}, ended) {
+		if _, log := e.(step.Log); !log {
+			effects = append(effects, e)
+		}
+	}
+	require.Equal(t, []step.Effect{step.ProbeHost{Host: f.Host, Address: f.Host}}, effects)
+	x.reduce(step.CallerGone{ID: f.ID})
+	require.Empty(t, x.reduce(step.AnswerStalled{ID: f.ID, Attempt: f.Attempt, TargetSilence: time.Second}))
+	answered := x.requireAnswer(x.reduce(step.HostProbed{Host: f.Host, Result: step.ProbeAccepted, Sent: x.now}))
+	require.Equal(t, 499, answered.Status)
+}
+
+// TestConnectionsThatBreakAreNoCrashes breaks attempts at hosts that accept connections or do not
+// answer.
+func TestConnectionsThatBreakAreNoCrashes(t *testing.T) {
+	x := newCrashHarness(t)
+	for range 10 {
+		_, shared := withoutEvidence(x.endAttempt(x.requireForward(x.send("/once/1", 1)), step.EndedBroken, 0))
+		require.Empty(t, shared)
+		x.now += 300 * time.Millisecond
+	}
+	x.requireForward(x.send("/once/1", 1))
+	require.True(t, x.s.crashes.tracker.Idle())
+}
+
+// TestStreamsUnderWayAreNoSuspects crashes hosts under streams that have delivered events.
+func TestStreamsUnderWayAreNoSuspects(t *testing.T) {
+	x := newCrashHarness(t)
+	for range 5 {
+		f := x.requireForward(x.send("/chat/1", 1))
+		x.reduce(step.AnswerBegan{ID: f.ID, Attempt: f.Attempt})
+		x.reduce(step.StreamStarted{ID: f.ID, Attempt: f.Attempt})
+		x.now += beginPhase
+		x.crashed[f.Host] = true
+		ended := step.ForwardEnded{AttemptEnded: step.AttemptEnded{ID: f.ID, Attempt: f.Attempt, Ending: step.EndedBroken, Delivered: 2}}
+		_, shared := withoutEvidence(x.reduce(ended))
+		require.Empty(t, shared)
+		x.now += 300 * time.Millisecond
+	}
+	x.requireForward(x.send("/chat/1", 1))
+}
+
+// TestRequestsThatWaitedAreSharedLate crashes a host with one stream that had begun and one that
+// had not, and a host with only one that had not.
+func TestRequestsThatWaitedAreSharedLate(t *testing.T) {
+	x := newCrashHarness(t)
+	begun := x.requireForward(x.send("/chat/1", 1))
+	_, shared := withoutEvidence(x.crash(begun))
+	require.Len(t, shared, 1)
+	require.Equal(t, []string{"d1:1", "d2:1"}, shared[0].Addresses)
+	require.Equal(t, []quarantine.Crash{{Host: begun.Host, Incarnation: 1, At: x.now, Begun: true, Suspects: x.s.calls[begun.ID].fingerprints()}}, shared[0].Evidence.Crashes)
+
+	waiting := x.requireForward(x.send("/chat/1", 2))
+	x.crashed[waiting.Host] = true
+	_, shared = withoutEvidence(x.endAttempt(waiting, step.EndedBroken, 0))
+	require.Empty(t, shared)
+	x.now += unbegunShareDelay
+	_, shared = withoutEvidence(x.reduce(step.Tick{}))
+	require.Len(t, shared, 1)
+	require.False(t, shared[0].Evidence.Crashes[0].Begun)
+
+	waiting = x.requireForward(x.send("/chat/1", 3))
+	x.crashed[waiting.Host] = true
+	x.endAttempt(waiting, step.EndedBroken, 0)
+	x.reduce(step.EvidenceReceived{Evidence: quarantine.Evidence{Crashes: []quarantine.Crash{
+		{Host: waiting.Host, Incarnation: 1, At: x.now, Begun: true, Suspects: []quarantine.Fingerprint{{Kind: quarantine.Content, Hash: 77}}},
+	}}})
+	x.now += unbegunShareDelay
+	_, shared = withoutEvidence(x.reduce(step.Tick{}))
+	require.Empty(t, shared, "another daemon knows of one that had begun")
+}
+
+// TestEvidenceOfOtherDaemonsCounts lets other daemons report crashes under a request.
+func TestEvidenceOfOtherDaemonsCounts(t *testing.T) {
+	x := newCrashHarness(t)
+	f := x.requireForward(x.send("/chat/1", 1))
+	waiting := x.requireForward(x.send("/chat/1", 1))
+	prints := x.s.calls[f.ID].fingerprints()
+	x.reduce(step.AnswerBegan{ID: f.ID, Attempt: f.Attempt})
+	x.reduce(step.StreamStarted{ID: f.ID, Attempt: f.Attempt})
+	x.now += time.Second
+	var effects []step.Effect
+	for i := range 3 {
+		effects = x.reduce(step.EvidenceReceived{Evidence: quarantine.Evidence{Crashes: []quarantine.Crash{
+			{Host: fmt.Sprintf("x%d", i), Incarnation: 1, At: x.now, Begun: true, Suspects: prints},
+		}}})
+		x.now += 250 * time.Millisecond / 2
+	}
+	require.Equal(t, []step.Effect{step.Cancel{ID: waiting.ID, Attempt: waiting.Attempt}}, effects, "only the one that waits at its host is cancelled")
+	x.requireRefused(x.send("/chat/1", 1))
+	a := x.requireAnswer(x.endAttempt(waiting, step.EndedCancelled, 0))
+	require.Equal(t, 502, a.Status, "it may have run")
+	x.endAttempt(f, step.EndedComplete, 200)
+	x.requireRefused(x.send("/chat/1", 1))
+}
+
+// TestSuccessEndsVerdictAndIsShared lets a stream that had been sent before the verdict run well.
+func TestSuccessEndsVerdictAndIsShared(t *testing.T) {
+	x := newCrashHarness(t)
+	x.condemn("/once/1", 1)
+	f := x.requireForward(x.send("/chat/1", 9))
+	x.s.calls[f.ID].prints = []quarantine.Fingerprint{x.s.crashes.tracker.Verdicts()[0].Fingerprint}
+	x.reduce(step.AnswerBegan{ID: f.ID, Attempt: f.Attempt})
+	x.reduce(step.StreamStarted{ID: f.ID, Attempt: f.Attempt})
+	x.reduce(step.Tick{})
+	x.requireRefused(x.send("/once/1", 1))
+	x.now += beginPhase
+	_, shared := withoutEvidence(x.reduce(step.Tick{}))
+	x.requireForward(x.send("/once/1", 1))
+	x.now += maxSuccessShareDelay
+	_, later := withoutEvidence(x.reduce(step.Tick{}))
+	shared = append(shared, later...)
+	require.Len(t, shared, 1)
+	require.Equal(t, x.s.calls[f.ID].prints[0], shared[0].Evidence.Successes[0].Fingerprint)
+}
+
+// TestSuccessOfAnotherDaemonIsNotSharedAgain reports a success from two daemons.
+func TestSuccessOfAnotherDaemonIsNotSharedAgain(t *testing.T) {
+	x := newCrashHarness(t)
+	x.setDaemons(20)
+	x.crash(x.requireForward(x.send("/once/1", 1)))
+	x.now += time.Second
+	f := x.requireForward(x.send("/once/1", 1))
+	prints := x.s.calls[f.ID].fingerprints()
+	x.endAttempt(f, step.EndedComplete, 200)
+	require.Len(t, x.s.crashes.successes, 1)
+	x.reduce(step.EvidenceReceived{Evidence: quarantine.Evidence{Successes: []quarantine.Success{{Fingerprint: prints[0], At: x.now}}}})
+	x.now += maxSuccessShareDelay
+	_, shared := withoutEvidence(x.reduce(step.Tick{}))
+	require.Empty(t, shared)
+}
+
+// TestTrialIsSentToOneHostOnly condemns a request together with the same one with any query, and
+// sends another query.
+func TestTrialIsSentToOneHostOnly(t *testing.T) {
+	x := newCrashHarness(t)
+	send := func(query string) []step.Effect {
+		x.sent++
+		return x.reduce(step.Call{ID: step.RequestID(fmt.Sprintf("r%d", x.sent)), Method: "GET", Host: "h", Path: "/read/1", Query: query, Key: "key"})
+	}
+	for range 3 {
+		effects, _ := withoutEvidence(x.crash(x.requireForward(send("q=1"))))
+		for _, e := range effects {
+			if f, ok := e.(step.Forward); ok {
+				x.endAttempt(f, step.EndedRefused, 503)
+			}
+		}
+		x.now += 300 * time.Millisecond
+	}
+	x.requireRefused(send("q=1"))
+	trial := x.requireForward(send("q=2"))
+	require.LessOrEqual(t, x.requireRefused(send("q=2")).RetryAfter, time.Second, "one at a time")
+	effects, _ := withoutEvidence(x.crash(trial))
+	require.Equal(t, 502, x.requireAnswer(effects).Status)
+	x.now += time.Second
+	trial = x.requireForward(send("q=3"))
+	x.endAttempt(trial, step.EndedComplete, 200)
+	x.requireForward(send("q=3"))
+	require.Greater(t, x.requireRefused(send("q=1")).RetryAfter, time.Minute)
+}
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -70,6 +70,8 @@
 	daemonNames map[string]bool
 	quiet       quiet.Periods // hosts that asked for no requests
 
+	crashes crashWatch // requests that crash hosts
+
 	targets       *place.Table             // the targets and their load
 	budget        *retry.Window            // this daemon's part of the retry budget
 	budgetDaemons int                      // daemons over which the retry budget is divided
@@ -101,6 +103,7 @@
 		pools:           make(map[string]*fabric.Pool),
 		budget:          retry.NewWindow(0),
 	}
+	s.crashes = newCrashWatch()
 	s.retainedEvacuations = make(map[string]time.Duration)
 	s.targets.SetQuiet(&s.quiet)
 	s.lease = fabric.NewLease(set.Daemon, set.Incarnation, set.Cores, s.nextOp)
@@ -129,6 +132,8 @@
 		s.onCall(now.Mono, e, out)
 	case step.AnswerBegan:
 		s.onBegan(now.Mono, e)
+	case step.StreamStarted:
+		s.onStreamStarted(now.Mono, e)
 	case step.AnswerStalled:
 		s.onStalled(now.Mono, e, out)
 	case step.ForwardEnded:
@@ -158,6 +163,10 @@
 		s.onNotice(now.Mono, e, out)
 	case step.HostSuspected:
 		s.onSuspected(e)
+	case step.HostProbed:
+		s.onProbed(now.Mono, e, out)
+	case step.EvidenceReceived:
+		s.onEvidence(now.Mono, e.Evidence, out)
 	case step.ReportAnswered:
 		for _, p := range s.pools {
 			p.OnReport(now.Mono, e, out)
@@ -184,6 +193,7 @@
 	}
 	s.entries.prune(now, s.hosts)
 	s.expireRetainedEvacuations(now, out)
+	s.crashTick(now, out)
 	s.controlTick(now, out)
 }
 
--- a/internal/core/gateway/gateway_test.go
+++ b/internal/core/gateway/gateway_test.go
@@ -17,6 +17,8 @@
 	s     *State
 	now   time.Duration
 	calls int
+	// crashed are the hosts that refuse connections; all others accept them.
+	crashed map[string]bool
 }
 
 func newHarness(t *testing.T) *harness {
@@ -26,14 +28,27 @@
 	})}
 }
 
-// reduce passes an event to the reducer and returns the effects other than log lines.
+// reduce passes an event to the reducer and returns the effects other than log lines and probes
+// of hosts, which it answers.
 func (x *harness) reduce(ev step.Event) []step.Effect {
 	var kept []step.Effect
+	var probes []step.HostProbed
 	for _, e := range x.s.Reduce(step.Time{Mono: x.now}, ev) {
-		if _, log := e.(step.Log); !log {
+		switch e := e.(type) {
+		case step.Log:
+		case step.ProbeHost:
+			result := step.ProbeAccepted
+			if x.crashed[e.Host] {
+				result = step.ProbeRefused
+			}
+			probes = append(probes, step.HostProbed{Host: e.Host, Result: result, Sent: x.now})
+		default:
 			kept = append(kept, e)
 		}
 	}
+	for _, p := range probes {
+		kept = append(kept, x.reduce(p)...)
+	}
 	return kept
 }
 
--- a/internal/core/quarantine/decision.go
+++ b/internal/core/quarantine/decision.go
@@ -18,8 +18,9 @@
 	Trial bool
 }
 
-// Decide decides on a request with these fingerprints that is about to be sent to a host.
-func (t *Tracker) Decide(now time.Duration, fingerprints []Fingerprint) Decision {
+// Decide decides on a request with these fingerprints that is about to be sent to a host. It
+// lets one through as a trial only if mayTry is set.
+func (t *Tracker) Decide(now time.Duration, fingerprints []Fingerprint, mayTry bool) Decision {
 	var d Decision
 	var trials []*Verdict
 	for _, f := range fingerprints {
@@ -33,6 +34,9 @@
 			if left = 0; v.tried {
 				left = v.lastTrialAt + t.set.TrialInterval - now
 			}
+			if !mayTry {
+				left = t.set.TrialInterval
+			}
 		}
 		if left > d.RetryAfter {
 			d.Refused, d.RetryAfter = f, left
@@ -47,26 +51,39 @@
 	return d
 }
 
-func lacksAny(fingerprints, rivals []Fingerprint) bool {
-	for _, g := range rivals {
-		if !slices.Contains(fingerprints, g) {
+// CertainlyRefused reports whether a request with these fingerprints is refused without doubt:
+// none of them has a rival that the request lacks.
+func (t *Tracker) CertainlyRefused(fingerprints []Fingerprint) bool {
+	for _, f := range fingerprints {
+		if v := t.verdicts[f]; v != nil && !lacksAny(fingerprints, v.Rivals) {
 			return true
 		}
 	}
 	return false
 }
 
-// Condemned reports whether a verdict on one of the fingerprints is in force. Unlike Decide it
-// lets no request through as a trial.
-func (t *Tracker) Condemned(fingerprints []Fingerprint) bool {
-	for _, f := range fingerprints {
-		if t.verdicts[f] != nil {
+func lacksAny(fingerprints, rivals []Fingerprint) bool {
+	for _, g := range rivals {
+		if !slices.Contains(fingerprints, g) {
 			return true
 		}
 	}
 	return false
 }
 
+// HasVerdicts reports whether any request may be refused now.
+func (t *Tracker) HasVerdicts() bool { return len(t.verdicts) > 0 }
+
+// Suspects returns those of a crash's suspects that no success has cleared.
+func (t *Tracker) Suspects(c Crash) []Fingerprint {
+	return slices.DeleteFunc(slices.Clone(c.Suspects), func(f Fingerprint) bool { return !t.counts(c, f) })
+}
+
+// KnowsBegun reports whether it is known of a request that a crashed host was beginning it.
+func (t *Tracker) KnowsBegun(c Crash) bool {
+	return slices.ContainsFunc(t.crashes, func(k Crash) bool { return k.Begun && k.Host == c.Host && k.Incarnation == c.Incarnation })
+}
+
 // Verdicts returns the verdicts in force, sorted by fingerprint.
 func (t *Tracker) Verdicts() []Verdict {
 	var all []Verdict
--- a/internal/core/quarantine/evidence.go
+++ b/internal/core/quarantine/evidence.go
@@ -33,6 +33,18 @@
 	Suspects []Fingerprint // distinct
 }
 
+// Success is a request with a fingerprint that ran well at a time.
+type Success struct {
+	Fingerprint Fingerprint
+	At          time.Duration
+}
+
+// Evidence is what one daemon tells others. Its times are those of the daemon that holds it.
+type Evidence struct {
+	Crashes   []Crash
+	Successes []Success
+}
+
 // addCrash adds what a daemon knows of a crash to what is known. It returns false if that says
 // nothing new.
 func (t *Tracker) addCrash(c Crash) bool {
--- a/internal/core/quarantine/quarantine_test.go
+++ b/internal/core/quarantine/quarantine_test.go
@@ -37,7 +37,7 @@
 }
 
 func (w *world) refused(fingerprints ...Fingerprint) bool {
-	return w.Decide(w.now, fingerprints).RetryAfter > 0
+	return w.Decide(w.now, fingerprints, true).RetryAfter > 0
 }
 
 func TestCondemnedAfterThreeCrashes(t *testing.T) {
@@ -54,9 +54,8 @@
 	require.Len(t, changes, 1)
 	require.Equal(t, Began, changes[0].Ended)
 	require.Equal(t, []string{"h1", "h2", "h3"}, changes[0].Verdict.Hosts)
-	d := w.Decide(w.now, []Fingerprint{content(9), x})
+	d := w.Decide(w.now, []Fingerprint{content(9), x}, true)
 	require.Equal(t, Decision{Refused: x, RetryAfter: Defaults().VerdictTTL}, d)
-	require.True(t, w.Condemned([]Fingerprint{x}))
 	require.False(t, w.refused(content(2)), "another request")
 	require.Empty(t, w.crash(x), "the verdict is in force")
 }
@@ -159,21 +158,22 @@
 		return w
 	}
 	w := crashedWithBoth()
-	require.Equal(t, Decision{Trial: true}, w.Decide(w.now, []Fingerprint{content(1)}))
+	require.Equal(t, Decision{Refused: content(1), RetryAfter: Defaults().TrialInterval}, w.Decide(w.now, []Fingerprint{content(1)}, false))
+	require.Equal(t, Decision{Trial: true}, w.Decide(w.now, []Fingerprint{content(1)}, true))
 	w.now += 100 * ms
-	require.Equal(t, Decision{Refused: content(1), RetryAfter: Defaults().TrialInterval - 100*ms}, w.Decide(w.now, []Fingerprint{content(1)}))
+	require.Equal(t, Decision{Refused: content(1), RetryAfter: Defaults().TrialInterval - 100*ms}, w.Decide(w.now, []Fingerprint{content(1)}, true))
 	require.Len(t, w.success(content(1)), 1)
 	require.False(t, w.refused(content(1)))
-	require.Equal(t, Decision{Refused: content(2), RetryAfter: w.verdicts[content(2)].left(w.now)}, w.Decide(w.now, []Fingerprint{content(2)}), "nothing else is left to blame")
+	require.Equal(t, Decision{Refused: content(2), RetryAfter: w.verdicts[content(2)].left(w.now)}, w.Decide(w.now, []Fingerprint{content(2)}, true), "nothing else is left to blame")
 
 	w = crashedWithBoth()
 	for range 2 {
-		require.True(t, w.Decide(w.now, []Fingerprint{content(2)}).Trial)
+		require.True(t, w.Decide(w.now, []Fingerprint{content(2)}, true).Trial)
 		w.crash(content(2))
 		w.now += Defaults().TrialInterval
 	}
-	require.Greater(t, w.Decide(w.now, []Fingerprint{content(2)}).RetryAfter, time.Minute, "the other one does not explain these crashes")
-	require.True(t, w.Decide(w.now, []Fingerprint{content(1)}).Trial)
+	require.Greater(t, w.Decide(w.now, []Fingerprint{content(2)}, true).RetryAfter, time.Minute, "the other one does not explain these crashes")
+	require.True(t, w.Decide(w.now, []Fingerprint{content(1)}, true).Trial)
 }
 
 // TestBetterExplanationReplacesVerdict condemns a fingerprint that was on board by chance.
@@ -184,7 +184,7 @@
 		w.crash(suspects...)
 		w.now += 300 * ms
 	}
-	require.True(t, w.Condemned([]Fingerprint{bystander}))
+	require.True(t, w.refused(bystander))
 	var changes []Change
 	for range 3 {
 		changes = append(changes, w.crash(x)...)
@@ -233,7 +233,7 @@
 	adopted := Verdict{Fingerprint: x, Hosts: []string{"a", "b", "c"}, Level: 2}
 	require.Len(t, w.Adopt(w.now, adopted), 1)
 	require.Empty(t, w.Adopt(w.now, adopted))
-	require.Equal(t, 4*Defaults().VerdictTTL, w.Decide(w.now, []Fingerprint{x}).RetryAfter)
+	require.Equal(t, 4*Defaults().VerdictTTL, w.Decide(w.now, []Fingerprint{x}, true).RetryAfter)
 	w.crash(y)
 	require.True(t, w.refused(x), "evidence on others does not end it")
 	require.Empty(t, w.Adopt(w.now, Verdict{Fingerprint: y}), "this daemon decides by its own evidence")
--- a/internal/core/step/gateway.go
+++ b/internal/core/step/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/quarantine"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/site"
 )
 
@@ -57,6 +58,12 @@
 	Load    site.Load // Slots is zero if the target did not report its load
 }
 
+// StreamStarted reports that the first event of an attempt's stream has been delivered.
+type StreamStarted struct {
+	ID      RequestID
+	Attempt AttemptID
+}
+
 // AnswerStalled reports that an attempt has received nothing for FirstByteTimeout or
 // EventGapTimeout.
 type AnswerStalled struct {
@@ -121,6 +128,44 @@
 // HostSuspected reports that another daemon has sent a NotifySuspect for a host's engine.
 type HostSuspected struct{ Host string }
 
+// ProbeHost tests whether a host's process accepts connections. HostProbed is the reply.
+type ProbeHost struct {
+	Host    string
+	Address string
+}
+
+// ProbeResult is the result of a ProbeHost.
+type ProbeResult uint8
+
+// The results.
+const (
+	// ProbeAccepted: the host accepts connections.
+	ProbeAccepted ProbeResult = iota + 1
+	// ProbeRefused: the machine answers that no process listens there.
+	ProbeRefused
+	// ProbeUnanswered: no answer arrived, which says nothing of the process.
+	ProbeUnanswered
+)
+
+// String returns the result's name as it appears in logs.
+func (r ProbeResult) String() string { return [...]string{"", "accepted", "refused", "unanswered"}[r] }
+
+// HostProbed answers ProbeHost.
+type HostProbed struct {
+	Host   string
+	Result ProbeResult
+	Sent   time.Duration // when the probe was sent
+}
+
+// ShareEvidence sends evidence on crashes to other daemons. EvidenceReceived is what they get.
+type ShareEvidence struct {
+	Addresses []string
+	Evidence  quarantine.Evidence
+}
+
+// EvidenceReceived is the evidence that another daemon has shared. Its times are this daemon's.
+type EvidenceReceived struct{ Evidence quarantine.Evidence }
+
 // HostNotice reports what a host has stated about its availability.
 type HostNotice struct {
 	Host   string
@@ -260,6 +305,7 @@
 func (GatewaySettings) event()    {}
 func (Call) event()               {}
 func (AnswerBegan) event()        {}
+func (StreamStarted) event()      {}
 func (AnswerStalled) event()      {}
 func (ForwardEnded) event()       {}
 func (SiteConfig) event()         {}
@@ -267,6 +313,8 @@
 func (SiteEvacuated) event()      {}
 func (SiteDaemons) event()        {}
 func (HostSuspected) event()      {}
+func (HostProbed) event()         {}
+func (EvidenceReceived) event()   {}
 func (HostNotice) event()         {}
 func (StoreEra) event()           {}
 func (ReportAnswered) event()     {}
@@ -274,6 +322,8 @@
 func (LeaseAnswered) event()      {}
 
 func (Forward) effect()        {}
+func (ProbeHost) effect()      {}
+func (ShareEvidence) effect()  {}
 func (NotifySuspect) effect()  {}
 func (RequestReport) effect()  {}
 func (SendGroupOrder) effect() {}
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -19,6 +19,9 @@
 	RequestSent            ID = 2006
 	RequestMoved           ID = 2007
 	AttemptBroken          ID = 2008
+	FingerprintCondemned   ID = 2009
+	FingerprintReleased    ID = 2010
+	RequestTried           ID = 2011
 	ClaimOwnerUnresponsive ID = 3001
 	ClaimUnreachable       ID = 3002
 	GroupFormed            ID = 4001
@@ -89,6 +92,9 @@
 	{RequestSent, slog.LevelInfo, "request sent to a target", ""},
 	{RequestMoved, slog.LevelInfo, "target stalled; request moved to another target", "If frequent for one host, check the host named."},
 	{AttemptBroken, slog.LevelInfo, "connection to a target ended before the answer was complete", "If one content stands in several of these, see docs/OPERATIONS.md."},
+	{FingerprintCondemned, slog.LevelWarn, "requests with a fingerprint are refused: hosts crashed as they began to answer them", "Find out who sends them and why they crash hosts; see docs/OPERATIONS.md."},
+	{FingerprintReleased, slog.LevelInfo, "requests with a fingerprint are no longer refused", ""},
+	{RequestTried, slog.LevelInfo, "request sent to one target to find out whether it is sound", ""},
 	{ClaimOwnerUnresponsive, slog.LevelInfo, "daemon asked to write a claim did not answer; claim is written here", ""},
 	{ClaimUnreachable, slog.LevelWarn, "call refused: its claim could not be written", "Check the platform; callers retry with the same key."},
 	{GroupFormed, slog.LevelInfo, "group assigned to hosts", ""},
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -63,6 +63,7 @@
 	stallTimer atomic.Pointer[time.Timer]
 	ended      atomic.Bool
 	maybeSent  atomic.Bool // a connection was available, so the target may have received bytes
+	started    bool        // an event of this attempt's stream has been delivered
 }
 
 // run sends the request and processes the answer. It returns how the attempt ended.
@@ -259,6 +260,10 @@
 		return err
 	}
 	x.eventsDelivered++
+	if !a.started {
+		a.started = true
+		x.daemon.Post(step.StreamStarted{ID: a.forward.ID, Attempt: a.forward.Attempt})
+	}
 	return x.control.Flush()
 }
 
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -30,6 +30,7 @@
 	"github.com/rhubarbswitch/rhubarbswitch/internal/api/health"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/config"
 	core "github.com/rhubarbswitch/rhubarbswitch/internal/core/gateway"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/quarantine"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/site"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/event"
@@ -85,14 +86,14 @@
 	lastRequestNumber atomic.Uint64 // its base-36 form is the request's ID
 
 	// config, ready and isLeaseHolder copy the reducer's state for other goroutines.
-	config          atomic.Pointer[site.Config] // the configuration in force; nil before the first
-	ready           atomic.Bool
-	stopping        atomic.Bool
-	isLeaseHolder   atomic.Bool // this daemon orders the groups of engines
-	targets         *targets
-	suspectNotifier *relay.SuspectNotifier
-	idleConns       idleConns
-	background      sync.WaitGroup
+	config        atomic.Pointer[site.Config] // the configuration in force; nil before the first
+	ready         atomic.Bool
+	stopping      atomic.Bool
+	isLeaseHolder atomic.Bool // this daemon orders the groups of engines
+	targets       *targets
+	notifier      *relay.Notifier
+	idleConns     idleConns
+	background    sync.WaitGroup
 }
 
 // New returns a daemon that serves once Run is called. The clock is monotonic and must also
@@ -105,7 +106,7 @@
 	d := &Daemon{
 		settings: set, log: log, platform: p, incarnation: id.String(), clock: clock,
 		events: make(chan step.Event, eventQueueSize), reducerDone: make(chan struct{}),
-		targets: newTargets(clock), suspectNotifier: relay.NewSuspectNotifier(),
+		targets: newTargets(clock), notifier: relay.NewNotifier(clock),
 	}
 	d.state = core.New(core.Settings{
 		Daemon: set.Daemon, Incarnation: d.incarnation, DataCentre: set.DataCentre, Cores: set.Cores,
@@ -160,16 +161,17 @@
 		_ = s.Close()
 	}
 	d.targets.close()
-	d.suspectNotifier.Close()
+	d.notifier.Close()
 	return g.Wait()
 }
 
-// peerHandler serves the requests of other daemons: queries for changes in the store, and
-// notifications of suspected engines.
+// peerHandler serves the requests of other daemons: queries for changes in the store,
+// notifications of suspected engines, and evidence on crashes.
 func (d *Daemon) peerHandler() http.Handler {
 	mux := chi.NewRouter()
 	mux.Handle(relay.PathPrefix+"*", d.platform.ChangesHandler())
 	mux.Handle(relay.SuspectPath, relay.SuspectHandler(func(host string) { d.Post(step.HostSuspected{Host: host}) }))
+	mux.Handle(relay.EvidencePath, relay.EvidenceHandler(d.clock, func(e quarantine.Evidence) { d.Post(step.EvidenceReceived{Evidence: e}) }))
 	return mux
 }
 
@@ -227,6 +229,7 @@
 			}
 		}
 		d.isLeaseHolder.Store(d.state.HoldsControl())
+		condemnedFingerprints.Set(float64(d.state.CondemnedFingerprints()))
 		if _, ok := e.(step.SiteConfig); ok {
 			d.config.Store(d.state.Config())
 		}
@@ -278,10 +281,14 @@
 		})
 	case step.NotifySuspect:
 		d.background.Go(func() {
-			if err := d.suspectNotifier.Notify(ctx, e.Address, e.Host); err != nil {
+			if err := d.notifier.NotifySuspect(ctx, e.Address, e.Host); err != nil {
 				d.log.Debug("lease holder not notified of a suspected engine", "host", e.Host, "daemon", e.Daemon, "error", err)
 			}
 		})
+	case step.ProbeHost:
+		d.background.Go(func() { d.Post(d.probeHost(ctx, e)) })
+	case step.ShareEvidence:
+		d.background.Go(func() { d.shareEvidence(ctx, e) })
 	case step.SetReady:
 		d.ready.Store(e.Ready)
 		loop.SetReady(e.Ready)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -11,6 +11,8 @@
 	requestSeconds = metrics.NewHistogram("rhubarbswitch_request_seconds")
 	// answerBeginSeconds is the time from the start of an attempt to the header of its answer.
 	answerBeginSeconds = metrics.NewHistogram("rhubarbswitch_answer_begin_seconds")
+	// condemnedFingerprints is the number of fingerprints whose requests are refused.
+	condemnedFingerprints = metrics.NewGauge("rhubarbswitch_condemned_fingerprints", nil)
 )
 
 // countAttemptEnd counts the end of an attempt by how it ended.
--- /dev/null
+++ b/internal/relay/notify.go
@@ -0,0 +1,169 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/quarantine"
+	client "github.com/rhubarbswitch/rhubarbswitch/internal/platform"
+)
+
+const (
+	// SuspectPath is the HTTP path on which a daemon is notified of an engine that has
+	// stalled.
+	SuspectPath = "/suspects"
+	// EvidencePath is the HTTP path on which a daemon gets evidence on crashes.
+	EvidencePath = "/evidence"
+	// hostParam is the form parameter with the engine's host.
+	hostParam = "host"
+	// maxHostBytes bounds the name of the host; a longer one is refused.
+	maxHostBytes = 256
+	// maxEvidenceBytes bounds the evidence of one message. A crash has at most 64 suspects of
+	// some 30 bytes each.
+	maxEvidenceBytes = 256 << 10
+	// notifyTimeout bounds a notification. A suspicion that is later is useless, because the
+	// next report of the engine's group is due soon after.
+	notifyTimeout = 500 * time.Millisecond
+	// notifyIdleTimeout closes a connection that carries no further notification.
+	notifyIdleTimeout = 5 * time.Second
+	// evidenceTries is how often evidence is sent to a daemon that does not answer, with
+	// evidenceRetryDelay between two tries.
+	evidenceTries      = 3
+	evidenceRetryDelay = 250 * time.Millisecond
+)
+
+// Notifier notifies other daemons of engines that have stalled and of hosts that have crashed.
+// It is safe for concurrent use.
+type Notifier struct {
+	client *http.Client
+	clock  func() time.Duration
+}
+
+// NewNotifier returns a notifier of a daemon with a monotonic clock.
+func NewNotifier(clock func() time.Duration) *Notifier {
+	return &Notifier{clock: clock, client: &http.Client{Timeout: notifyTimeout, Transport: &http.Transport{IdleConnTimeout: notifyIdleTimeout, MaxIdleConnsPerHost: 1}}}
+}
+
+// Close closes the idle connections.
+func (t *Notifier) Close() { t.client.CloseIdleConnections() }
+
+// NotifySuspect reports the engine on a host as suspected to the daemon at an address, host:port.
+func (t *Notifier) NotifySuspect(ctx context.Context, address, host string) error {
+	return t.post(ctx, address, SuspectPath, "application/x-www-form-urlencoded", []byte(url.Values{hostParam: {host}}.Encode()))
+}
+
+// SendEvidence sends evidence to the daemon at an address, host:port. It tries again if that
+// daemon does not answer.
+func (t *Notifier) SendEvidence(ctx context.Context, address string, e quarantine.Evidence) error {
+	var err error
+	for try := range evidenceTries {
+		if try > 0 {
+			client.Sleep(ctx, evidenceRetryDelay)
+		}
+		var body []byte
+		if body, err = json.Marshal(encodeEvidence(t.clock(), e)); err != nil {
+			return errors.Wrap(err, "encode the evidence")
+		}
+		if err = t.post(ctx, address, EvidencePath, "application/json", body); err == nil {
+			return nil
+		}
+	}
+	return err
+}
+
+func (t *Notifier) post(ctx context.Context, address, path, contentType string, body []byte) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "build the request")
+	}
+	req.Header.Set("Content-Type", contentType)
+	resp, err := t.client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode >= http.StatusMultipleChoices {
+		return errors.Errorf("status %d", resp.StatusCode)
+	}
+	_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxHostBytes))
+	return err
+}
+
+// SuspectHandler returns the handler of notifications about engines. It calls report with the
+// host of each.
+func SuspectHandler(report func(host string)) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		r.Body = http.MaxBytesReader(w, r.Body, 2*maxHostBytes)
+		host := r.PostFormValue(hostParam)
+		if host == "" || len(host) > maxHostBytes {
+			http.Error(w, "name a host", http.StatusBadRequest)
+			return
+		}
+		report(host)
+		w.WriteHeader(http.StatusNoContent)
+	})
+}
+
+// EvidenceHandler returns the handler of evidence. It calls report with each, in times of the
+// given clock.
+func EvidenceHandler(clock func() time.Duration, report func(quarantine.Evidence)) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var m evidenceMessage
+		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxEvidenceBytes)).Decode(&m); err != nil {
+			http.Error(w, "send evidence as JSON: "+strings.ToValidUTF8(err.Error(), "?"), http.StatusBadRequest)
+			return
+		}
+		report(m.decode(clock()))
+		w.WriteHeader(http.StatusNoContent)
+	})
+}
+
+// evidenceMessage is evidence with ages instead of times, as daemons have different clocks.
+type evidenceMessage struct {
+	Crashes   []crashMessage   `json:"crashes,omitempty"`
+	Successes []successMessage `json:"successes,omitempty"`
+}
+
+type crashMessage struct {
+	Host        string                   `json:"host"`
+	Incarnation int64                    `json:"incarnation"`
+	AgeMillis   int64                    `json:"ageMillis"`
+	Begun       bool                     `json:"begun,omitempty"`
+	Suspects    []quarantine.Fingerprint `json:"suspects"`
+}
+
+type successMessage struct {
+	Fingerprint quarantine.Fingerprint `json:"fingerprint"`
+	AgeMillis   int64                  `json:"ageMillis"`
+}
+
+func encodeEvidence(now time.Duration, e quarantine.Evidence) evidenceMessage {
+	var m evidenceMessage
+	for _, c := range e.Crashes {
+		m.Crashes = append(m.Crashes, crashMessage{c.Host, c.Incarnation, (now - c.At).Milliseconds(), c.Begun, c.Suspects})
+	}
+	for _, s := range e.Successes {
+		m.Successes = append(m.Successes, successMessage{s.Fingerprint, (now - s.At).Milliseconds()})
+	}
+	return m
+}
+
+func (m evidenceMessage) decode(now time.Duration) quarantine.Evidence {
+	var e quarantine.Evidence
+	at := func(ageMillis int64) time.Duration { return now - time.Duration(max(0, ageMillis))*time.Millisecond }
+	for _, c := range m.Crashes {
+		e.Crashes = append(e.Crashes, quarantine.Crash{Host: c.Host, Incarnation: c.Incarnation, At: at(c.AgeMillis), Begun: c.Begun, Suspects: c.Suspects})
+	}
+	for _, s := range m.Successes {
+		e.Successes = append(e.Successes, quarantine.Success{Fingerprint: s.Fingerprint, At: at(s.AgeMillis)})
+	}
+	return e
+}
--- a/test/process/cluster_test.go
+++ b/test/process/cluster_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -167,6 +168,8 @@
 // that no outgoing connection can take it before the daemon listens on it.
 func freeAddress(t *testing.T) string {
 	t.Helper()
+	nextPortMu.Lock()
+	defer nextPortMu.Unlock()
 	for range portCount {
 		nextPort = firstPort + (nextPort-firstPort+1)%portCount
 		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", nextPort))
@@ -187,8 +190,11 @@
 )
 
 // nextPort is the port that was tried last. It starts at a port derived from the process
-// ID, so that two test runs on one machine do not collide.
-var nextPort = firstPort + os.Getpid()*97%portCount
+// ID, so that two test runs on one machine do not collide. nextPortMu guards it.
+var (
+	nextPortMu sync.Mutex
+	nextPort   = firstPort + os.Getpid()*97%portCount
+)
 
 func (d *daemon) start() {
 	d.cluster.t.Helper()
