gateway: verdicts on requests that crash hosts outlive the daemons

A daemon that restarts, is new, or is cut off from the others had to see three crashes of its own before it refused a request that all others refused; after the loss of all power nobody knew.

Verdicts are objects of the platform (gateway-quarantine), which every daemon follows as it does the configuration: one list at the start, a watch of 15 s, relayed where changes are relayed. The daemon that found the last crash stores, the one that knows of a success removes; the others step in by rank. In a new era of the store verdicts in force are stored again.

TestDaemonsThatRestartKnowCrashingRequests (process test, two restarts of all daemons) failed before: 502 and a crash at the first request.

Left: crashes before a verdict are kept by daemons only.

--- a/internal/core/gateway/control.go
+++ b/internal/core/gateway/control.go
@@ -118,6 +118,7 @@
 	}
 	out.Log(event.StoreRestored, event.F("era", e.Era), event.F("heldControl", s.holdsControl))
 	s.storeRestored, s.hadOutage, s.storeBackAt = true, true, now
+	s.restoreVerdicts(now)
 	s.controlTick(now, out)
 }
 
--- a/internal/core/gateway/crashes.go
+++ b/internal/core/gateway/crashes.go
@@ -170,7 +170,7 @@
 	out.Log(event.TargetDied, event.F("host", c.Host), event.F("incarnation", c.Incarnation), event.F("own", own), event.F("begun", c.Begun),
 		event.F("suspects", names(c.Suspects)), event.F("ageMillis", (now-c.At).Milliseconds()))
 	s.recordRunningStreams(now, out)
-	s.applyVerdicts(changes, out)
+	s.applyVerdicts(now, changes, own, out)
 	if !own {
 		return
 	}
@@ -208,7 +208,7 @@
 	for _, success := range e.Successes {
 		f := success.Fingerprint
 		_, changes := s.crashes.tracker.RecordSuccess(now, success.At, []quarantine.Fingerprint{f})
-		s.applyVerdicts(changes, out)
+		s.applyVerdicts(now, changes, false, out)
 		if own, ok := s.crashes.successes[f]; ok && own.at <= success.At {
 			delete(s.crashes.successes, f)
 		}
@@ -225,7 +225,7 @@
 		delay := min(time.Duration(s.rankFor(f))*successShareStep, maxSuccessShareDelay)
 		s.crashes.successes[f] = unsharedSuccess{at: at, dueAt: now + delay}
 	}
-	s.applyVerdicts(changes, out)
+	s.applyVerdicts(now, changes, true, out)
 }
 
 // rankFor is the rank of this daemon among all for a duty about a fingerprint.
@@ -256,7 +256,7 @@
 	if w.tracker.Idle() && len(w.unbegun) == 0 && len(w.successes) == 0 {
 		return
 	}
-	s.applyVerdicts(w.tracker.Tick(now), out)
+	s.applyVerdicts(now, w.tracker.Tick(now), false, out)
 	s.recordRunningStreams(now, out)
 	w.unbegun = slices.DeleteFunc(w.unbegun, func(u unsharedCrash) bool {
 		if now < u.dueAt {
@@ -275,18 +275,18 @@
 		}
 	}
 	if len(due.Successes) > 0 {
-		slices.SortFunc(due.Successes, func(a, b quarantine.Success) int {
-			return strings.Compare(a.Fingerprint.String(), b.Fingerprint.String())
-		})
+		slices.SortFunc(due.Successes, func(a, b quarantine.Success) int { return quarantine.Compare(a.Fingerprint, b.Fingerprint) })
 		s.shareEvidence(due, out)
 	}
 }
 
-// applyVerdicts logs verdicts that began or ended. Attempts that wait for their turn at a host
-// are cancelled if their requests would be refused now.
-func (s *State) applyVerdicts(changes []quarantine.Change, out *step.Out) {
+// applyVerdicts logs verdicts that began or ended and has them written. own is set if this daemon
+// brought that about. Attempts that wait for their turn at a host are cancelled if their requests
+// would be refused now.
+func (s *State) applyVerdicts(now time.Duration, changes []quarantine.Change, own bool, out *step.Out) {
 	for _, change := range changes {
 		v := change.Verdict
+		s.scheduleWrite(now, change, own)
 		if change.Ended != quarantine.Began {
 			out.Log(event.FingerprintReleased, event.F("fingerprint", v.Fingerprint), event.F("reason", change.Ended))
 			continue
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -70,7 +70,8 @@
 	daemonNames map[string]bool
 	quiet       quiet.Periods // hosts that asked for no requests
 
-	crashes crashWatch // requests that crash hosts
+	crashes  crashWatch // requests that crash hosts
+	verdicts verdictStore
 
 	targets       *place.Table             // the targets and their load
 	budget        *retry.Window            // this daemon's part of the retry budget
@@ -103,7 +104,7 @@
 		pools:           make(map[string]*fabric.Pool),
 		budget:          retry.NewWindow(0),
 	}
-	s.crashes = newCrashWatch()
+	s.crashes, s.verdicts = newCrashWatch(), newVerdictStore()
 	s.retainedEvacuations = make(map[string]time.Duration)
 	s.targets.SetQuiet(&s.quiet)
 	s.lease = fabric.NewLease(set.Daemon, set.Incarnation, set.Cores, s.nextOp)
@@ -167,6 +168,10 @@
 		s.onProbed(now.Mono, e, out)
 	case step.EvidenceReceived:
 		s.onEvidence(now.Mono, e.Evidence, out)
+	case step.SiteVerdicts:
+		s.onVerdicts(now.Mono, e, out)
+	case step.VerdictAnswered:
+		s.onVerdictAnswered(e)
 	case step.ReportAnswered:
 		for _, p := range s.pools {
 			p.OnReport(now.Mono, e, out)
@@ -194,6 +199,7 @@
 	s.entries.prune(now, s.hosts)
 	s.expireRetainedEvacuations(now, out)
 	s.crashTick(now, out)
+	s.verdictTick(now, out)
 	s.controlTick(now, out)
 }
 
--- a/internal/core/quarantine/decision.go
+++ b/internal/core/quarantine/decision.go
@@ -90,7 +90,7 @@
 	for _, v := range t.verdicts {
 		all = append(all, *v)
 	}
-	slices.SortFunc(all, func(a, b Verdict) int { return compare(a.Fingerprint, b.Fingerprint) })
+	slices.SortFunc(all, func(a, b Verdict) int { return Compare(a.Fingerprint, b.Fingerprint) })
 	return all
 }
 
--- a/internal/core/quarantine/fingerprint.go
+++ b/internal/core/quarantine/fingerprint.go
@@ -52,6 +52,7 @@
 	return errors.Errorf("%q is of an unknown kind of fingerprint", text)
 }
 
-func compare(a, b Fingerprint) int {
+// Compare orders fingerprints.
+func Compare(a, b Fingerprint) int {
 	return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Hash, b.Hash))
 }
--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -116,7 +116,7 @@
 // Tick forgets what is too old, and returns the verdicts that ended by that.
 func (t *Tracker) Tick(now time.Duration) []Change {
 	var changes []Change
-	for _, f := range slices.SortedFunc(maps.Keys(t.verdicts), compare) {
+	for _, f := range slices.SortedFunc(maps.Keys(t.verdicts), Compare) {
 		v := t.verdicts[f]
 		if left := v.left(now); left > 0 {
 			continue
--- a/internal/core/quarantine/verdict.go
+++ b/internal/core/quarantine/verdict.go
@@ -115,7 +115,7 @@
 }
 
 func mostCrashes(candidates map[Fingerprint][]int) (best Fingerprint, ok bool) {
-	for _, f := range slices.SortedFunc(maps.Keys(candidates), compare) {
+	for _, f := range slices.SortedFunc(maps.Keys(candidates), Compare) {
 		if !ok || len(candidates[f]) > len(candidates[best]) {
 			best, ok = f, true
 		}
@@ -140,7 +140,7 @@
 // not condemned although all crashes that led to the verdict are still known.
 func (t *Tracker) apply(now time.Duration, condemned, against map[Fingerprint][]int) []Change {
 	var changes []Change
-	for _, f := range slices.SortedFunc(maps.Keys(t.verdicts), compare) {
+	for _, f := range slices.SortedFunc(maps.Keys(t.verdicts), Compare) {
 		v := t.verdicts[f]
 		if _, stays := condemned[f]; !stays && !v.foreign && len(against[f]) >= len(v.Hosts) {
 			delete(t.verdicts, f)
@@ -148,7 +148,7 @@
 		}
 	}
 	candidates := t.candidates(against, make([]bool, len(t.crashes)))
-	for _, f := range slices.SortedFunc(maps.Keys(condemned), compare) {
+	for _, f := range slices.SortedFunc(maps.Keys(condemned), Compare) {
 		crashes := condemned[f]
 		v := t.verdicts[f]
 		isNew := v == nil
@@ -163,7 +163,7 @@
 			v.Hosts = append(v.Hosts, t.crashes[i].Host)
 			v.lastCrashAt = max(v.lastCrashAt, t.crashes[i].At)
 		}
-		for _, g := range slices.SortedFunc(maps.Keys(candidates), compare) {
+		for _, g := range slices.SortedFunc(maps.Keys(candidates), Compare) {
 			if g != f && strays(crashes, candidates[g]) <= maxStrayCrashes {
 				v.Rivals = append(v.Rivals, g)
 			}
--- a/internal/core/step/gateway.go
+++ b/internal/core/step/gateway.go
@@ -166,6 +166,32 @@
 // EvidenceReceived is the evidence that another daemon has shared. Its times are this daemon's.
 type EvidenceReceived struct{ Evidence quarantine.Evidence }
 
+// StoreVerdict stores a verdict, so that daemons that start later know it. VerdictAnswered is the
+// reply.
+type StoreVerdict struct {
+	Op      OpID
+	Verdict quarantine.Verdict
+}
+
+// RemoveVerdict removes a stored verdict. VerdictAnswered is the reply.
+type RemoveVerdict struct {
+	Op          OpID
+	Fingerprint quarantine.Fingerprint
+}
+
+// VerdictAnswered answers StoreVerdict and RemoveVerdict. OK is set if the store is as ordered.
+type VerdictAnswered struct {
+	Op OpID
+	OK bool
+}
+
+// SiteVerdicts holds the stored verdicts that have changed. If Full is set, it lists all of them.
+type SiteVerdicts struct {
+	Full     bool
+	Verdicts []quarantine.Verdict
+	Gone     []quarantine.Fingerprint // no longer stored
+}
+
 // HostNotice reports what a host has stated about its availability.
 type HostNotice struct {
 	Host   string
@@ -315,6 +341,8 @@
 func (HostSuspected) event()      {}
 func (HostProbed) event()         {}
 func (EvidenceReceived) event()   {}
+func (VerdictAnswered) event()    {}
+func (SiteVerdicts) event()       {}
 func (HostNotice) event()         {}
 func (StoreEra) event()           {}
 func (ReportAnswered) event()     {}
@@ -324,6 +352,8 @@
 func (Forward) effect()        {}
 func (ProbeHost) effect()      {}
 func (ShareEvidence) effect()  {}
+func (StoreVerdict) effect()   {}
+func (RemoveVerdict) effect()  {}
 func (NotifySuspect) effect()  {}
 func (RequestReport) effect()  {}
 func (SendGroupOrder) effect() {}
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -51,8 +51,8 @@
 	// orderTimeout bounds an order to an engine. After it the order counts as lost or as not
 	// sent.
 	orderTimeout = time.Second
-	// leaseCallTimeout bounds one read or write of the lease in the store.
-	leaseCallTimeout = 1500 * time.Millisecond
+	// storeCallTimeout bounds one read or write of the lease, or of a verdict, in the store.
+	storeCallTimeout = 1500 * time.Millisecond
 	// heapLimitShare is the fraction of the memory setting that is set as the soft memory
 	// limit of the Go runtime. The rest is for stacks, kernel buffers and growth between
 	// collections.
@@ -265,7 +265,7 @@
 		})
 	case step.ReadLease:
 		d.background.Go(func() {
-			ctx, cancel := context.WithTimeout(ctx, leaseCallTimeout)
+			ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 			defer cancel()
 			a := d.platform.ReadLease(ctx, e)
 			d.log.Debug("lease read", "status", a.Status, "revision", a.Revision, "holder", a.Lease.Holder)
@@ -273,12 +273,24 @@
 		})
 	case step.WriteLease:
 		d.background.Go(func() {
-			ctx, cancel := context.WithTimeout(ctx, leaseCallTimeout)
+			ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 			defer cancel()
 			a := d.platform.WriteLease(ctx, e)
 			d.log.Debug("lease written", "if", e.Revision, "status", a.Status, "revision", a.Revision, "holder", a.Lease.Holder)
 			d.Post(a)
 		})
+	case step.StoreVerdict:
+		d.background.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+			defer cancel()
+			d.Post(d.platform.StoreVerdict(ctx, e))
+		})
+	case step.RemoveVerdict:
+		d.background.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+			defer cancel()
+			d.Post(d.platform.RemoveVerdict(ctx, e))
+		})
 	case step.NotifySuspect:
 		d.background.Go(func() {
 			if err := d.notifier.NotifySuspect(ctx, e.Address, e.Host); err != nil {
--- a/internal/gateway/platform.go
+++ b/internal/gateway/platform.go
@@ -21,6 +21,9 @@
 	// ReadLease and WriteLease execute the effects of the same names.
 	ReadLease(ctx context.Context, r step.ReadLease) step.LeaseAnswered
 	WriteLease(ctx context.Context, w step.WriteLease) step.LeaseAnswered
+	// StoreVerdict and RemoveVerdict execute the effects of the same names.
+	StoreVerdict(ctx context.Context, v step.StoreVerdict) step.VerdictAnswered
+	RemoveVerdict(ctx context.Context, v step.RemoveVerdict) step.VerdictAnswered
 }
 
 // Subscriber receives what Follow reads from the platform's store.
--- a/internal/stub/site/restore.go
+++ b/internal/stub/site/restore.go
@@ -67,7 +67,7 @@
 		}
 	}
 	if w.change.Deleted {
-		s.remove(w.change.kind, name)
+		s.remove(w.change.kind, name, true)
 		return
 	}
 	s.put(w.change.kind, Object{Meta: Meta{Name: name}, Spec: w.change.Object.Spec}, true)
--- a/internal/stub/site/store.go
+++ b/internal/stub/site/store.go
@@ -98,15 +98,15 @@
 func (s *Store) Remove(kind, name string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.remove(kind, name)
+	s.remove(kind, name, true)
 }
 
-func (s *Store) remove(kind, name string) {
+func (s *Store) remove(kind, name string, foreign bool) {
 	if o, ok := s.objects[kind][name]; ok {
 		s.rev++
 		delete(s.objects[kind], name)
 		o.Meta.Rev = s.rev
-		s.appendChange(change{kind: kind, foreign: true, Deleted: true, Object: o})
+		s.appendChange(change{kind: kind, foreign: foreign, Deleted: true, Object: o})
 	}
 }
 
@@ -276,7 +276,7 @@
 
 func (s *Store) write(w http.ResponseWriter, r *http.Request, kind, name string) {
 	var o Object
-	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil && r.Method != http.MethodDelete {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -308,8 +308,11 @@
 	switch {
 	case method == http.MethodPost && exists, o.Meta.Rev != 0 && exists && o.Meta.Rev != current.Meta.Rev:
 		return http.StatusConflict, current
-	case method == http.MethodPut && !exists:
+	case method != http.MethodPost && !exists:
 		return http.StatusNotFound, nil
+	case method == http.MethodDelete:
+		s.remove(kind, name, false)
+		return http.StatusOK, current
 	}
 	o.Meta.Name = name
 	return http.StatusOK, s.put(kind, o, false)
--- a/test/process/gateway_crash_test.go
+++ b/test/process/gateway_crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -66,3 +67,37 @@
 		})
 	}
 }
+
+// TestDaemonsThatRestartKnowCrashingRequests guards against verdicts that end with the daemons that decided them.
+func TestDaemonsThatRestartKnowCrashingRequests(t *testing.T) {
+	f := newGatewayCluster(t, 2)
+	send := func(body string) load.FrontedAnswer {
+		return f.daemons[0].requestWithBody(http.MethodPost, "/read/crash", fmt.Sprintf("%s-%d", body, time.Now().UnixNano()), body, nil)
+	}
+	waitUntil(t, "requests are served", func() bool { return send("sound").Status == http.StatusOK })
+	f.site.SetCrasher(site.Crasher{
+		Crashes:  func(_ *http.Request, body string) bool { return body == "crash" },
+		Downtime: serverDowntime, EntryTTL: time.Second,
+	})
+	waitUntil(t, "the request is refused", func() bool {
+		return strings.Contains(send("crash").Body, "quarantined")
+	})
+	time.Sleep(time.Second)
+	for restart := range 2 {
+		for _, d := range f.daemons {
+			d.kill()
+		}
+		f.daemons = nil
+		f.startDaemon(0)
+		d := f.startDaemon(1)
+		waitUntil(t, "the daemons are ready", func() bool { return f.daemons[0].readyStatus() == http.StatusOK && d.readyStatus() == http.StatusOK })
+		time.Sleep(time.Second)
+		crashes := len(f.site.Crashes())
+		for range 5 {
+			a := send("crash")
+			require.Equal(t, http.StatusServiceUnavailable, a.Status, "restart %d: %s", restart, a.Body)
+		}
+		require.Len(t, f.site.Crashes(), crashes)
+		require.Equal(t, http.StatusOK, send("sound").Status)
+	}
+}
