soak: a request that crashes servers

The soak draws requests that crash each server that begins to answer them (chat, write or read; an engine with or without the header sent), several at once, sent on every 30 to 400 ms to any daemon while other disturbances go on. It checks that at most three reach servers from 3 s after the third crash on, from daemons in touch, and that no other request is refused as one. A disturbance of the store alone is no excuse.

--- a/internal/stub/site/crash.go
+++ b/internal/stub/site/crash.go
@@ -6,26 +6,34 @@
 	"time"
 )
 
-// Crasher says which requests crash the servers that begin to answer them. A server is back
-// after Downtime, as a new incarnation under the same ID. The zero value crashes none.
+// Crasher is a kind of request that crashes the servers that begin to answer it. A server is back
+// after Downtime, as a new incarnation under the same ID.
 type Crasher struct {
+	Name     string
 	Crashes  func(r *http.Request, body string) bool
 	Downtime time.Duration
 	// EntryTTL is how long the store keeps the entry of a crashed server.
 	EntryTTL time.Duration
+	// Silent is set if an engine crashes before it has sent the header of its answer.
+	Silent bool
 }
 
 // Crash is one crash of a server under a request.
 type Crash struct {
-	Request, Server string
-	At              time.Time
+	Crasher, Request, Server string
+	At                       time.Time
 }
 
-// SetCrasher replaces the requests that crash servers.
-func (s *Site) SetCrasher(c Crasher) {
+// AddCrasher adds a kind of request that crashes servers, until remove is called.
+func (s *Site) AddCrasher(c Crasher) (remove func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.crasher = c
+	s.crashers = append(s.crashers, &c)
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.crashers = slices.DeleteFunc(s.crashers, func(other *Crasher) bool { return other == &c })
+	}
 }
 
 // Crashes returns all crashes under requests so far, in order.
@@ -35,20 +43,22 @@
 	return slices.Clone(s.crashes)
 }
 
-// crasherOf returns the crasher if it crashes servers that begin to answer a request, else nil.
+// crasherOf returns the crasher to which a request belongs, or nil.
 func (s *Site) crasherOf(r *http.Request, body string) *Crasher {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if c := s.crasher; c.Crashes != nil && c.Crashes(r, body) {
-		return &c
+	for _, c := range s.crashers {
+		if c.Crashes(r, body) {
+			return c
+		}
 	}
 	return nil
 }
 
 // crashUnder ends this incarnation of the server under a request that it begins to answer, and
-// aborts the answer. An engine has sent the header by then, a plain service nothing.
+// aborts the answer. A plain service has sent nothing by then.
 func (v *Server) crashUnder(c *Crasher, w http.ResponseWriter, request string, born int64) {
-	if v.Domain != "" {
+	if v.Domain != "" && !c.Silent {
 		w.Header().Set("Content-Type", "text/event-stream")
 		w.WriteHeader(http.StatusOK)
 		_ = http.NewResponseController(w).Flush() // a caller that has left makes no difference
@@ -56,8 +66,11 @@
 	}
 	if v.endIncarnation(born, c.EntryTTL) {
 		v.site.mu.Lock()
-		v.site.crashes = append(v.site.crashes, Crash{Request: request, Server: v.ID, At: time.Now()})
+		v.site.crashes = append(v.site.crashes, Crash{Crasher: c.Name, Request: request, Server: v.ID, At: time.Now()})
 		v.site.mu.Unlock()
+		if v.site.Unpublish != nil {
+			v.site.Unpublish(v.ID)
+		}
 		time.AfterFunc(c.Downtime, v.restart)
 	}
 	panic(http.ErrAbortHandler)
--- a/internal/stub/site/site.go
+++ b/internal/stub/site/site.go
@@ -46,6 +46,9 @@
 	// front of it, given the server's own address. If Publish is nil, servers register their
 	// own.
 	Publish func(server, address string) (string, error)
+	// Unpublish is called when a server has crashed under a request. Its published address should
+	// refuse connections from then on. It may be nil.
+	Unpublish func(server string)
 
 	done chan struct{} // closed by Close
 
@@ -57,7 +60,7 @@
 	// formationMembers are the members named in orders to join, by formation.
 	formationMembers map[Membership]string
 	arrivals         []Arrival
-	crasher          Crasher
+	crashers         []*Crasher
 	crashes          []Crash
 	lastBorn         int64 // the last start number; each start of a server gets a higher one
 	violations       []string
--- a/internal/stub/soak/calls.go
+++ b/internal/stub/soak/calls.go
@@ -43,7 +43,9 @@
 	Daemon     int
 	Route      int // number of the extra route of a probe
 	Path, Body string
-	SentAt     time.Time
+	// crasher is the name of the crasher to which the request belongs; empty for a sound one.
+	crasher string
+	SentAt  time.Time
 	outcome
 }
 
@@ -64,16 +66,27 @@
 // checker. The caller disconnects disconnectAfter the start; 0 makes it wait until
 // deadlineGrace after the deadline.
 func (r *run) sendCall(ctx context.Context, d *daemon, kind callKind, route int, disconnectAfter time.Duration) outcome {
-	id := fmt.Sprintf("%s-%d", kind, lastCallNumber.Add(1))
-	c := &call{ID: id, Kind: kind, Daemon: d.index, Route: route, Path: "/" + string(kind) + "/" + id + "?q=%2F", Body: "body of " + id}
+	id := newCallID(kind)
+	c := &call{ID: id, Kind: kind, Route: route, Path: "/" + string(kind) + "/" + id + "?q=%2F", Body: "body of " + id}
 	if kind == probe {
 		c.Path = fmt.Sprintf("/extra-%d/%s", route, id)
 	}
+	return r.sendPrepared(ctx, d, c, disconnectAfter)
+}
+
+func newCallID(kind callKind) string { return fmt.Sprintf("%s-%d", kind, lastCallNumber.Add(1)) }
+
+// sendPrepared is sendCall for a request that lacks its daemon, and its ID if that is empty.
+func (r *run) sendPrepared(ctx context.Context, d *daemon, c *call, disconnectAfter time.Duration) outcome {
+	c.Daemon = d.index
+	if c.ID == "" {
+		c.ID = newCallID(c.Kind)
+	}
 	header := map[string]string{
-		"X-Request-Id": id, "X-Credential": site.Key, "X-Deadline-Ms": strconv.FormatInt(requestDeadline.Milliseconds(), 10),
+		"X-Request-Id": c.ID, "X-Credential": site.Key, "X-Deadline-Ms": strconv.FormatInt(requestDeadline.Milliseconds(), 10),
 		"X-Tenant": "forged", "X-Expect-Instance": "forged",
 	}
-	if kind == chat {
+	if c.Kind == chat {
 		header["X-Model"], header["X-Token-Count"] = site.Model, "100,100"
 	}
 	timeout := requestDeadline + deadlineGrace
--- a/internal/stub/soak/check.go
+++ b/internal/stub/soak/check.go
@@ -64,6 +64,7 @@
 	// processStartedAt is when each process started, by daemon and incarnation.
 	processStartedAt map[[2]int]time.Time
 	freezes          map[int][]time.Time // when each daemon was frozen
+	crashers         []*crasher          // so far
 }
 
 // evacuation is a time during which the operators had a data centre evacuated; to is zero
@@ -224,6 +225,7 @@
 			k.addFindingLocked("own answer", "%s got the server's stamp with status %d", c.ID, a.Status)
 		}
 	case a.Status == http.StatusServiceUnavailable || a.Status == http.StatusTooManyRequests:
+		k.checkQuarantined(c)
 		if a.Header.Get("Retry-After") == "" {
 			k.addFindingLocked("refusal", "%s was refused without a Retry-After header", c.ID)
 		}
--- a/internal/stub/soak/plan.go
+++ b/internal/stub/soak/plan.go
@@ -93,6 +93,8 @@
 	// seriesStream times the number of a series is the random stream of its draws. The streams
 	// below are used for requests.
 	seriesStream = 16
+	// crashSeries is the number of the series with requests that crash servers.
+	crashSeries = 2
 	// plannedInterval is the mean time between actions of operators, which also occur in calm
 	// periods.
 	plannedInterval = 4 * time.Second
@@ -101,7 +103,7 @@
 // Kinds returns all kinds of disturbances.
 func Kinds() []Kind {
 	var kinds []Kind
-	for _, t := range slices.Concat(catalogue, laterCatalogue) {
+	for _, t := range slices.Concat(catalogue, laterCatalogue, crashCatalogue) {
 		kinds = append(kinds, t.kind)
 	}
 	return kinds
@@ -120,10 +122,14 @@
 // Draw returns the disturbances that a seed determines for a run of a length, sorted by start.
 // It draws from the given kinds, or from all if none is given. The kinds of each series of the
 // catalogue are drawn by themselves, so that a seed keeps the disturbances that it had before a
-// series was added.
+// series was added. Unless kinds are given, requests crash servers only with odd seeds: they
+// disturb the servers most of the time, which excuses daemons from other promises.
 func Draw(seed uint64, length time.Duration, kinds []Kind) []Fault {
 	var faults []Fault
-	for series, specs := range [][]kindSpec{catalogue, laterCatalogue} {
+	for series, specs := range [][]kindSpec{catalogue, laterCatalogue, crashCatalogue} {
+		if series == crashSeries && len(kinds) == 0 && seed%2 == 0 {
+			continue
+		}
 		faults = append(faults, drawSeries(rand.New(rand.NewPCG(seed, uint64(series)*seriesStream)), specs, length, kinds)...)
 	}
 	slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
--- a/internal/stub/soak/soak.go
+++ b/internal/stub/soak/soak.go
@@ -127,6 +127,7 @@
 		return err
 	}
 	r.site.Publish = r.publish
+	r.site.Unpublish = func(server string) { r.relayOf(server).Close() }
 	r.configure()
 	for _, zone := range zones {
 		for range r.settings.Engines {
@@ -215,10 +216,11 @@
 func (r *run) check() {
 	r.checker.checkRuns(r.site.Runs(), r.site.Violations())
 	r.checker.checkNotices(r.site.Arrivals())
+	r.checker.checkCrashers(r.site.Crashes(), r.site.Arrivals())
 }
 
 func (r *run) disturb(f Fault) {
-	for _, t := range slices.Concat(catalogue, laterCatalogue) {
+	for _, t := range slices.Concat(catalogue, laterCatalogue, crashCatalogue) {
 		if t.kind != f.Kind {
 			continue
 		}
--- a/internal/stub/soak/timeline.go
+++ b/internal/stub/soak/timeline.go
@@ -59,3 +59,20 @@
 func (t *timeline) undisturbed(daemon int, from, to time.Time, excuseStops bool) bool {
 	return !t.disturbed(daemon, from, to, excuseStops) && !t.disturbed(scopeStore, from, to, false)
 }
+
+// daemonsDisturbed reports whether any daemon was disturbed in a time, or less than recoveryGrace
+// before it.
+func (t *timeline) daemonsDisturbed(from, to time.Time) bool {
+	t.mu.Lock()
+	scopes := make(map[int]bool)
+	for _, s := range t.disturbances {
+		scopes[s.scope] = s.scope >= 0
+	}
+	t.mu.Unlock()
+	for scope, isDaemon := range scopes {
+		if isDaemon && t.disturbed(scope, from, to, false) {
+			return true
+		}
+	}
+	return false
+}
--- a/test/process/gateway_crash_test.go
+++ b/test/process/gateway_crash_test.go
@@ -39,7 +39,7 @@
 			for n := range f.daemons {
 				waitUntil(t, "requests are served", func() bool { return send(n, path, "sound").Status == http.StatusOK })
 			}
-			f.site.SetCrasher(site.Crasher{
+			f.site.AddCrasher(site.Crasher{
 				Crashes:  func(r *http.Request, body string) bool { return r.URL.Path == path && body == "crash" },
 				Downtime: serverDowntime, EntryTTL: time.Second,
 			})
@@ -75,7 +75,7 @@
 		return f.daemons[0].requestWithBody(http.MethodPost, "/read/crash", fmt.Sprintf("%s-%d", body, time.Now().UnixNano()), body, nil)
 	}
 	waitUntil(t, "requests are served", func() bool { return send("sound").Status == http.StatusOK })
-	f.site.SetCrasher(site.Crasher{
+	f.site.AddCrasher(site.Crasher{
 		Crashes:  func(_ *http.Request, body string) bool { return body == "crash" },
 		Downtime: serverDowntime, EntryTTL: time.Second,
 	})
