--- /dev/null
+++ b/internal/core/gateway/crashes_property_test.go
@@ -0,0 +1,392 @@
+package gateway
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/quarantine"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/site"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
+)
+
+const (
+	// verdictWithin is the time in which all daemons that reach the store or each other must know
+	// that a request crashes hosts, and after which a daemon that was disturbed must.
+	verdictWithin = 3 * time.Second
+	// sentAfterVerdict is how often such a request may be sent afterwards, by all daemons.
+	sentAfterVerdict = 3
+)
+
+// crashWorld is a deployment with requests that crash hosts: daemons that exchange messages over
+// links that are slow or cut, a store that keeps verdicts, and hosts that restart.
+type crashWorld struct {
+	rt       *rapid.T
+	t        *testing.T
+	now      time.Duration
+	due      []worldEvent // sorted by time
+	daemons  []*worldDaemon
+	hosts    map[string]*worldHost
+	store    map[quarantine.Fingerprint]quarantine.Verdict
+	storeUp  bool
+	storeAt  time.Duration // since when it is up
+	sent     int
+	requests map[step.RequestID]worldRequest
+	crashes  map[string][]time.Duration // by name of a crasher
+	sends    map[string][]worldSend
+	refused  []string // sound requests that were refused as quarantined
+}
+
+type worldEvent struct {
+	at time.Duration
+	do func()
+}
+
+type worldDaemon struct {
+	*harness
+	index    int
+	isCut    bool
+	calmFrom time.Duration // since when it runs and is not cut
+}
+
+type worldHost struct {
+	site.Host
+	up       bool
+	attempts map[step.AttemptID]*worldAttempt
+}
+
+type worldAttempt struct {
+	step.Forward
+	daemon  *worldDaemon
+	request worldRequest
+}
+
+// worldRequest is a request; those of a crasher crash hosts.
+type worldRequest struct {
+	crasher string
+	path    string
+	body    uint64
+}
+
+type worldSend struct {
+	at      time.Duration
+	inTouch bool
+}
+
+func newCrashWorld(rt *rapid.T, t *testing.T, daemons int) *crashWorld {
+	w := &crashWorld{
+		rt: rt, t: t, now: time.Minute, hosts: make(map[string]*worldHost), store: make(map[quarantine.Fingerprint]quarantine.Verdict), storeUp: true,
+		requests: make(map[step.RequestID]worldRequest), crashes: make(map[string][]time.Duration), sends: make(map[string][]worldSend),
+	}
+	for i := range 8 {
+		for _, h := range []site.Host{plainHost(fmt.Sprintf("p%d", i)), openHead(fmt.Sprintf("h%d", i))} {
+			w.hosts[h.ID] = &worldHost{Host: h, up: true, attempts: make(map[step.AttemptID]*worldAttempt)}
+		}
+	}
+	w.daemons = make([]*worldDaemon, daemons)
+	for i := range daemons {
+		w.startDaemon(i)
+	}
+	return w
+}
+
+func (w *crashWorld) after(least, most time.Duration, do func()) {
+	at := w.now + least
+	if most > least {
+		at += time.Duration(rapid.Int64Range(0, int64(most-least)).Draw(w.rt, "delay"))
+	}
+	i, _ := slices.BinarySearchFunc(w.due, at, func(e worldEvent, at time.Duration) int {
+		if e.at <= at {
+			return -1
+		}
+		return 1
+	})
+	w.due = slices.Insert(w.due, i, worldEvent{at, do})
+}
+
+// run lets time pass.
+func (w *crashWorld) run(d time.Duration) {
+	for until := w.now + d; w.now < until; w.now += 10 * time.Millisecond {
+		for len(w.due) > 0 && w.due[0].at <= w.now {
+			e := w.due[0]
+			w.due = w.due[1:]
+			e.do()
+		}
+		if w.now%(50*time.Millisecond) == 0 {
+			for _, d := range w.daemons {
+				w.post(d, step.Tick{})
+			}
+		}
+	}
+}
+
+func (w *crashWorld) startDaemon(i int) {
+	d := &worldDaemon{harness: newHarness(w.t), index: i, calmFrom: w.now}
+	d.s = New(Settings{Daemon: fmt.Sprintf("d%d", i), Incarnation: fmt.Sprint(w.now), DataCentre: "dc", Cores: 1, Limits: d.s.settings.Limits})
+	w.daemons[i] = d
+	d.configure(1)
+	w.post(d, step.PlatformState{Reachable: true})
+	w.postHosts(d)
+	d.setDaemons(len(w.daemons))
+	w.after(0, 500*time.Millisecond, func() { w.postVerdicts(d) })
+}
+
+func (w *crashWorld) postHosts(d *worldDaemon) {
+	e := step.SiteHosts{Full: true}
+	for _, id := range slices.Sorted(maps.Keys(w.hosts)) {
+		if h := w.hosts[id]; h.up {
+			e.Hosts = append(e.Hosts, h.Host)
+		}
+	}
+	w.post(d, e)
+}
+
+// postVerdicts posts what is stored, unless the daemon does not reach the store.
+func (w *crashWorld) postVerdicts(d *worldDaemon) {
+	if w.daemons[d.index] != d {
+		return
+	}
+	if !w.storeUp {
+		w.after(200*time.Millisecond, 0, func() { w.postVerdicts(d) })
+		return
+	}
+	e := step.SiteVerdicts{Full: true}
+	for _, f := range slices.SortedFunc(maps.Keys(w.store), quarantine.Compare) {
+		e.Verdicts = append(e.Verdicts, w.store[f])
+	}
+	w.post(d, e)
+}
+
+// post passes an event to a daemon and carries out the effects.
+func (w *crashWorld) post(d *worldDaemon, ev step.Event) {
+	if w.daemons[d.index] != d {
+		return // it has been restarted
+	}
+	d.now = w.now
+	for _, effect := range d.s.Reduce(step.Time{Mono: w.now}, ev) {
+		switch e := effect.(type) {
+		case step.Forward:
+			w.forward(d, e)
+		case step.Cancel:
+			w.cancel(d, e)
+		case step.ProbeHost:
+			result := step.ProbeAccepted
+			if h := w.hosts[e.Host]; h != nil && !h.up {
+				result = step.ProbeRefused
+			}
+			w.after(time.Millisecond, 5*time.Millisecond, func() { w.post(d, step.HostProbed{Host: e.Host, Result: result}) })
+		case step.ShareEvidence:
+			for i, other := range w.daemons {
+				if i == d.index || d.isCut || other.isCut {
+					continue
+				}
+				w.after(time.Millisecond, 300*time.Millisecond, func() { w.post(other, step.EvidenceReceived{Evidence: e.Evidence}) })
+			}
+		case step.StoreVerdict:
+			w.write(d, e.Op, func() { w.store[e.Verdict.Fingerprint] = e.Verdict })
+		case step.RemoveVerdict:
+			w.write(d, e.Op, func() { delete(w.store, e.Fingerprint) })
+		}
+	}
+}
+
+func (w *crashWorld) write(d *worldDaemon, op step.OpID, do func()) {
+	up := w.storeUp
+	if up {
+		do()
+		for _, other := range w.daemons {
+			w.after(time.Millisecond, 500*time.Millisecond, func() { w.postVerdicts(other) })
+		}
+	}
+	w.after(time.Millisecond, 10*time.Millisecond, func() { w.post(d, step.VerdictAnswered{Op: op, OK: up}) })
+}
+
+// send sends a request to a daemon.
+func (w *crashWorld) send(d *worldDaemon, r worldRequest) {
+	w.sent++
+	id := step.RequestID(fmt.Sprintf("r%d", w.sent))
+	call := step.Call{ID: id, CallerID: string(id), Method: "POST", Host: "h", Path: r.path, Key: "key", BodyHash: r.body, Deadline: w.now + 5*time.Second}
+	if r.path == "/chat/1" {
+		call.Model, call.PromptTokens = "m", 100
+	}
+	w.requests[id] = r
+	w.post(d, call)
+	if r.crasher == "" && d.s.calls[id] == nil && w.wouldRefuse(d, call) {
+		w.refused = append(w.refused, string(id))
+	}
+}
+
+// wouldRefuse reports whether the daemon refuses a request as quarantined.
+func (w *crashWorld) wouldRefuse(d *worldDaemon, r step.Call) bool {
+	c := &call{req: r}
+	c.team = "team"
+	return d.s.quarantineDecision(w.now, c, false).RetryAfter > 0
+}
+
+func (w *crashWorld) forward(d *worldDaemon, f step.Forward) {
+	h, r := w.hosts[f.Host], w.requests[f.ID]
+	if r.crasher != "" {
+		inTouch := !d.isCut && w.now-d.calmFrom >= verdictWithin && w.storeUp && w.now-w.storeAt >= verdictWithin
+		w.sends[r.crasher] = append(w.sends[r.crasher], worldSend{w.now, inTouch})
+	}
+	if !h.up {
+		w.after(time.Millisecond, 0, func() { w.end(d, f, step.EndedUnsent, 0) })
+		return
+	}
+	a := &worldAttempt{Forward: f, daemon: d, request: r}
+	h.attempts[f.Attempt+step.AttemptID(fmt.Sprint(d.index))] = a
+	w.after(20*time.Millisecond, 200*time.Millisecond, func() { w.begin(h, a) })
+}
+
+func (w *crashWorld) running(h *worldHost, a *worldAttempt) bool {
+	return h.attempts[a.Attempt+step.AttemptID(fmt.Sprint(a.daemon.index))] == a
+}
+
+// begin lets a host begin to answer an attempt.
+func (w *crashWorld) begin(h *worldHost, a *worldAttempt) {
+	if !w.running(h, a) {
+		return
+	}
+	if a.Stream {
+		w.post(a.daemon, step.AnswerBegan{ID: a.ID, Attempt: a.Attempt})
+	}
+	if a.request.crasher != "" {
+		w.crashes[a.request.crasher] = append(w.crashes[a.request.crasher], w.now)
+		w.crash(h)
+		return
+	}
+	if a.Stream {
+		w.after(30*time.Millisecond, 0, func() {
+			if w.running(h, a) {
+				w.post(a.daemon, step.StreamStarted{ID: a.ID, Attempt: a.Attempt})
+			}
+		})
+	}
+	w.after(50*time.Millisecond, 800*time.Millisecond, func() {
+		if w.running(h, a) {
+			delete(h.attempts, a.Attempt+step.AttemptID(fmt.Sprint(a.daemon.index)))
+			w.end(a.daemon, a.Forward, step.EndedComplete, 5)
+		}
+	})
+}
+
+// crash ends a host; it is back after a while.
+func (w *crashWorld) crash(h *worldHost) {
+	if !h.up {
+		return
+	}
+	h.up = false
+	attempts := h.attempts
+	h.attempts = make(map[step.AttemptID]*worldAttempt)
+	for _, id := range slices.Sorted(maps.Keys(attempts)) {
+		a := attempts[id]
+		delivered := 0
+		if c := a.daemon.s.calls[a.ID]; c != nil && c.firstEventAt > 0 {
+			delivered = 1
+		}
+		w.after(time.Millisecond, 5*time.Millisecond, func() { w.end(a.daemon, a.Forward, step.EndedBroken, delivered) })
+	}
+	w.after(500*time.Millisecond, 2*time.Second, func() {
+		h.up = true
+		h.Incarnation++
+		for _, d := range w.daemons {
+			w.postHosts(d)
+		}
+	})
+}
+
+func (w *crashWorld) end(d *worldDaemon, f step.Forward, ending step.Ending, delivered int) {
+	w.post(d, step.ForwardEnded{AttemptEnded: step.AttemptEnded{ID: f.ID, Attempt: f.Attempt, Ending: ending, Delivered: delivered}})
+}
+
+func (w *crashWorld) cancel(d *worldDaemon, c step.Cancel) {
+	for _, h := range w.hosts {
+		id := c.Attempt + step.AttemptID(fmt.Sprint(d.index))
+		if a := h.attempts[id]; a != nil && a.daemon == d {
+			delete(h.attempts, id)
+			w.after(time.Millisecond, 0, func() { w.end(d, a.Forward, step.EndedCancelled, 0) })
+		}
+	}
+}
+
+// disturb draws one disturbance.
+func (w *crashWorld) disturb() {
+	d := w.daemons[rapid.IntRange(0, len(w.daemons)-1).Draw(w.rt, "daemon")]
+	switch rapid.IntRange(0, 4).Draw(w.rt, "what") {
+	case 0:
+		w.startDaemon(d.index)
+	case 1:
+		d.isCut = true
+		w.after(time.Second, 5*time.Second, func() { d.isCut, d.calmFrom = false, w.now })
+	case 2:
+		w.storeUp = false
+		w.after(time.Second, 5*time.Second, func() { w.storeUp, w.storeAt = true, w.now })
+	case 3: // one host crashes under sound requests
+		w.crash(w.hosts[fmt.Sprintf("%s%d", rapid.SampledFrom([]string{"p", "h"}).Draw(w.rt, "service"), rapid.IntRange(0, 7).Draw(w.rt, "host"))])
+	case 4: // half of the hosts lose their power
+		for i := range 4 {
+			w.crash(w.hosts[fmt.Sprintf("p%d", i)])
+			w.crash(w.hosts[fmt.Sprintf("h%d", i)])
+		}
+	}
+}
+
+// check checks that requests that crash hosts are no longer sent, and that sound ones are.
+func (w *crashWorld) check() {
+	for name, crashes := range w.crashes {
+		if len(crashes) < 3 {
+			continue
+		}
+		n := 0
+		for _, s := range w.sends[name] {
+			if s.inTouch && s.at > crashes[2]+verdictWithin {
+				n++
+			}
+		}
+		require.LessOrEqual(w.rt, n, sentAfterVerdict, "%s: crashes at %v, sendings %v", name, crashes, w.sends[name])
+	}
+}
+
+// TestCrashingRequestsAreRefusedByAllDaemons draws requests that crash hosts, sent again and again
+// to any daemon, beside sound ones, while daemons restart or are cut off, the store is away and
+// hosts crash for other reasons.
+func TestCrashingRequestsAreRefusedByAllDaemons(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		w := newCrashWorld(rt, t, rapid.IntRange(2, 4).Draw(rt, "daemons"))
+		var crashers []worldRequest
+		for i := range rapid.IntRange(1, 2).Draw(rt, "crashers") {
+			path := rapid.SampledFrom([]string{"/chat/1", "/read/1", "/once/1"}).Draw(rt, "path")
+			crashers = append(crashers, worldRequest{crasher: fmt.Sprintf("x%d", i), path: path, body: uint64(1000 + i)})
+		}
+		for range rapid.IntRange(5, 12).Draw(rt, "seconds") {
+			if rapid.IntRange(0, 2).Draw(rt, "disturb") == 0 {
+				w.disturb()
+			}
+			for range rapid.IntRange(1, 8).Draw(rt, "requests") {
+				w.run(100 * time.Millisecond)
+				d := w.daemons[rapid.IntRange(0, len(w.daemons)-1).Draw(rt, "to")]
+				if rapid.Bool().Draw(rt, "crashes") {
+					w.send(d, crashers[rapid.IntRange(0, len(crashers)-1).Draw(rt, "which")])
+				}
+				path := rapid.SampledFrom([]string{"/chat/1", "/read/1", "/once/1"}).Draw(rt, "sound path")
+				w.send(d, worldRequest{path: path, body: uint64(rapid.IntRange(0, 3).Draw(rt, "sound"))})
+			}
+		}
+		w.check()
+		w.run(4 * time.Second)
+		w.refused = nil
+		for _, d := range w.daemons {
+			for body := range uint64(4) {
+				for _, path := range []string{"/chat/1", "/read/1", "/once/1"} {
+					w.send(d, worldRequest{path: path, body: body})
+				}
+			}
+		}
+		require.Empty(rt, w.refused, "sound requests are refused")
+	})
+}
