gateway: log the parts of the prompt of a broken attempt

Nothing read the parts of a prompt, so no line could tell requests that share a part (H1) from one request that comes again (H2).

--- a/internal/core/gateway/crashes.go
+++ b/internal/core/gateway/crashes.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -335,3 +336,12 @@
 	}
 	return strings.Join(text, " ")
 }
+
+// hexNames returns the IDs of parts of a prompt as callers write them.
+func hexNames(ids []uint64) string {
+	text := make([]string, len(ids))
+	for i, id := range ids {
+		text[i] = strconv.FormatUint(id, 16)
+	}
+	return strings.Join(text, " ")
+}
--- a/internal/core/step/gateway.go
+++ b/internal/core/step/gateway.go
@@ -21,6 +21,8 @@
 	Model        string
 	PromptTokens int
 	MaxTokens    int
+	// SharedParts are the IDs of the parts of the prompt that other requests may share, in order.
+	SharedParts []uint64
 	// Deadline is the monotonic time at which the caller gives up; zero if the request does not
 	// state one.
 	Deadline time.Duration
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -42,7 +42,7 @@
 	call := step.Call{
 		ID: x.id, CallerID: callHeader.ID, Method: r.Method, Host: r.Host, Path: r.URL.EscapedPath(), Query: r.URL.RawQuery, Key: callHeader.Key,
 		Model: callHeader.Model, PromptTokens: callHeader.PromptTokens, MaxTokens: callHeader.MaxTokens,
-		BodyHash: xxhash.Sum64(x.body),
+		SharedParts: callHeader.SharedParts, BodyHash: xxhash.Sum64(x.body),
 	}
 	if callHeader.TimeLeft > 0 {
 		call.Deadline = x.arrivedAt + callHeader.TimeLeft
--- a/internal/gateway/platform.go
+++ b/internal/gateway/platform.go
@@ -58,6 +58,8 @@
 	Model        string
 	PromptTokens int
 	MaxTokens    int
+	// SharedParts are the IDs of the parts of its prompt that other requests may share.
+	SharedParts []uint64
 }
 
 // AttemptHeader is what the daemon adds to the caller's headers for a target.
