--- a/internal/stub/site/site.go
+++ b/internal/stub/site/site.go
@@ -71,6 +71,7 @@
 type Run struct {
 	Request, Server, Service, Zone string
 	Method, Path, Body, Team       string
+	Parts                          string // of its prompt
 	StartedAt                      time.Time
 	// EndedAt is zero while the run lasts.
 	EndedAt time.Time
@@ -289,7 +290,7 @@
 	defer s.mu.Unlock()
 	s.runs = append(s.runs, Run{
 		Request: r.Header.Get("X-Request-Id"), Server: v.ID, Service: v.Service, Zone: v.Zone,
-		Method: r.Method, Path: r.URL.RequestURI(), Body: body, Team: r.Header.Get("X-Tenant"), StartedAt: time.Now(),
+		Method: r.Method, Path: r.URL.RequestURI(), Body: body, Team: r.Header.Get("X-Tenant"), Parts: r.Header.Get("X-Prefix-Hash"), StartedAt: time.Now(),
 	})
 	return len(s.runs) - 1
 }
--- a/test/process/gateway_crash_test.go
+++ b/test/process/gateway_crash_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -22,6 +23,13 @@
 	maxSentAfterwards  = 3
 )
 
+// The same bounds for parts of prompts. From soundServedAfter after the last crash on, sound requests
+// with the same caller or first part must begin at least half as often as without crashes.
+const (
+	crashesOfPart    = 5
+	soundServedAfter = 2 * verdictPropagation
+)
+
 // serverDowntime is how long a server that a request has crashed is down.
 const serverDowntime = 300 * time.Millisecond
 
@@ -101,3 +109,64 @@
 		require.Equal(t, http.StatusOK, send("sound").Status)
 	}
 }
+
+// TestPromptPartThatCrashesServersIsRefusedByAllDaemons guards against prompts with one crashing part that go on crashing servers, and against refusing prompts that share the other parts.
+func TestPromptPartThatCrashesServersIsRefusedByAllDaemons(t *testing.T) {
+	const firstPart, crashingPart = "a1:40", "bad0:10"
+	f := newGatewayCluster(t, 3)
+	n := 0
+	prepare := func(parts string) (send func() load.FrontedAnswer) {
+		n++
+		d, id := f.daemons[n%len(f.daemons)], fmt.Sprintf("p%d", n)
+		header := map[string]string{"X-Model": site.Model, "X-Token-Count": "100,100", "X-Prefix-Hash": fmt.Sprintf("%s,%x:50", parts, n)}
+		return func() load.FrontedAnswer {
+			return d.requestWithBody(http.MethodPost, "/chat/"+id, id, "body of "+id, header)
+		}
+	}
+	for range f.daemons {
+		waitUntil(t, "streams are served", func() bool { return prepare(firstPart)().Status == http.StatusOK })
+	}
+	f.site.AddCrasher(site.Crasher{
+		Crashes: func(r *http.Request, _ string) bool {
+			return strings.Contains(r.Header.Get("X-Prefix-Hash"), crashingPart)
+		},
+		Downtime: serverDowntime, EntryTTL: time.Second,
+	})
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	soundSent, soundServed := 0, 0
+	lastCrash := time.Now()
+	for started := time.Now(); time.Since(started) < 20*time.Second && time.Since(lastCrash) < soundServedAfter+2*time.Second; time.Sleep(100 * time.Millisecond) {
+		if crashes := f.site.Crashes(); len(crashes) > 0 {
+			lastCrash = crashes[len(crashes)-1].At
+		}
+		judged := time.Since(lastCrash) > soundServedAfter
+		crashing, sound := prepare(firstPart+","+crashingPart), prepare(firstPart)
+		wg.Go(func() { crashing() })
+		wg.Go(func() {
+			a := sound()
+			mu.Lock()
+			defer mu.Unlock()
+			if judged {
+				soundSent++
+			}
+			if judged && a.Status == http.StatusOK {
+				soundServed++
+			}
+		})
+	}
+	wg.Wait()
+	crashes := f.site.Crashes()
+	require.GreaterOrEqual(t, len(crashes), 3, "the part must crash servers")
+	if len(crashes) >= crashesOfPart {
+		from, sentAfterwards := crashes[crashesOfPart-1].At.Add(verdictPropagation), 0
+		for _, r := range f.site.Runs() {
+			if r.StartedAt.After(from) && strings.Contains(r.Parts, crashingPart) {
+				sentAfterwards++
+			}
+		}
+		require.LessOrEqual(t, sentAfterwards, maxSentAfterwards, "%d crashes in all", len(crashes))
+	}
+	require.NotZero(t, soundSent, "%d crashes in all, without end", len(crashes))
+	require.GreaterOrEqual(t, 2*soundServed, soundSent)
+}
