soak: a crashed server's address refuses connections and stays taken

The address of a crashed server now stays bound by a socket that does not listen, which refuses connections as before (TestRefusedAddressIsKept).

--- a/internal/stub/cutter/cutter.go
+++ b/internal/stub/cutter/cutter.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-chi/chi/v5"
 	"github.com/go-faster/errors"
+	"golang.org/x/sys/unix"
 
 	"github.com/rhubarbswitch/rhubarbswitch/internal/stub/serve"
 )
@@ -70,6 +71,7 @@
 	listener net.Listener
 
 	mu       sync.Mutex
+	reserved int // socket that keeps the port after Refuse; 0 before
 	links    map[*link]struct{}
 	newModes map[Direction]Mode // modes of connections accepted from now on
 	delay    time.Duration      // between each read and the write of its bytes
@@ -97,6 +99,41 @@
 func (c *Cutter) Close() {
 	_ = c.listener.Close()
 	c.Apply(Cut{Existing: Reset, New: Reset})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.reserved > 0 {
+		_ = unix.Close(c.reserved)
+		c.reserved = 0
+	}
+}
+
+// Refuse resets all connections and refuses new ones until Close. Nothing else gets the address
+// meanwhile: a socket stays bound to it that does not listen.
+func (c *Cutter) Refuse() error {
+	_ = c.listener.Close()
+	c.Apply(Cut{Existing: Reset, New: Reset})
+	address := c.listener.Addr().(*net.TCPAddr)
+	socket, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return errors.Wrap(err, "open a socket")
+	}
+	// The connections that were just reset would else keep the port from being bound.
+	if err := unix.SetsockoptInt(socket, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1); err != nil {
+		_ = unix.Close(socket)
+		return errors.Wrap(err, "share the address with connections that have ended")
+	}
+	if err := unix.Bind(socket, &unix.SockaddrInet4{Port: address.Port, Addr: [4]byte(address.IP.To4())}); err != nil {
+		_ = unix.Close(socket)
+		return errors.Wrap(err, "keep the address")
+	}
+	if err := unix.SetsockoptInt(socket, unix.SOL_SOCKET, unix.SO_REUSEADDR, 0); err != nil {
+		_ = unix.Close(socket)
+		return errors.Wrap(err, "keep the address from others")
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reserved = socket
+	return nil
 }
 
 // Apply applies a cut.
--- a/internal/stub/cutter/cutter_test.go
+++ b/internal/stub/cutter/cutter_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -127,3 +128,26 @@
 	c.Apply(Cut{Existing: Swallow, Direction: ToCaller})
 	require.True(t, isTimeout(exchange(conn, noAnswerTimeout)))
 }
+
+// TestRefusedAddressIsKept lets a cutter refuse connections. No other listener may get its address.
+func TestRefusedAddressIsKept(t *testing.T) {
+	target, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = target.Close() }()
+	c, err := Open("127.0.0.1:0", target.Addr().String())
+	require.NoError(t, err)
+	conn, err := net.Dial("tcp", c.Address())
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	require.NoError(t, c.Refuse())
+	_, err = conn.Read(make([]byte, 1))
+	require.Error(t, err)
+	_, err = net.Dial("tcp", c.Address())
+	require.ErrorIs(t, err, syscall.ECONNREFUSED)
+	_, err = net.Listen("tcp", c.Address())
+	require.ErrorIs(t, err, syscall.EADDRINUSE)
+	c.Close()
+	again, err := net.Listen("tcp", c.Address())
+	require.NoError(t, err)
+	require.NoError(t, again.Close())
+}
--- a/internal/stub/soak/soak.go
+++ b/internal/stub/soak/soak.go
@@ -127,7 +127,11 @@
 		return err
 	}
 	r.site.Publish = r.publish
-	r.site.Unpublish = func(server string) { r.relayOf(server).Close() }
+	r.site.Unpublish = func(server string) {
+		if err := r.relayOf(server).Refuse(); err != nil {
+			r.checker.addFinding("soak", "the relay of %s can't refuse connections: %v", server, err)
+		}
+	}
 	r.configure()
 	for _, zone := range zones {
 		for range r.settings.Engines {
