gateway: refuse prompts with a part that crashes the hosts that begin to answer them

Cause: nothing looks at the parts of prompts (H1).

Fix: the shared parts of a prompt are fingerprints of the request, beside its content. A part comes with sound ones, so the decision had to tell them apart: - crashes that a verdict explains count against nothing else; - requests that lack a suspect of the same crashes are tried, and a verdict on a part is tried at all, since a first part may come only twice a second and nothing of it runs while it is refused; - a verdict no longer ends because another one explains its crashes. The last two were found by the property over several reducers, extended by parts (two crashing parts with common first parts; hosts that lose power under a trial). Failed tries on the way: verdicts confirmed by one trial for good (a host died under it for another reason), trials judged by condemned fingerprints only (a second crashing part was not yet condemned).

--- a/internal/core/gateway/calls.go
+++ b/internal/core/gateway/calls.go
@@ -312,7 +312,7 @@
 		c.ranAttempts++
 	}
 	if e.Ending == step.EndedBroken {
-		out.Log(event.AttemptBroken, event.F("request", c.req.CallerID), event.F("attempt", c.attempt), event.F("host", c.host), event.F("fingerprints", names(c.fingerprints())), event.F("parts", hexNames(c.req.SharedParts)),
+		out.Log(event.AttemptBroken, event.F("request", c.req.CallerID), event.F("attempt", c.attempt), event.F("host", c.host), event.F("fingerprints", names(c.fingerprints())),
 			event.F("begun", c.answerBegan), event.F("attemptEvents", c.events-c.eventsBefore), event.F("millis", (now-c.sentAt).Milliseconds()))
 		if s.probeAfterBreak(now, c, out) && c.route.MayRepeat() && !c.moving {
 			c.awaitsProbe = &e
--- a/internal/core/gateway/crashes.go
+++ b/internal/core/gateway/crashes.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
@@ -45,7 +44,7 @@
 	attempt      step.AttemptID
 	incarnation  int64 // of the host, when the attempt was sent
 	at           time.Duration
-	begun        bool
+	begun, trial bool
 	fingerprints []quarantine.Fingerprint
 }
 
@@ -56,9 +55,9 @@
 
 type unsharedSuccess struct{ at, dueAt time.Duration }
 
-func newCrashWatch() crashWatch {
+func newCrashWatch(rank func(quarantine.Fingerprint) int) crashWatch {
 	return crashWatch{
-		tracker: quarantine.New(quarantine.Defaults()), broken: make(map[string][]brokenAttempt),
+		tracker: quarantine.New(quarantine.Defaults(), rank), broken: make(map[string][]brokenAttempt),
 		successes: make(map[quarantine.Fingerprint]unsharedSuccess),
 	}
 }
@@ -73,6 +72,11 @@
 		if c.req.Query != "" {
 			c.prints = append(c.prints, quarantine.Fingerprint{Kind: quarantine.ContentWithoutQuery, Hash: c.contentHash("")})
 		}
+		for _, id := range c.req.SharedParts {
+			if f := (quarantine.Fingerprint{Kind: quarantine.PromptPart, Hash: id}); !slices.Contains(c.prints, f) {
+				c.prints = append(c.prints, f)
+			}
+		}
 	}
 	return c.prints
 }
@@ -104,7 +108,7 @@
 		out.Add(step.ProbeHost{Host: c.host, Address: c.address})
 	}
 	s.crashes.broken[c.host] = append(s.crashes.broken[c.host], brokenAttempt{
-		request: c.req.ID, attempt: c.attempt, incarnation: c.incarnation, at: now, begun: begun, fingerprints: c.fingerprints(),
+		request: c.req.ID, attempt: c.attempt, incarnation: c.incarnation, at: now, begun: begun, trial: c.trial, fingerprints: c.fingerprints(),
 	})
 	return true
 }
@@ -144,11 +148,12 @@
 			byIncarnation[a.incarnation] = c
 		}
 		if a.begun && !c.Begun {
-			c.Begun, c.Suspects = true, nil
+			c.Begun, c.Tried, c.Suspects = true, false, nil
 		}
 		if a.begun != c.Begun {
 			continue
 		}
+		c.Tried = c.Tried || a.trial
 		for _, f := range a.fingerprints {
 			if !slices.Contains(c.Suspects, f) {
 				c.Suspects = append(c.Suspects, f)
@@ -336,12 +341,3 @@
 	}
 	return strings.Join(text, " ")
 }
-
-// hexNames returns the IDs of parts of a prompt as callers write them.
-func hexNames(ids []uint64) string {
-	text := make([]string, len(ids))
-	for i, id := range ids {
-		text[i] = strconv.FormatUint(id, 16)
-	}
-	return strings.Join(text, " ")
-}
--- a/internal/core/gateway/crashes_property_test.go
+++ b/internal/core/gateway/crashes_property_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/quarantine"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/rendezvous"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/site"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
 )
@@ -38,6 +39,7 @@
 	sent     int
 	requests map[step.RequestID]worldRequest
 	crashes  map[string][]time.Duration // by name of a crasher
+	bounds   map[string]int             // crashes after which daemons must know a crasher
 	sends    map[string][]worldSend
 	refused  []string // sound requests that were refused as quarantined
 }
@@ -71,6 +73,7 @@
 	crasher string
 	path    string
 	body    uint64
+	parts   []uint64
 }
 
 type worldSend struct {
@@ -81,7 +84,7 @@
 func newCrashWorld(rt *rapid.T, t *testing.T, daemons int) *crashWorld {
 	w := &crashWorld{
 		rt: rt, t: t, now: time.Minute, hosts: make(map[string]*worldHost), store: make(map[quarantine.Fingerprint]quarantine.Verdict), storeUp: true,
-		requests: make(map[step.RequestID]worldRequest), crashes: make(map[string][]time.Duration), sends: make(map[string][]worldSend),
+		requests: make(map[step.RequestID]worldRequest), crashes: make(map[string][]time.Duration), bounds: make(map[string]int), sends: make(map[string][]worldSend),
 	}
 	for i := range 8 {
 		for _, h := range []site.Host{plainHost(fmt.Sprintf("p%d", i)), openHead(fmt.Sprintf("h%d", i))} {
@@ -212,7 +215,7 @@
 	id := step.RequestID(fmt.Sprintf("r%d", w.sent))
 	call := step.Call{ID: id, CallerID: string(id), Method: "POST", Host: "h", Path: r.path, Key: "key", BodyHash: r.body, Deadline: w.now + 5*time.Second}
 	if r.path == "/chat/1" {
-		call.Model, call.PromptTokens = "m", 100
+		call.Model, call.PromptTokens, call.SharedParts = "m", 100, r.parts
 	}
 	w.requests[id] = r
 	w.post(d, call)
@@ -339,12 +342,13 @@
 // check checks that requests that crash hosts are no longer sent, and that sound ones are.
 func (w *crashWorld) check() {
 	for name, crashes := range w.crashes {
-		if len(crashes) < 3 {
+		bound := w.bounds[name]
+		if len(crashes) < bound {
 			continue
 		}
 		n := 0
 		for _, s := range w.sends[name] {
-			if s.inTouch && s.at > crashes[2]+verdictWithin {
+			if s.inTouch && s.at > crashes[bound-1]+verdictWithin {
 				n++
 			}
 		}
@@ -352,17 +356,44 @@
 	}
 }
 
-// TestCrashingRequestsAreRefusedByAllDaemons draws requests that crash hosts, sent again and again
-// to any daemon, beside sound ones, while daemons restart or are cut off, the store is away and
-// hosts crash for other reasons.
+// soundRequests returns sound requests of each kind. Their first parts are those of requests with
+// a part that crashes hosts.
+func soundRequests() []worldRequest {
+	var all []worldRequest
+	for i := range uint64(3) {
+		all = append(all, worldRequest{path: "/read/1", body: i}, worldRequest{path: "/once/1", body: i}, worldRequest{path: "/chat/1", body: i, parts: []uint64{1 + i%2}})
+	}
+	return all
+}
+
+// drawCrasher returns a function that draws requests of a new crasher: one request that is sent
+// again and again, or requests that share a part.
+func (w *crashWorld) drawCrasher(name string) func() worldRequest {
+	if rapid.Bool().Draw(w.rt, "shares a part") {
+		w.bounds[name] = 5
+		return func() worldRequest {
+			w.sent++
+			return worldRequest{crasher: name, path: "/chat/1", body: uint64(10000 + w.sent), parts: []uint64{rapid.Uint64Range(1, 2).Draw(w.rt, "first part"), rendezvous.Hash(name)}}
+		}
+	}
+	w.bounds[name] = 3
+	path := rapid.SampledFrom([]string{"/chat/1", "/read/1", "/once/1"}).Draw(w.rt, "path")
+	return func() worldRequest {
+		return worldRequest{crasher: name, path: path, body: rendezvous.Hash(name), parts: []uint64{1, 3}}
+	}
+}
+
+// TestCrashingRequestsAreRefusedByAllDaemons draws requests that crash hosts, sent to any daemon,
+// beside sound ones that share their caller and their first parts, while daemons restart or are
+// cut off, the store is away and hosts crash for other reasons.
 func TestCrashingRequestsAreRefusedByAllDaemons(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		w := newCrashWorld(rt, t, rapid.IntRange(2, 4).Draw(rt, "daemons"))
-		var crashers []worldRequest
+		var crashers []func() worldRequest
 		for i := range rapid.IntRange(1, 2).Draw(rt, "crashers") {
-			path := rapid.SampledFrom([]string{"/chat/1", "/read/1", "/once/1"}).Draw(rt, "path")
-			crashers = append(crashers, worldRequest{crasher: fmt.Sprintf("x%d", i), path: path, body: uint64(1000 + i)})
+			crashers = append(crashers, w.drawCrasher(fmt.Sprintf("x%d", i)))
 		}
+		sound := soundRequests()
 		for range rapid.IntRange(5, 12).Draw(rt, "seconds") {
 			if rapid.IntRange(0, 2).Draw(rt, "disturb") == 0 {
 				w.disturb()
@@ -371,21 +402,21 @@
 				w.run(100 * time.Millisecond)
 				d := w.daemons[rapid.IntRange(0, len(w.daemons)-1).Draw(rt, "to")]
 				if rapid.Bool().Draw(rt, "crashes") {
-					w.send(d, crashers[rapid.IntRange(0, len(crashers)-1).Draw(rt, "which")])
+					w.send(d, crashers[rapid.IntRange(0, len(crashers)-1).Draw(rt, "which")]())
 				}
-				path := rapid.SampledFrom([]string{"/chat/1", "/read/1", "/once/1"}).Draw(rt, "sound path")
-				w.send(d, worldRequest{path: path, body: uint64(rapid.IntRange(0, 3).Draw(rt, "sound"))})
+				w.send(d, sound[rapid.IntRange(0, len(sound)-1).Draw(rt, "sound")])
 			}
 		}
 		w.check()
-		w.run(4 * time.Second)
-		w.refused = nil
-		for _, d := range w.daemons {
-			for body := range uint64(4) {
-				for _, path := range []string{"/chat/1", "/read/1", "/once/1"} {
-					w.send(d, worldRequest{path: path, body: body})
+		// Long enough for a second trial: a host may crash for another reason under the first.
+		for range 12 {
+			w.refused = nil
+			for _, d := range w.daemons {
+				for _, r := range sound {
+					w.send(d, r)
 				}
 			}
+			w.run(1200 * time.Millisecond)
 		}
 		require.Empty(rt, w.refused, "sound requests are refused")
 	})
--- a/internal/core/gateway/crashes_test.go
+++ b/internal/core/gateway/crashes_test.go
@@ -246,31 +246,58 @@
 	require.Empty(t, shared)
 }
 
-// TestTrialIsSentToOneHostOnly condemns a request together with the same one with any query, and
-// sends another query.
-func TestTrialIsSentToOneHostOnly(t *testing.T) {
+// TestTrialDecides condemns a request together with the same one with any query, and tries
+// another query, which crashes its host too or runs well. It is sent to one host only.
+func TestTrialDecides(t *testing.T) {
+	for _, sound := range []bool{true, false} {
+		x := newCrashHarness(t)
+		send := func(query string) []step.Effect {
+			x.sent++
+			return x.reduce(step.Call{ID: step.RequestID(fmt.Sprintf("r%d", x.sent)), Method: "GET", Host: "h", Path: "/read/1", Query: query, Key: "key"})
+		}
+		for range 3 {
+			effects, _ := withoutEvidence(x.crash(x.requireForward(send("q=1"))))
+			for _, e := range effects {
+				if f, ok := e.(step.Forward); ok {
+					x.endAttempt(f, step.EndedRefused, 503)
+				}
+			}
+			x.now += 300 * time.Millisecond
+		}
+		x.requireRefused(send("q=1"))
+		trial := x.requireForward(send("q=2"))
+		require.LessOrEqual(t, x.requireRefused(send("q=2")).RetryAfter, time.Second, "one at a time")
+		if sound {
+			x.endAttempt(trial, step.EndedComplete, 200)
+			x.requireForward(send("q=3"))
+		} else {
+			effects, shared := withoutEvidence(x.crash(trial))
+			require.Equal(t, 502, x.requireAnswer(effects).Status)
+			require.True(t, shared[0].Evidence.Crashes[0].Tried)
+			x.now += time.Second
+			require.Greater(t, x.requireRefused(send("q=3")).RetryAfter, 5*time.Second)
+		}
+		require.Greater(t, x.requireRefused(send("q=1")).RetryAfter, time.Minute)
+	}
+}
+
+// TestPartsOfPromptsAreFingerprints condemns a part that three different prompts share.
+func TestPartsOfPromptsAreFingerprints(t *testing.T) {
 	x := newCrashHarness(t)
-	send := func(query string) []step.Effect {
+	send := func(parts ...uint64) []step.Effect {
 		x.sent++
-		return x.reduce(step.Call{ID: step.RequestID(fmt.Sprintf("r%d", x.sent)), Method: "GET", Host: "h", Path: "/read/1", Query: query, Key: "key"})
+		return x.reduce(step.Call{
+			ID: step.RequestID(fmt.Sprintf("r%d", x.sent)), Host: "h", Path: "/chat/1", Key: "key", Model: "m", PromptTokens: 100, BodyHash: uint64(x.sent), SharedParts: parts,
+		})
 	}
-	for range 3 {
-		effects, _ := withoutEvidence(x.crash(x.requireForward(send("q=1"))))
-		for _, e := range effects {
-			if f, ok := e.(step.Forward); ok {
-				x.endAttempt(f, step.EndedRefused, 503)
-			}
-		}
+	for i := range uint64(3) {
+		x.crash(x.requireForward(send(i, 99, 99)))
 		x.now += 300 * time.Millisecond
 	}
-	x.requireRefused(send("q=1"))
-	trial := x.requireForward(send("q=2"))
-	require.LessOrEqual(t, x.requireRefused(send("q=2")).RetryAfter, time.Second, "one at a time")
-	effects, _ := withoutEvidence(x.crash(trial))
-	require.Equal(t, 502, x.requireAnswer(effects).Status)
-	x.now += time.Second
-	trial = x.requireForward(send("q=3"))
-	x.endAttempt(trial, step.EndedComplete, 200)
-	x.requireForward(send("q=3"))
-	require.Greater(t, x.requireRefused(send("q=1")).RetryAfter, time.Minute)
+	x.requireForward(send(0, 1, 2))
+	x.requireRefused(send(7, 99))
+	x.now += 5 * time.Second
+	x.crash(x.requireForward(send(8, 99)))
+	x.now += 5 * time.Second
+	require.Greater(t, x.requireRefused(send(9, 99)).RetryAfter, 5*time.Second, "a trial has confirmed it")
 }
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -104,7 +104,7 @@
 		pools:           make(map[string]*fabric.Pool),
 		budget:          retry.NewWindow(0),
 	}
-	s.crashes, s.verdicts = newCrashWatch(), newVerdictStore()
+	s.crashes, s.verdicts = newCrashWatch(s.rankFor), newVerdictStore()
 	s.retainedEvacuations = make(map[string]time.Duration)
 	s.targets.SetQuiet(&s.quiet)
 	s.lease = fabric.NewLease(set.Daemon, set.Incarnation, set.Cores, s.nextOp)
--- a/internal/core/quarantine/decision.go
+++ b/internal/core/quarantine/decision.go
@@ -18,6 +18,14 @@
 	Trial bool
 }
 
+const (
+	// maxCrashedTrials is the number of trials that may crash their hosts before there is no other
+	// until the verdict ends. A host may crash for another reason under a trial.
+	maxCrashedTrials = 3
+	// trialDelayFactor is by how much the delay grows with each trial that has crashed its host.
+	trialDelayFactor = 10
+)
+
 // Decide decides on a request with these fingerprints that is about to be sent to a host. It
 // lets one through as a trial only if mayTry is set.
 func (t *Tracker) Decide(now time.Duration, fingerprints []Fingerprint, mayTry bool) Decision {
@@ -29,13 +37,11 @@
 			continue
 		}
 		left := v.left(now)
-		if lacksAny(fingerprints, v.Rivals) {
+		if from, ok := t.trialFrom(v, fingerprints); ok {
 			trials = append(trials, v)
-			if left = 0; v.tried {
-				left = v.lastTrialAt + t.set.TrialInterval - now
-			}
+			left = from - now
 			if !mayTry {
-				left = t.set.TrialInterval
+				left = max(left, t.set.TrialInterval)
 			}
 		}
 		if left > d.RetryAfter {
@@ -51,24 +57,48 @@
 	return d
 }
 
+// trialFrom returns the time from which a request may be let through although there is a verdict on
+// one of its fingerprints. It returns false if only the end of the verdict allows it.
+func (t *Tracker) trialFrom(v *Verdict, fingerprints []Fingerprint) (time.Duration, bool) {
+	if v.Fingerprint.Kind == Content {
+		return 0, false
+	}
+	turn := time.Duration(t.rank(v.Fingerprint)) * t.set.TrialStep
+	crashedTrials, lastAt := v.crashedTrials(fingerprints)
+	from := v.since
+	switch {
+	case crashedTrials >= maxCrashedTrials:
+		return 0, false
+	case crashedTrials > 0:
+		from = lastAt + turn + t.set.NextTrialDelay
+		for range crashedTrials - 1 {
+			from += trialDelayFactor * t.set.NextTrialDelay
+		}
+	case !containsAll(fingerprints, v.Rivals):
+	case v.Level == 0 && !v.foreign:
+		from += turn + t.set.TrialDelay
+	default:
+		return 0, false
+	}
+	if v.tried {
+		from = max(from, v.lastTrialAt+t.set.TrialInterval)
+	}
+	return from, true
+}
+
 // CertainlyRefused reports whether a request with these fingerprints is refused without doubt:
 // none of them has a rival that the request lacks.
 func (t *Tracker) CertainlyRefused(fingerprints []Fingerprint) bool {
 	for _, f := range fingerprints {
-		if v := t.verdicts[f]; v != nil && !lacksAny(fingerprints, v.Rivals) {
+		if v := t.verdicts[f]; v != nil && containsAll(fingerprints, v.Rivals) {
 			return true
 		}
 	}
 	return false
 }
 
-func lacksAny(fingerprints, rivals []Fingerprint) bool {
-	for _, g := range rivals {
-		if !slices.Contains(fingerprints, g) {
-			return true
-		}
-	}
-	return false
+func containsAll(fingerprints, all []Fingerprint) bool {
+	return !slices.ContainsFunc(all, func(f Fingerprint) bool { return !slices.Contains(fingerprints, f) })
 }
 
 // HasVerdicts reports whether any request may be refused now.
@@ -106,7 +136,7 @@
 		since: now, ttl: t.ttl(v.Level), foreign: true,
 	}
 	delete(t.probations, f)
-	return []Change{{Verdict: *t.verdicts[f]}}
+	return []Change{{Verdict: t.verdicts[f]}}
 }
 
 // Lift ends the verdict on a fingerprint, and forgets the crashes that led to it.
@@ -117,5 +147,5 @@
 	}
 	delete(t.verdicts, f)
 	t.lastSuccess[f] = now
-	return append([]Change{{Verdict: *v, Ended: EndedLifted}}, t.evaluate(now)...)
+	return append([]Change{{Verdict: v, Ended: EndedLifted}}, t.evaluate(now)...)
 }
--- a/internal/core/quarantine/evidence.go
+++ b/internal/core/quarantine/evidence.go
@@ -29,7 +29,9 @@
 	// Begun is set if the host was beginning to answer the requests, as opposed to requests
 	// that may still have waited for their turn. If any daemon knows of requests that had
 	// begun, the others don't count.
-	Begun    bool
+	Begun bool
+	// Tried is set if one of the requests had been let through as a trial.
+	Tried    bool
 	Suspects []Fingerprint // distinct
 }
 
@@ -58,6 +60,7 @@
 		return true
 	}
 	known := &t.crashes[i]
+	known.Tried = known.Tried || c.Tried
 	switch {
 	case known.Begun && !c.Begun:
 		return false
--- a/internal/core/quarantine/fingerprint.go
+++ b/internal/core/quarantine/fingerprint.go
@@ -18,9 +18,11 @@
 	Content Kind = iota + 1
 	// ContentWithoutQuery is Content with any query.
 	ContentWithoutQuery
+	// PromptPart identifies requests whose prompts share a part. Its hash is the part's ID.
+	PromptPart
 )
 
-var kindNames = map[Kind]string{Content: "content", ContentWithoutQuery: "path"}
+var kindNames = map[Kind]string{Content: "content", ContentWithoutQuery: "path", PromptPart: "part"}
 
 // Fingerprint identifies one thing that may crash hosts, among the things of which a request
 // consists.
--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -38,13 +38,21 @@
 	// TrialInterval is the least time between two requests of this daemon that are let through
 	// to find out which of several fingerprints crashes hosts.
 	TrialInterval time.Duration
+	// TrialDelay and TrialStep are when a verdict that no trial has confirmed is tried: TrialDelay
+	// after it began by the daemon of rank 0, and TrialStep later by that of each further rank.
+	// Whole contents are not tried: requests with the same content are the same request.
+	TrialDelay, TrialStep time.Duration
+	// NextTrialDelay is the delay after the first trial that has crashed its host. It grows with
+	// each further one.
+	NextTrialDelay time.Duration
 }
 
 // Defaults returns the settings of a gateway.
 func Defaults() Settings {
 	return Settings{
 		MinCrashes: 3, MinSpan: 250 * time.Millisecond, CrashTTL: 10 * time.Minute,
-		VerdictTTL: 10 * time.Minute, MaxVerdictTTL: 24 * time.Hour, TrialInterval: time.Second,
+		VerdictTTL: 10 * time.Minute, MaxVerdictTTL: 24 * time.Hour,
+		TrialInterval: time.Second, TrialDelay: time.Second, TrialStep: 500 * time.Millisecond, NextTrialDelay: 10 * time.Second,
 	}
 }
 
@@ -62,12 +70,14 @@
 	probations  map[Fingerprint]probation
 	suspected   map[Fingerprint]bool // as of the last evaluation
 	forgotAt    time.Duration        // when forget last ran
+	rank        func(Fingerprint) int
 }
 
-// New returns a Tracker that knows of no crashes.
-func New(set Settings) *Tracker {
+// New returns a Tracker that knows of no crashes. rank returns this daemon's rank among all for a
+// fingerprint, from 0 on; daemons that know each other have different ranks.
+func New(set Settings, rank func(Fingerprint) int) *Tracker {
 	return &Tracker{
-		set: set, lastSuccess: make(map[Fingerprint]time.Duration), verdicts: make(map[Fingerprint]*Verdict),
+		set: set, rank: rank, lastSuccess: make(map[Fingerprint]time.Duration), verdicts: make(map[Fingerprint]*Verdict),
 		probations: make(map[Fingerprint]probation), suspected: make(map[Fingerprint]bool),
 	}
 }
@@ -104,7 +114,7 @@
 		cleared = append(cleared, f)
 		if v != nil {
 			delete(t.verdicts, f)
-			changes = append(changes, Change{Verdict: *v, Ended: EndedSound})
+			changes = append(changes, Change{Verdict: v, Ended: EndedSound})
 		}
 	}
 	if len(cleared) > 0 {
@@ -124,7 +134,7 @@
 		delete(t.verdicts, f)
 		t.probations[f] = probation{level: v.Level, until: now + v.ttl}
 		t.lastSuccess[f] = now // its crashes have been paid for
-		changes = append(changes, Change{Verdict: *v, Ended: EndedExpired})
+		changes = append(changes, Change{Verdict: v, Ended: EndedExpired})
 	}
 	for f, p := range t.probations {
 		if now >= p.until {
--- a/internal/core/quarantine/quarantine_test.go
+++ b/internal/core/quarantine/quarantine_test.go
@@ -11,6 +11,7 @@
 const ms = time.Millisecond
 
 func content(n uint64) Fingerprint { return Fingerprint{Content, n} }
+func part(n uint64) Fingerprint    { return Fingerprint{PromptPart, n} }
 
 // world drives one Tracker. Each crash is of another host.
 type world struct {
@@ -21,7 +22,7 @@
 }
 
 func newWorld(t *testing.T) *world {
-	return &world{Tracker: New(Defaults()), t: t, now: time.Hour}
+	return &world{Tracker: New(Defaults(), func(Fingerprint) int { return 2 }), t: t, now: time.Hour}
 }
 
 func (w *world) crash(suspects ...Fingerprint) []Change {
@@ -31,6 +32,12 @@
 	return changes
 }
 
+// crashTrial crashes a host under a trial.
+func (w *world) crashTrial(suspects ...Fingerprint) {
+	w.crashed++
+	w.RecordCrash(w.now, Crash{Host: fmt.Sprintf("h%d", w.crashed), Incarnation: 1, At: w.now, Begun: true, Tried: true, Suspects: suspects})
+}
+
 func (w *world) success(fingerprints ...Fingerprint) []Change {
 	_, changes := w.RecordSuccess(w.now, w.now, fingerprints)
 	return changes
@@ -151,50 +158,79 @@
 	crashedWithBoth := func() *world {
 		w := newWorld(t)
 		for range 3 {
-			w.crash(content(1), content(2))
+			w.crash(part(1), part(2))
 			w.now += 300 * ms
 		}
-		require.True(t, w.refused(content(1), content(2)))
+		require.True(t, w.refused(part(1), part(2)))
 		return w
 	}
 	w := crashedWithBoth()
-	require.Equal(t, Decision{Refused: content(1), RetryAfter: Defaults().TrialInterval}, w.Decide(w.now, []Fingerprint{content(1)}, false))
-	require.Equal(t, Decision{Trial: true}, w.Decide(w.now, []Fingerprint{content(1)}, true))
+	require.Equal(t, Decision{Refused: part(1), RetryAfter: Defaults().TrialInterval}, w.Decide(w.now, []Fingerprint{part(1)}, false))
+	require.Equal(t, Decision{Trial: true}, w.Decide(w.now, []Fingerprint{part(1)}, true))
 	w.now += 100 * ms
-	require.Equal(t, Decision{Refused: content(1), RetryAfter: Defaults().TrialInterval - 100*ms}, w.Decide(w.now, []Fingerprint{content(1)}, true))
-	require.Len(t, w.success(content(1)), 1)
-	require.False(t, w.refused(content(1)))
-	require.Equal(t, Decision{Refused: content(2), RetryAfter: w.verdicts[content(2)].left(w.now)}, w.Decide(w.now, []Fingerprint{content(2)}, true), "nothing else is left to blame")
+	require.Equal(t, Decision{Refused: part(1), RetryAfter: Defaults().TrialInterval - 100*ms}, w.Decide(w.now, []Fingerprint{part(1)}, true))
+	require.Len(t, w.success(part(1)), 1)
+	require.False(t, w.refused(part(1)))
+	require.True(t, w.refused(part(2)), "nothing else is left to blame")
 
 	w = crashedWithBoth()
-	for range 2 {
-		require.True(t, w.Decide(w.now, []Fingerprint{content(2)}, true).Trial)
-		w.crash(content(2))
-		w.now += Defaults().TrialInterval
-	}
-	require.Greater(t, w.Decide(w.now, []Fingerprint{content(2)}, true).RetryAfter, time.Minute, "the other one does not explain these crashes")
-	require.True(t, w.Decide(w.now, []Fingerprint{content(1)}, true).Trial)
+	require.True(t, w.Decide(w.now, []Fingerprint{part(2)}, true).Trial)
+	w.RecordCrash(w.now, Crash{Host: "tried", Incarnation: 1, At: w.now, Begun: true, Tried: true, Suspects: []Fingerprint{part(2)}})
+	w.now += Defaults().TrialInterval
+	require.Greater(t, w.Decide(w.now, []Fingerprint{part(2)}, true).RetryAfter, 5*time.Second, "the other one does not explain these crashes")
+	require.True(t, w.Decide(w.now, []Fingerprint{part(1)}, true).Trial)
 }
 
-// TestBetterExplanationReplacesVerdict condemns a fingerprint that was on board by chance.
-func TestBetterExplanationReplacesVerdict(t *testing.T) {
+// TestStrayCrashDoesNotDecideBetweenRivals lets a host crash for another reason while it begins to
+// answer a request with one of two suspects. A second such crash decides.
+func TestStrayCrashDoesNotDecideBetweenRivals(t *testing.T) {
 	w := newWorld(t)
-	x, bystander := content(9), content(1)
-	for _, suspects := range [][]Fingerprint{{bystander}, {bystander, x}, {bystander, x}} {
+	for _, suspects := range [][]Fingerprint{{part(1)}, {part(1), part(2)}, {part(1), part(2)}, {part(1), part(2)}} {
 		w.crash(suspects...)
 		w.now += 300 * ms
 	}
-	require.True(t, w.refused(bystander))
-	var changes []Change
-	for range 3 {
-		changes = append(changes, w.crash(x)...)
+	require.True(t, w.Decide(w.now, []Fingerprint{part(1)}, true).Trial)
+	w.now += Defaults().TrialInterval
+	w.crash(part(1))
+	require.True(t, w.refused(part(1)))
+}
+
+// TestBystanderIsFoundSound condemns a fingerprint that was on board by chance, then the one that
+// crashes hosts. The former is let through as a trial, and its verdict ends.
+func TestBystanderIsFoundSound(t *testing.T) {
+	w := newWorld(t)
+	x, bystander := part(9), part(1)
+	for _, suspects := range [][]Fingerprint{{bystander}, {bystander, x}, {bystander, x}, {x}, {x}, {x}} {
+		w.crash(suspects...)
 		w.now += 300 * ms
 	}
-	require.Len(t, changes, 2)
-	require.False(t, w.refused(bystander), "the crash that is left is one")
+	require.True(t, w.refused(x))
+	require.True(t, w.Decide(w.now, []Fingerprint{bystander}, true).Trial)
+	changes := w.success(bystander)
+	require.Len(t, changes, 1)
+	require.Equal(t, EndedSound, changes[0].Ended)
 	require.True(t, w.refused(x))
 }
 
+// TestVerdictExplainsCrashes condemns a part, and lets another one that most of its requests have
+// be on board of more crashes, but of too few that the verdict does not explain.
+func TestVerdictExplainsCrashes(t *testing.T) {
+	w := newWorld(t)
+	x, common := part(9), part(1)
+	w.crash(x)
+	for range 2 {
+		w.now += 300 * ms
+		w.crash(x, common)
+	}
+	for range 2 {
+		w.now += 300 * ms
+		w.crash(common)
+	}
+	require.Len(t, w.Verdicts(), 1)
+	require.Equal(t, x, w.Verdicts()[0].Fingerprint)
+	require.False(t, w.refused(common))
+}
+
 // TestExpiredVerdictReturnsAtOnce lets a verdict expire. The next crash brings it back for twice
 // as long, until none has come for the time of the last one.
 func TestExpiredVerdictReturnsAtOnce(t *testing.T) {
@@ -273,7 +309,7 @@
 }
 
 func TestFingerprintText(t *testing.T) {
-	for _, f := range []Fingerprint{{Content, 0xabc}, {ContentWithoutQuery, 1<<64 - 1}} {
+	for _, f := range []Fingerprint{{Content, 0xabc}, {ContentWithoutQuery, 1<<64 - 1}, {PromptPart, 0}} {
 		text, err := f.MarshalText()
 		require.NoError(t, err)
 		var back Fingerprint
@@ -285,3 +321,56 @@
 		require.Error(t, f.UnmarshalText([]byte(text)), text)
 	}
 }
+
+// TestVerdictOnPartIsTried condemns a part of prompts that has no rival. One request is let through
+// after a while, and more with growing delays if it crashes its host too.
+func TestVerdictOnPartIsTried(t *testing.T) {
+	x := part(7)
+	for _, sound := range []bool{true, false} {
+		w := newWorld(t)
+		for range 3 {
+			w.crash(x)
+			w.now += 300 * ms
+		}
+		w.now -= 300 * ms
+		turn := 2 * Defaults().TrialStep
+		for i, delay := range []time.Duration{Defaults().TrialDelay, Defaults().NextTrialDelay, 11 * Defaults().NextTrialDelay} {
+			require.Equal(t, Decision{Refused: x, RetryAfter: delay + turn}, w.Decide(w.now, []Fingerprint{x}, true))
+			w.now += delay + turn
+			require.Equal(t, Decision{Refused: x, RetryAfter: Defaults().TrialInterval}, w.Decide(w.now, []Fingerprint{x}, false))
+			require.Equal(t, Decision{Trial: true}, w.Decide(w.now, []Fingerprint{content(uint64(i)), x}, true))
+			require.True(t, w.refused(x), "one at a time")
+			if sound {
+				break
+			}
+			w.crashTrial(x, content(uint64(i)))
+		}
+		if sound {
+			w.success(x)
+			require.False(t, w.refused(x))
+			continue
+		}
+		w.now += Defaults().VerdictTTL / 2
+		require.Greater(t, w.Decide(w.now, []Fingerprint{x}, true).RetryAfter, time.Minute)
+	}
+}
+
+// TestTrialDecidesOnlyOnRequestsWithTheSameSuspects crashes a host under a trial that has two
+// condemned parts.
+func TestTrialDecidesOnlyOnRequestsWithTheSameSuspects(t *testing.T) {
+	w := newWorld(t)
+	x, y := part(1), part(2)
+	for range 3 {
+		w.crash(x, y)
+		w.now += 300 * ms
+	}
+	w.now += 5 * time.Second
+	require.True(t, w.Decide(w.now, []Fingerprint{x, y}, true).Trial)
+	w.crashTrial(x, y)
+	w.now += 5 * time.Second
+	require.True(t, w.refused(x, y))
+	require.True(t, w.Decide(w.now, []Fingerprint{x}, true).Trial, "it may be sound")
+	w.success(x)
+	require.False(t, w.refused(x))
+	require.True(t, w.refused(y), "the trial had no other suspect")
+}
--- a/internal/core/quarantine/verdict.go
+++ b/internal/core/quarantine/verdict.go
@@ -10,7 +10,8 @@
 const maxVerdicts = 256
 
 // maxStrayCrashes is how many crashes may speak against a fingerprint and not against another
-// one for the other one to still explain them: hosts also crash for other reasons.
+// one for the other one to still explain them: hosts also crash for other reasons. A crash under
+// a trial is no such coincidence.
 const maxStrayCrashes = 1
 
 // Verdict is the decision to refuse requests with a fingerprint.
@@ -30,12 +31,35 @@
 	lastCrashAt time.Duration
 	lastTrialAt time.Duration
 	tried       bool // lastTrialAt is valid
+	// confirmations are the trials that have crashed their hosts.
+	confirmations []confirmation
 	// foreign is set if another daemon decided and this one has no evidence.
 	foreign bool
 }
 
 func (v *Verdict) left(now time.Duration) time.Duration { return v.since + v.ttl - now }
 
+// minCrashesOfSuspect is how many crashes must speak against a fingerprint for it to be an
+// alternative explanation of a trial that crashed its host.
+const minCrashesOfSuspect = 2
+
+// confirmation is a trial that has crashed its host.
+type confirmation struct {
+	at       time.Duration
+	suspects []Fingerprint // of the request, without those that only this crash speaks against
+}
+
+// crashedTrials returns the number of trials that have crashed their hosts with no suspect that a
+// request lacks, and the time of the last one.
+func (v *Verdict) crashedTrials(fingerprints []Fingerprint) (n int, lastAt time.Duration) {
+	for _, c := range v.confirmations {
+		if containsAll(fingerprints, c.suspects) {
+			n, lastAt = n+1, c.at
+		}
+	}
+	return n, lastAt
+}
+
 // probation follows a verdict that has expired: the next crash brings the next verdict.
 type probation struct {
 	level int
@@ -44,7 +68,7 @@
 
 // Change is a verdict that began or ended.
 type Change struct {
-	Verdict Verdict
+	Verdict *Verdict
 	Ended   Ending // Began for one that began
 }
 
@@ -53,45 +77,59 @@
 
 // The endings.
 const (
-	Began          Ending = iota
-	EndedSound            // a request with the fingerprint has run well
-	EndedExplained        // another fingerprint explains the crashes
-	EndedExpired          // its time is over
-	EndedLifted           // it was lifted, by an operator or another daemon
+	Began        Ending = iota
+	EndedSound          // a request with the fingerprint has run well
+	EndedExpired        // its time is over
+	EndedLifted         // it was lifted, by an operator or another daemon
 )
 
 // String returns the ending as it appears in logs.
 func (e Ending) String() string {
-	return [...]string{"began", "a request has run well", "another fingerprint explains the crashes", "expired", "lifted"}[e]
+	return [...]string{"began", "a request has run well", "expired", "lifted"}[e]
 }
 
-// evaluate compares the verdicts with the crashes that count, and returns what changed. The
-// fingerprint that most crashes speak against is condemned, with those that the same crashes
-// speak against. These crashes are explained then, and the others are looked at in the same way.
+// evaluate begins verdicts by the crashes that count, and returns them. Crashes that speak against
+// a fingerprint with a verdict are explained by that. Of the others, the fingerprint that most of
+// them speak against is condemned, with those that the same ones speak against. These crashes are
+// explained then too, and the rest is looked at in the same way.
+//
+// A verdict does not end because another one explains its crashes as well: requests that are
+// refused wrongly are found by trials, and hosts that crash meanwhile are not brought back.
 func (t *Tracker) evaluate(now time.Duration) []Change {
 	against := t.suspicions()
 	t.suspected = make(map[Fingerprint]bool, len(against))
-	for f := range against {
+	explained := make([]bool, len(t.crashes))
+	for f, crashes := range against {
 		t.suspected[f] = true
+		if t.verdicts[f] != nil {
+			for _, i := range crashes {
+				explained[i] = true
+			}
+		}
 	}
-	condemned := make(map[Fingerprint][]int)
-	explained := make([]bool, len(t.crashes))
+	var changes []Change
 	for {
 		open := t.candidates(against, explained)
 		best, ok := mostCrashes(open)
 		if !ok {
 			break
 		}
-		for f, crashes := range open {
-			if isSubset(crashes, open[best]) {
-				condemned[f] = against[f]
+		for _, f := range slices.SortedFunc(maps.Keys(open), Compare) {
+			if isSubset(open[f], open[best]) && t.verdicts[f] == nil && len(t.verdicts) < maxVerdicts {
+				changes = append(changes, Change{Verdict: t.begin(now, f)})
 			}
 		}
 		for _, i := range open[best] {
 			explained[i] = true
 		}
 	}
-	return t.apply(now, condemned, against)
+	candidates := t.candidates(against, make([]bool, len(t.crashes)))
+	for f, v := range t.verdicts {
+		if len(against[f]) > 0 {
+			t.describe(v, against, candidates)
+		}
+	}
+	return changes
 }
 
 // candidates returns the fingerprints that enough of the crashes that are not explained speak
@@ -123,56 +161,44 @@
 	return best, ok
 }
 
-func isSubset(part, whole []int) bool { return strays(part, whole) == 0 }
+func isSubset(part, whole []int) bool {
+	return !slices.ContainsFunc(part, func(i int) bool { return !slices.Contains(whole, i) })
+}
 
-// strays is the number of crashes in part that are not in whole.
-func strays(part, whole []int) int {
+// mayExplain reports whether the crashes that speak against one fingerprint may explain those that
+// speak against another.
+func (t *Tracker) mayExplain(crashes, others []int) bool {
 	n := 0
-	for _, i := range part {
-		if !slices.Contains(whole, i) {
+	for _, i := range others {
+		switch {
+		case slices.Contains(crashes, i):
+		case t.crashes[i].Tried:
+			return false
+		default:
 			n++
 		}
 	}
-	return n
+	return n <= maxStrayCrashes
 }
 
-// apply begins verdicts on the condemned fingerprints, and ends those on fingerprints that are
-// not condemned although all crashes that led to the verdict are still known.
-func (t *Tracker) apply(now time.Duration, condemned, against map[Fingerprint][]int) []Change {
-	var changes []Change
-	for _, f := range slices.SortedFunc(maps.Keys(t.verdicts), Compare) {
-		v := t.verdicts[f]
-		if _, stays := condemned[f]; !stays && !v.foreign && len(against[f]) >= len(v.Hosts) {
-			delete(t.verdicts, f)
-			changes = append(changes, Change{Verdict: *v, Ended: EndedExplained})
+// describe sets what follows from the crashes that speak against a condemned fingerprint.
+func (t *Tracker) describe(v *Verdict, against, candidates map[Fingerprint][]int) {
+	crashes := against[v.Fingerprint]
+	v.foreign, v.Hosts, v.Rivals, v.confirmations = false, nil, nil, nil
+	for _, i := range crashes {
+		c := t.crashes[i]
+		v.Hosts = append(v.Hosts, c.Host)
+		v.lastCrashAt = max(v.lastCrashAt, c.At)
+		if c.Tried {
+			suspects := slices.DeleteFunc(slices.Clone(c.Suspects), func(g Fingerprint) bool { return len(against[g]) < minCrashesOfSuspect })
+			v.confirmations = append(v.confirmations, confirmation{at: c.At, suspects: suspects})
 		}
 	}
-	candidates := t.candidates(against, make([]bool, len(t.crashes)))
-	for _, f := range slices.SortedFunc(maps.Keys(condemned), Compare) {
-		crashes := condemned[f]
-		v := t.verdicts[f]
-		isNew := v == nil
-		if isNew && len(t.verdicts) >= maxVerdicts {
-			continue
-		}
-		if isNew {
-			v = t.begin(now, f)
-		}
-		v.foreign, v.Hosts, v.Rivals = false, nil, nil
-		for _, i := range crashes {
-			v.Hosts = append(v.Hosts, t.crashes[i].Host)
-			v.lastCrashAt = max(v.lastCrashAt, t.crashes[i].At)
-		}
-		for _, g := range slices.SortedFunc(maps.Keys(candidates), Compare) {
-			if g != f && strays(crashes, candidates[g]) <= maxStrayCrashes {
-				v.Rivals = append(v.Rivals, g)
-			}
-		}
-		if isNew {
-			changes = append(changes, Change{Verdict: *v})
+	for _, g := range slices.SortedFunc(maps.Keys(candidates), Compare) {
+		if g != v.Fingerprint && t.mayExplain(candidates[g], crashes) {
+			v.Rivals = append(v.Rivals, g)
 		}
 	}
-	return changes
 }
 
 // begin starts a verdict on a fingerprint. One on probation gets the next level.
--- a/internal/relay/notify.go
+++ b/internal/relay/notify.go
@@ -137,6 +137,7 @@
 	Incarnation int64                    `json:"incarnation"`
 	AgeMillis   int64                    `json:"ageMillis"`
 	Begun       bool                     `json:"begun,omitempty"`
+	Tried       bool                     `json:"tried,omitempty"`
 	Suspects    []quarantine.Fingerprint `json:"suspects"`
 }
 
@@ -148,7 +149,7 @@
 func encodeEvidence(now time.Duration, e quarantine.Evidence) evidenceMessage {
 	var m evidenceMessage
 	for _, c := range e.Crashes {
-		m.Crashes = append(m.Crashes, crashMessage{c.Host, c.Incarnation, (now - c.At).Milliseconds(), c.Begun, c.Suspects})
+		m.Crashes = append(m.Crashes, crashMessage{c.Host, c.Incarnation, (now - c.At).Milliseconds(), c.Begun, c.Tried, c.Suspects})
 	}
 	for _, s := range e.Successes {
 		m.Successes = append(m.Successes, successMessage{s.Fingerprint, (now - s.At).Milliseconds()})
@@ -160,7 +161,7 @@
 	var e quarantine.Evidence
 	at := func(ageMillis int64) time.Duration { return now - time.Duration(max(0, ageMillis))*time.Millisecond }
 	for _, c := range m.Crashes {
-		e.Crashes = append(e.Crashes, quarantine.Crash{Host: c.Host, Incarnation: c.Incarnation, At: at(c.AgeMillis), Begun: c.Begun, Suspects: c.Suspects})
+		e.Crashes = append(e.Crashes, quarantine.Crash{Host: c.Host, Incarnation: c.Incarnation, At: at(c.AgeMillis), Begun: c.Begun, Tried: c.Tried, Suspects: c.Suspects})
 	}
 	for _, s := range m.Successes {
 		e.Successes = append(e.Successes, quarantine.Success{Fingerprint: s.Fingerprint, At: at(s.AgeMillis)})
--- a/internal/relay/notify_test.go
+++ b/internal/relay/notify_test.go
@@ -42,7 +42,7 @@
 	defer notifier.Close()
 	address := strings.TrimPrefix(server.URL, "http://")
 	f := quarantine.Fingerprint{Kind: quarantine.Content, Hash: 1 << 63}
-	crash := quarantine.Crash{Host: "h", Incarnation: 7, At: time.Minute - time.Second, Begun: true, Suspects: []quarantine.Fingerprint{f}}
+	crash := quarantine.Crash{Host: "h", Incarnation: 7, At: time.Minute - time.Second, Begun: true, Tried: true, Suspects: []quarantine.Fingerprint{f}}
 	sent := quarantine.Evidence{Crashes: []quarantine.Crash{crash}, Successes: []quarantine.Success{{Fingerprint: f, At: time.Minute}}}
 	require.NoError(t, notifier.SendEvidence(t.Context(), address, sent))
 	crash.At = time.Hour - time.Second
