gateway: verdicts on parts don't hide one another, and trials are counted over all daemons

The soak now draws crashing-part: chat prompts with one of three first parts, some with a part that crashes servers, several such parts at once.

Streams that had delivered an event a moment before the crash counted as suspects beside the one that had delivered none. Now all that enough crashes speak against is condemned. Now all daemons share the count, and delays grow (1 s, 5 s, 50 s, 500 s). Void trials are withdrawn, and requests with fewer parts go first. - The property over reducers: a sound request repeated at a plain service was condemned for good beside a crashing one; a trial was cancelled by the next verdict. Contents are tried as well now, unless three crashes had nothing else on board.

--- a/internal/core/gateway/calls.go
+++ b/internal/core/gateway/calls.go
@@ -76,7 +76,9 @@
 	failedHosts      []string      // hosts where an attempt failed
 	events           int           // events delivered, over all attempts
 	hasFailureAnswer bool          // the last attempt ended with a complete 5xx answer
-	trial            bool          // the last attempt finds out whether the request is sound
+	// tried are the condemned fingerprints of a request that was let through to find out whether it
+	// is sound; empty for any other.
+	tried []quarantine.Fingerprint
 	// awaitsProbe is the end of the last attempt if what follows depends on whether its host has
 	// crashed.
 	awaitsProbe *step.ForwardEnded
@@ -135,12 +137,12 @@
 // sendToTarget sends the request to a target. If no target can take it, the request ends with
 // the fallback answer or, if that is empty or no attempt may have run, with a refusal.
 func (s *State) sendToTarget(now time.Duration, c *call, fallback step.Answer, out *step.Out) {
-	decision := s.quarantineDecision(now, c, c.attempts == 0)
+	request := s.placement(now, c)
+	decision := s.quarantineDecision(now, c, c.attempts == 0 && s.targets.Peek(now, request).Target != nil)
 	if decision.RetryAfter > 0 {
 		s.endQuarantined(now, c, decision, fallback, out)
 		return
 	}
-	request := s.placement(now, c)
 	choice := s.targets.Choose(now, request)
 	if choice.Target == nil {
 		s.endWithoutTarget(now, c, choice, fallback, out)
@@ -150,7 +152,7 @@
 	c.attempts++
 	c.attempt = step.AttemptID(string(c.req.ID) + "." + strconv.Itoa(c.attempts))
 	c.host, c.address, c.incarnation = t.Host.ID, t.Host.Address, t.Host.Incarnation
-	c.answerBegan, c.moving, c.trial = false, false, decision.Trial
+	c.answerBegan, c.moving = false, false
 	c.sentAt, c.eventsBefore, c.firstEventAt = now, c.events, 0
 	f := step.Forward{
 		ID: c.req.ID, Attempt: c.attempt, Host: t.Host.ID, Address: t.Host.Address, Service: c.service,
@@ -164,8 +166,10 @@
 	out.Log(event.RequestSent, event.F("request", c.req.CallerID), event.F("attempt", c.attempt), event.F("route", c.route.Name),
 		event.F("version", s.config.Version), event.F("team", c.team), event.F("host", c.host), event.F("inFlight", t.InFlight()),
 		event.F("firstByMillis", choice.TimeToFirstEvent.Milliseconds()), event.F("leftMillis", request.TimeLeft.Milliseconds()))
-	if c.trial {
-		out.Log(event.RequestTried, event.F("request", c.req.CallerID), event.F("host", c.host))
+	if len(decision.Tried) > 0 {
+		out.Log(event.RequestTried, event.F("request", c.req.CallerID), event.F("host", c.host), event.F("fingerprints", names(decision.Tried)))
+		c.tried = decision.Tried
+		s.shareTrial(now, c, false, out)
 	}
 	out.Add(f)
 }
@@ -234,6 +238,9 @@
 
 func (s *State) finish(now time.Duration, c *call, outcome string, out *step.Out) {
 	delete(s.calls, c.req.ID)
+	if len(c.tried) > 0 && c.reachedAttempts() == 0 {
+		s.shareTrial(now, c, true, out)
+	}
 	out.Log(event.RequestAnswered, event.F("request", c.req.CallerID), event.F("outcome", outcome), event.F("host", c.host),
 		event.F("attempts", c.attempts), event.F("events", c.events), event.F("millis", (now-c.arrivedAt).Milliseconds()))
 }
@@ -272,7 +279,7 @@
 // mayMove reports whether a running attempt may be cancelled in favour of another target. If
 // so it spends the retry from the budget.
 func (s *State) mayMove(now time.Duration, c *call) bool {
-	if !c.route.MayRepeat() || c.attemptsSpent() || c.ranAttempts+1 >= c.route.MaxTargets || c.trial {
+	if !c.route.MayRepeat() || c.attemptsSpent() || c.ranAttempts+1 >= c.route.MaxTargets || len(c.tried) > 0 {
 		return false
 	}
 	if s.quarantineDecision(now, c, false).RetryAfter > 0 {
@@ -345,7 +352,7 @@
 	moving := c.moving
 	c.failedHosts = append(c.failedHosts, c.host)
 	notRun := e.Ending == step.EndedUnsent || e.Ending == step.EndedRefused
-	mayRetry := notRun || c.route.MayRepeat() && c.ranAttempts < c.route.MaxTargets && !c.trial
+	mayRetry := notRun || c.route.MayRepeat() && c.ranAttempts < c.route.MaxTargets && len(c.tried) == 0
 	// A move has spent its retry when it was decided, and an unsent attempt has reached no
 	// target.
 	exempt := moving || e.Ending == step.EndedUnsent
--- a/internal/core/gateway/crashes.go
+++ b/internal/core/gateway/crashes.go
@@ -44,7 +44,7 @@
 	attempt      step.AttemptID
 	incarnation  int64 // of the host, when the attempt was sent
 	at           time.Duration
-	begun, trial bool
+	begun        bool
 	fingerprints []quarantine.Fingerprint
 }
 
@@ -90,8 +90,8 @@
 	return h
 }
 
-// isBeginning reports whether the answer to the running attempt is about to begin or has just
-// begun.
+// isBeginning reports whether the answer to the running attempt is about to begin or began just
+// now.
 func (c *call) isBeginning(now time.Duration) bool {
 	return c.events == c.eventsBefore || c.firstEventAt > 0 && now-c.firstEventAt < beginPhase
 }
@@ -102,13 +102,14 @@
 	if !c.isBeginning(now) {
 		return false
 	}
-	// A plain service says nothing before its whole answer.
-	begun := c.answerBegan || s.model(c) == ""
+	// A plain service says nothing before its whole answer. A stream that has delivered an event
+	// may have crashed its host only if no other request can have.
+	begun := (c.answerBegan || s.model(c) == "") && c.events == c.eventsBefore
 	if len(s.crashes.broken[c.host]) == 0 {
 		out.Add(step.ProbeHost{Host: c.host, Address: c.address})
 	}
 	s.crashes.broken[c.host] = append(s.crashes.broken[c.host], brokenAttempt{
-		request: c.req.ID, attempt: c.attempt, incarnation: c.incarnation, at: now, begun: begun, trial: c.trial, fingerprints: c.fingerprints(),
+		request: c.req.ID, attempt: c.attempt, incarnation: c.incarnation, at: now, begun: begun, fingerprints: c.fingerprints(),
 	})
 	return true
 }
@@ -148,12 +149,11 @@
 			byIncarnation[a.incarnation] = c
 		}
 		if a.begun && !c.Begun {
-			c.Begun, c.Tried, c.Suspects = true, false, nil
+			c.Begun, c.Suspects = true, nil
 		}
 		if a.begun != c.Begun {
 			continue
 		}
-		c.Tried = c.Tried || a.trial
 		for _, f := range a.fingerprints {
 			if !slices.Contains(c.Suspects, f) {
 				c.Suspects = append(c.Suspects, f)
@@ -208,6 +208,9 @@
 }
 
 func (s *State) onEvidence(now time.Duration, e quarantine.Evidence, out *step.Out) {
+	for _, trial := range e.Trials {
+		s.crashes.tracker.RecordTrial(trial)
+	}
 	for _, c := range e.Crashes {
 		s.learnCrash(now, c, false, out)
 	}
@@ -306,21 +309,36 @@
 func (s *State) cancelRefused(out *step.Out) {
 	for _, id := range slices.Sorted(maps.Keys(s.calls)) {
 		c := s.calls[id]
-		waits := c.firstEventAt == 0 && c.awaitsProbe == nil && !c.callerGone && !c.moving
+		waits := c.firstEventAt == 0 && c.awaitsProbe == nil && !c.callerGone && !c.moving && len(c.tried) == 0
 		if waits && (c.route.MayRepeat() || c.route.Kind == site.Stream) && s.crashes.tracker.CertainlyRefused(c.fingerprints()) {
 			out.Add(step.Cancel{ID: c.req.ID, Attempt: c.attempt})
 		}
 	}
 }
 
-// quarantineDecision decides whether a request may be sent to a host.
+// quarantineDecision decides whether a request may be sent to a host. A trial may go on until it
+// has reached one.
 func (s *State) quarantineDecision(now time.Duration, c *call, mayTry bool) quarantine.Decision {
-	if !s.crashes.tracker.HasVerdicts() {
+	if !s.crashes.tracker.HasVerdicts() || len(c.tried) > 0 && c.reachedAttempts() == 0 {
 		return quarantine.Decision{}
 	}
 	return s.crashes.tracker.Decide(now, c.fingerprints(), mayTry)
 }
 
+// shareTrial tells the other daemons of a trial, so that they make none for a while, or that it was
+// void, so that the next one need not wait as long.
+func (s *State) shareTrial(now time.Duration, c *call, void bool, out *step.Out) {
+	var e quarantine.Evidence
+	for _, f := range c.tried {
+		trial := quarantine.Trial{Fingerprint: f, At: now, Void: void}
+		e.Trials = append(e.Trials, trial)
+		if void {
+			s.crashes.tracker.RecordTrial(trial)
+		}
+	}
+	s.shareEvidence(e, out)
+}
+
 // endQuarantined ends a request that is refused because requests like it crash hosts.
 func (s *State) endQuarantined(now time.Duration, c *call, d quarantine.Decision, fallback step.Answer, out *step.Out) {
 	out.Log(event.RequestQuarantined, event.F("request", c.req.CallerID), event.F("team", c.team), event.F("fingerprint", d.Refused), event.F("attempts", c.attempts))
--- a/internal/core/gateway/crashes_property_test.go
+++ b/internal/core/gateway/crashes_property_test.go
@@ -233,14 +233,14 @@
 
 func (w *crashWorld) forward(d *worldDaemon, f step.Forward) {
 	h, r := w.hosts[f.Host], w.requests[f.ID]
-	if r.crasher != "" {
-		inTouch := !d.isCut && w.now-d.calmFrom >= verdictWithin && w.storeUp && w.now-w.storeAt >= verdictWithin
-		w.sends[r.crasher] = append(w.sends[r.crasher], worldSend{w.now, inTouch})
-	}
 	if !h.up {
 		w.after(time.Millisecond, 0, func() { w.end(d, f, step.EndedUnsent, 0) })
 		return
 	}
+	if r.crasher != "" {
+		inTouch := !d.isCut && w.now-d.calmFrom >= verdictWithin && w.storeUp && w.now-w.storeAt >= verdictWithin
+		w.sends[r.crasher] = append(w.sends[r.crasher], worldSend{w.now, inTouch})
+	}
 	a := &worldAttempt{Forward: f, daemon: d, request: r}
 	h.attempts[f.Attempt+step.AttemptID(fmt.Sprint(d.index))] = a
 	w.after(20*time.Millisecond, 200*time.Millisecond, func() { w.begin(h, a) })
--- a/internal/core/gateway/crashes_test.go
+++ b/internal/core/gateway/crashes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 	"time"
 
@@ -246,58 +247,128 @@
 	require.Empty(t, shared)
 }
 
-// TestTrialDecides condemns a request together with the same one with any query, and tries
-// another query, which crashes its host too or runs well. It is sent to one host only.
-func TestTrialDecides(t *testing.T) {
+// sendParts sends a stream with shared parts in its prompt.
+func (x *crashHarness) sendParts(parts ...uint64) []step.Effect {
+	x.sent++
+	return x.reduce(step.Call{
+		ID: step.RequestID(fmt.Sprintf("r%d", x.sent)), Host: "h", Path: "/chat/1", Key: "key", Model: "m", PromptTokens: 100, BodyHash: uint64(x.sent), SharedParts: parts,
+	})
+}
+
+// condemnParts crashes three hosts under streams with shared parts.
+func (x *crashHarness) condemnParts(parts ...uint64) {
+	for range 3 {
+		x.crash(x.requireForward(x.sendParts(parts...)))
+		x.now += 300 * time.Millisecond
+	}
+}
+
+func TestPartsOfPromptsAreFingerprints(t *testing.T) {
+	x := newCrashHarness(t)
+	for i := range uint64(3) {
+		x.crash(x.requireForward(x.sendParts(i, 99, 99)))
+		x.now += 300 * time.Millisecond
+	}
+	x.requireForward(x.sendParts(0, 1, 2))
+	x.requireRefused(x.sendParts(7, 99))
+}
+
+// TestTrialIsAnnouncedAndSentToOneHost condemns two parts that come together and sends one of them,
+// which crashes its host too or runs well.
+func TestTrialIsAnnouncedAndSentToOneHost(t *testing.T) {
 	for _, sound := range []bool{true, false} {
 		x := newCrashHarness(t)
-		send := func(query string) []step.Effect {
-			x.sent++
-			return x.reduce(step.Call{ID: step.RequestID(fmt.Sprintf("r%d", x.sent)), Method: "GET", Host: "h", Path: "/read/1", Query: query, Key: "key"})
-		}
-		for range 3 {
-			effects, _ := withoutEvidence(x.crash(x.requireForward(send("q=1"))))
-			for _, e := range effects {
-				if f, ok := e.(step.Forward); ok {
-					x.endAttempt(f, step.EndedRefused, 503)
-				}
-			}
-			x.now += 300 * time.Millisecond
-		}
-		x.requireRefused(send("q=1"))
-		trial := x.requireForward(send("q=2"))
-		require.LessOrEqual(t, x.requireRefused(send("q=2")).RetryAfter, time.Second, "one at a time")
+		x.condemnParts(1, 2)
+		effects, shared := withoutEvidence(x.sendParts(1))
+		trial := x.requireForward(effects)
+		require.Equal(t, []quarantine.Trial{{Fingerprint: quarantine.Fingerprint{Kind: quarantine.PromptPart, Hash: 1}, At: x.now}}, shared[0].Evidence.Trials)
+		x.requireRefused(x.sendParts(1))
 		if sound {
 			x.endAttempt(trial, step.EndedComplete, 200)
-			x.requireForward(send("q=3"))
+			x.requireForward(x.sendParts(1))
 		} else {
-			effects, shared := withoutEvidence(x.crash(trial))
+			effects, _ = withoutEvidence(x.crash(trial))
 			require.Equal(t, 502, x.requireAnswer(effects).Status)
-			require.True(t, shared[0].Evidence.Crashes[0].Tried)
-			x.now += time.Second
-			require.Greater(t, x.requireRefused(send("q=3")).RetryAfter, 5*time.Second)
+			x.requireRefused(x.sendParts(1))
 		}
-		require.Greater(t, x.requireRefused(send("q=1")).RetryAfter, time.Minute)
+		x.requireRefused(x.sendParts(1, 2))
 	}
 }
 
-// TestPartsOfPromptsAreFingerprints condemns a part that three different prompts share.
-func TestPartsOfPromptsAreFingerprints(t *testing.T) {
+// TestTrialNeedsAHost condemns parts and makes trials while no host can take one, or the first can't
+// be reached.
+func TestTrialNeedsAHost(t *testing.T) {
 	x := newCrashHarness(t)
-	send := func(parts ...uint64) []step.Effect {
+	x.condemnParts(1, 2)
+	hosts := maps.Clone(x.s.hosts)
+	x.setHosts(plainHost("a"))
+	x.requireRefused(x.sendParts(1))
+	for _, h := range hosts {
+		x.reduce(step.SiteHosts{Hosts: []site.Host{*h}})
+	}
+	effects, _ := withoutEvidence(x.sendParts(1))
+	first := x.requireForward(effects)
+	second := x.requireForward(x.endAttempt(first, step.EndedUnsent, 0))
+	require.NotEqual(t, first.Host, second.Host)
+	require.Equal(t, 503, x.requireAnswer(x.endAttempt(second, step.EndedRefused, 503)).Status, "it has reached a host")
+}
+
+// TestTrialGoesOnWhenAnotherVerdictBegins condemns another part while a trial waits at its host.
+func TestTrialGoesOnWhenAnotherVerdictBegins(t *testing.T) {
+	x := newCrashHarness(t)
+	x.condemnParts(1, 2)
+	effects, _ := withoutEvidence(x.sendParts(1))
+	trial := x.requireForward(effects)
+	for range 3 {
+		effects, _ = withoutEvidence(x.crash(x.requireForward(x.sendParts(7))))
+		require.NotContains(t, effects, step.Cancel{ID: trial.ID, Attempt: trial.Attempt})
+		x.now += 300 * time.Millisecond
+	}
+	require.NotNil(t, x.s.calls[trial.ID])
+}
+
+// TestVoidTrialIsWithdrawn makes a trial that reaches no host.
+func TestVoidTrialIsWithdrawn(t *testing.T) {
+	x := newCrashHarness(t)
+	x.condemnParts(1, 2)
+	effects, _ := withoutEvidence(x.sendParts(1))
+	var shared []step.ShareEvidence
+	for len(effects) == 1 {
+		f, ok := effects[0].(step.Forward)
+		if !ok {
+			break
+		}
+		effects, shared = withoutEvidence(x.endAttempt(f, step.EndedUnsent, 0))
+	}
+	require.Equal(t, 503, x.requireAnswer(effects).Status)
+	require.True(t, shared[0].Evidence.Trials[0].Void)
+	x.now += 3 * time.Second
+	effects, _ = withoutEvidence(x.sendParts(1))
+	x.requireForward(effects)
+}
+
+// TestTrialOfAnotherDaemonCounts lets another daemon make a trial.
+func TestTrialOfAnotherDaemonCounts(t *testing.T) {
+	x := newCrashHarness(t)
+	x.condemnParts(1, 2)
+	x.reduce(step.EvidenceReceived{Evidence: quarantine.Evidence{Trials: []quarantine.Trial{{Fingerprint: quarantine.Fingerprint{Kind: quarantine.PromptPart, Hash: 1}, At: x.now}}}})
+	x.requireRefused(x.sendParts(1))
+}
+
+// TestContentWithAnyQueryIsTried condemns a request together with the same one with any query.
+func TestContentWithAnyQueryIsTried(t *testing.T) {
+	x := newCrashHarness(t)
+	send := func(query string) []step.Effect {
 		x.sent++
-		return x.reduce(step.Call{
-			ID: step.RequestID(fmt.Sprintf("r%d", x.sent)), Host: "h", Path: "/chat/1", Key: "key", Model: "m", PromptTokens: 100, BodyHash: uint64(x.sent), SharedParts: parts,
-		})
+		return x.reduce(step.Call{ID: step.RequestID(fmt.Sprintf("r%d", x.sent)), Method: "GET", Host: "h", Path: "/once/1", Query: query, Key: "key"})
 	}
-	for i := range uint64(3) {
-		x.crash(x.requireForward(send(i, 99, 99)))
+	for range 3 {
+		x.crash(x.requireForward(send("q=1")))
 		x.now += 300 * time.Millisecond
 	}
-	x.requireForward(send(0, 1, 2))
-	x.requireRefused(send(7, 99))
-	x.now += 5 * time.Second
-	x.crash(x.requireForward(send(8, 99)))
-	x.now += 5 * time.Second
-	require.Greater(t, x.requireRefused(send(9, 99)).RetryAfter, 5*time.Second, "a trial has confirmed it")
+	require.Greater(t, x.requireRefused(send("q=1")).RetryAfter, time.Minute)
+	effects, _ := withoutEvidence(send("q=2"))
+	x.endAttempt(x.requireForward(effects), step.EndedComplete, 200)
+	x.requireForward(send("q=3"))
+	require.Greater(t, x.requireRefused(send("q=1")).RetryAfter, time.Minute)
 }
--- a/internal/core/quarantine/decision.go
+++ b/internal/core/quarantine/decision.go
@@ -13,81 +13,95 @@
 	// RetryAfter is the time after which the request may be let through; zero if it may be sent
 	// now.
 	RetryAfter time.Duration
-	// Trial is set if the request is let through to find out whether it is sound. It must be
-	// sent to one host only.
-	Trial bool
+	// Tried are the condemned fingerprints of a request that is let through to find out whether it
+	// is sound; empty for any other. It must be sent to one host only, and others must know.
+	Tried []Fingerprint
 }
 
-const (
-	// maxCrashedTrials is the number of trials that may crash their hosts before there is no other
-	// until the verdict ends. A host may crash for another reason under a trial.
-	maxCrashedTrials = 3
-	// trialDelayFactor is by how much the delay grows with each trial that has crashed its host.
-	trialDelayFactor = 10
-)
+// Trial is a request with a condemned fingerprint that was let through.
+type Trial struct {
+	Fingerprint Fingerprint
+	At          time.Duration
+	// Void is set once it has ended without reaching a host.
+	Void bool
+}
 
 // Decide decides on a request with these fingerprints that is about to be sent to a host. It
 // lets one through as a trial only if mayTry is set.
 func (t *Tracker) Decide(now time.Duration, fingerprints []Fingerprint, mayTry bool) Decision {
-	var d Decision
-	var trials []*Verdict
+	var condemned []*Verdict
+	suspects := 0
 	for _, f := range fingerprints {
 		v := t.verdicts[f]
-		if v == nil {
-			continue
+		if v != nil {
+			condemned = append(condemned, v)
+		}
+		if v != nil || t.suspected[f] || f.Kind == PromptPart {
+			suspects++
 		}
+	}
+	var d Decision
+	for _, v := range condemned {
 		left := v.left(now)
-		if from, ok := t.trialFrom(v, fingerprints); ok {
-			trials = append(trials, v)
-			left = from - now
+		if !v.isCertainFor(fingerprints) {
+			left = min(left, t.trialFrom(v, fingerprints)+time.Duration(suspects-1)*t.set.JointTrialDelay-now)
 			if !mayTry {
-				left = max(left, t.set.TrialInterval)
+				left = max(left, t.set.TrialDelay)
 			}
 		}
 		if left > d.RetryAfter {
-			d.Refused, d.RetryAfter = f, left
+			d.Refused, d.RetryAfter = v.Fingerprint, left
 		}
 	}
 	if d.RetryAfter > 0 {
 		return d
 	}
-	for _, v := range trials {
-		v.tried, v.lastTrialAt, d.Trial = true, now, true
+	for _, v := range condemned {
+		v.recordTrial(now)
+		d.Tried = append(d.Tried, v.Fingerprint)
 	}
 	return d
 }
 
-// trialFrom returns the time from which a request may be let through although there is a verdict on
-// one of its fingerprints. It returns false if only the end of the verdict allows it.
-func (t *Tracker) trialFrom(v *Verdict, fingerprints []Fingerprint) (time.Duration, bool) {
-	if v.Fingerprint.Kind == Content {
-		return 0, false
-	}
+// trialFrom returns the time from which a request with a condemned fingerprint may be let through.
+// The first one is let through at once if it lacks a rival of the fingerprint.
+func (t *Tracker) trialFrom(v *Verdict, fingerprints []Fingerprint) time.Duration {
 	turn := time.Duration(t.rank(v.Fingerprint)) * t.set.TrialStep
-	crashedTrials, lastAt := v.crashedTrials(fingerprints)
 	from := v.since
-	switch {
-	case crashedTrials >= maxCrashedTrials:
-		return 0, false
-	case crashedTrials > 0:
-		from = lastAt + turn + t.set.NextTrialDelay
-		for range crashedTrials - 1 {
-			from += trialDelayFactor * t.set.NextTrialDelay
+	if v.trials > 0 {
+		wait := t.set.NextTrialDelay
+		for range v.trials - 1 {
+			wait *= trialDelayFactor
 		}
-	case !containsAll(fingerprints, v.Rivals):
-	case v.Level == 0 && !v.foreign:
-		from += turn + t.set.TrialDelay
-	default:
-		return 0, false
+		from = v.lastTrialAt + wait + turn
+	} else if containsAll(fingerprints, v.Rivals) {
+		from += t.set.TrialDelay + turn
 	}
-	if v.tried {
-		from = max(from, v.lastTrialAt+t.set.TrialInterval)
+	if v.voidTrial {
+		from = max(from, v.lastTrialAt+t.set.TrialDelay+turn)
 	}
-	return from, true
+	return from
+}
+
+// RecordTrial records a trial of another daemon, or that a trial of any daemon was void.
+func (t *Tracker) RecordTrial(tr Trial) {
+	switch v := t.verdicts[tr.Fingerprint]; {
+	case v == nil:
+	case !tr.Void:
+		v.recordTrial(tr.At)
+	default:
+		v.trials, v.voidTrial = max(0, v.trials-1), true
+	}
+}
+
+// isCertainFor reports whether enough hosts have crashed under nothing but what a request consists
+// of.
+func (v *Verdict) isCertainFor(fingerprints []Fingerprint) bool {
+	return len(v.SoleSuspects) > 0 && containsAll(fingerprints, v.SoleSuspects)
 }
 
 // CertainlyRefused reports whether a request with these fingerprints is refused without doubt:
-// none of them has a rival that the request lacks.
+// one of them is condemned, and has no rival that the request lacks.
 func (t *Tracker) CertainlyRefused(fingerprints []Fingerprint) bool {
 	for _, f := range fingerprints {
 		if v := t.verdicts[f]; v != nil && containsAll(fingerprints, v.Rivals) {
@@ -131,12 +145,10 @@
 	if _, cleared := t.lastSuccess[f]; cleared || t.suspected[f] || t.verdicts[f] != nil || len(t.verdicts) >= maxVerdicts {
 		return nil
 	}
-	t.verdicts[f] = &Verdict{
-		Fingerprint: f, Rivals: v.Rivals, Hosts: v.Hosts, Level: v.Level,
-		since: now, ttl: t.ttl(v.Level), foreign: true,
-	}
-	delete(t.probations, f)
-	return []Change{{Verdict: t.verdicts[f]}}
+	own := t.begin(now, f)
+	own.Rivals, own.SoleSuspects, own.Hosts, own.Level, own.ttl = v.Rivals, v.SoleSuspects, v.Hosts, v.Level, t.ttl(v.Level)
+	own.trials, own.lastTrialAt = adoptedTrials, now
+	return []Change{{Verdict: own}}
 }
 
 // Lift ends the verdict on a fingerprint, and forgets the crashes that led to it.
--- a/internal/core/quarantine/evidence.go
+++ b/internal/core/quarantine/evidence.go
@@ -29,9 +29,7 @@
 	// Begun is set if the host was beginning to answer the requests, as opposed to requests
 	// that may still have waited for their turn. If any daemon knows of requests that had
 	// begun, the others don't count.
-	Begun bool
-	// Tried is set if one of the requests had been let through as a trial.
-	Tried    bool
+	Begun    bool
 	Suspects []Fingerprint // distinct
 }
 
@@ -45,6 +43,7 @@
 type Evidence struct {
 	Crashes   []Crash
 	Successes []Success
+	Trials    []Trial
 }
 
 // addCrash adds what a daemon knows of a crash to what is known. It returns false if that says
@@ -60,7 +59,6 @@
 		return true
 	}
 	known := &t.crashes[i]
-	known.Tried = known.Tried || c.Tried
 	switch {
 	case known.Begun && !c.Begun:
 		return false
--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -8,9 +8,9 @@
 // A request is suspected by its fingerprints, not by its ID: a caller that sends it again uses
 // another one. Hosts crash for other reasons too, with sound requests on board. Therefore a
 // fingerprint is condemned only if enough hosts crashed at different times as they began to
-// answer requests with it, and if none of them has run well in between. Of several fingerprints
-// that the same crashes speak against, requests that have only some are let through one at a
-// time, until it is clear which one it is.
+// answer requests with it, and if none of them has run well in between. What shares requests with
+// the cause may be condemned too; so a few requests are let through as trials, first those that
+// can tell several suspects apart, and a verdict ends when one runs well.
 //
 // Daemons exchange crashes and successes; each decides by all that it knows. The package has no
 // clock, randomness or I/O.
@@ -35,16 +35,14 @@
 	// VerdictTTL is how long requests with a condemned fingerprint are refused the first time.
 	// It doubles each time that the fingerprint is condemned again, up to MaxVerdictTTL.
 	VerdictTTL, MaxVerdictTTL time.Duration
-	// TrialInterval is the least time between two requests of this daemon that are let through
-	// to find out which of several fingerprints crashes hosts.
-	TrialInterval time.Duration
-	// TrialDelay and TrialStep are when a verdict that no trial has confirmed is tried: TrialDelay
-	// after it began by the daemon of rank 0, and TrialStep later by that of each further rank.
-	// Whole contents are not tried: requests with the same content are the same request.
-	TrialDelay, TrialStep time.Duration
-	// NextTrialDelay is the delay after the first trial that has crashed its host. It grows with
-	// each further one.
-	NextTrialDelay time.Duration
+	// Requests with a condemned fingerprint are let through as trials, one for all daemons, to find
+	// out whether it is sound. TrialDelay after the verdict began the first one is let through by
+	// the daemon of rank 0, and TrialStep later by that of each further rank; at once if the request
+	// lacks a rival. The next one follows after NextTrialDelay, and later ones after longer delays.
+	// A request waits JointTrialDelay longer for each further part of its prompt and suspect that it
+	// has, since it tells less. A request is not tried if MinCrashes crashes had nothing on board but
+	// what it consists of, such as one that is sent again and again.
+	TrialDelay, TrialStep, NextTrialDelay, JointTrialDelay time.Duration
 }
 
 // Defaults returns the settings of a gateway.
@@ -52,7 +50,7 @@
 	return Settings{
 		MinCrashes: 3, MinSpan: 250 * time.Millisecond, CrashTTL: 10 * time.Minute,
 		VerdictTTL: 10 * time.Minute, MaxVerdictTTL: 24 * time.Hour,
-		TrialInterval: time.Second, TrialDelay: time.Second, TrialStep: 500 * time.Millisecond, NextTrialDelay: 10 * time.Second,
+		TrialDelay: time.Second, TrialStep: 500 * time.Millisecond, NextTrialDelay: 5 * time.Second, JointTrialDelay: 3 * time.Second,
 	}
 }
 
@@ -132,7 +130,7 @@
 			continue
 		}
 		delete(t.verdicts, f)
-		t.probations[f] = probation{level: v.Level, until: now + v.ttl}
+		t.probations[f] = probation{level: v.Level, until: now + v.ttl, soleSuspects: v.SoleSuspects}
 		t.lastSuccess[f] = now // its crashes have been paid for
 		changes = append(changes, Change{Verdict: v, Ended: EndedExpired})
 	}
--- a/internal/core/quarantine/quarantine_test.go
+++ b/internal/core/quarantine/quarantine_test.go
@@ -32,12 +32,6 @@
 	return changes
 }
 
-// crashTrial crashes a host under a trial.
-func (w *world) crashTrial(suspects ...Fingerprint) {
-	w.crashed++
-	w.RecordCrash(w.now, Crash{Host: fmt.Sprintf("h%d", w.crashed), Incarnation: 1, At: w.now, Begun: true, Tried: true, Suspects: suspects})
-}
-
 func (w *world) success(fingerprints ...Fingerprint) []Change {
 	_, changes := w.RecordSuccess(w.now, w.now, fingerprints)
 	return changes
@@ -152,47 +146,43 @@
 	require.Equal(t, []Fingerprint{x, y}, w.crashes[0].Suspects)
 }
 
-// TestRivalsAreTriedOneAtATime lets the same crashes speak against two fingerprints. A request
-// with only one of them is let through, one in each interval, until it runs well or crashes too.
-func TestRivalsAreTriedOneAtATime(t *testing.T) {
-	crashedWithBoth := func() *world {
+// TestRequestThatLacksARivalIsTriedAtOnce lets the same crashes speak against two parts. A request
+// with only one of them is let through, and decides.
+func TestRequestThatLacksARivalIsTriedAtOnce(t *testing.T) {
+	set := Defaults()
+	turn := 2 * set.TrialStep
+	for _, sound := range []bool{true, false} {
 		w := newWorld(t)
-		for range 3 {
-			w.crash(part(1), part(2))
+		for i := range uint64(3) {
+			w.crash(content(i), part(1), part(2))
 			w.now += 300 * ms
 		}
-		require.True(t, w.refused(part(1), part(2)))
-		return w
+		require.Equal(t, set.TrialDelay+set.JointTrialDelay+turn-300*ms, w.Decide(w.now, []Fingerprint{part(1), part(2)}, true).RetryAfter)
+		require.Equal(t, Decision{Refused: part(1), RetryAfter: set.TrialDelay}, w.Decide(w.now, []Fingerprint{part(1)}, false))
+		require.Equal(t, Decision{Tried: []Fingerprint{part(1)}}, w.Decide(w.now, []Fingerprint{part(1)}, true))
+		require.Equal(t, Decision{Refused: part(1), RetryAfter: set.NextTrialDelay + turn}, w.Decide(w.now, []Fingerprint{part(1)}, true))
+		if sound {
+			require.Len(t, w.success(part(1)), 1)
+			require.False(t, w.refused(part(1)))
+		} else {
+			w.crash(content(9), part(1))
+			require.True(t, w.refused(part(1)))
+		}
+		require.NotNil(t, w.verdicts[part(2)])
 	}
-	w := crashedWithBoth()
-	require.Equal(t, Decision{Refused: part(1), RetryAfter: Defaults().TrialInterval}, w.Decide(w.now, []Fingerprint{part(1)}, false))
-	require.Equal(t, Decision{Trial: true}, w.Decide(w.now, []Fingerprint{part(1)}, true))
-	w.now += 100 * ms
-	require.Equal(t, Decision{Refused: part(1), RetryAfter: Defaults().TrialInterval - 100*ms}, w.Decide(w.now, []Fingerprint{part(1)}, true))
-	require.Len(t, w.success(part(1)), 1)
-	require.False(t, w.refused(part(1)))
-	require.True(t, w.refused(part(2)), "nothing else is left to blame")
-
-	w = crashedWithBoth()
-	require.True(t, w.Decide(w.now, []Fingerprint{part(2)}, true).Trial)
-	w.RecordCrash(w.now, Crash{Host: "tried", Incarnation: 1, At: w.now, Begun: true, Tried: true, Suspects: []Fingerprint{part(2)}})
-	w.now += Defaults().TrialInterval
-	require.Greater(t, w.Decide(w.now, []Fingerprint{part(2)}, true).RetryAfter, 5*time.Second, "the other one does not explain these crashes")
-	require.True(t, w.Decide(w.now, []Fingerprint{part(1)}, true).Trial)
 }
 
-// TestStrayCrashDoesNotDecideBetweenRivals lets a host crash for another reason while it begins to
-// answer a request with one of two suspects. A second such crash decides.
-func TestStrayCrashDoesNotDecideBetweenRivals(t *testing.T) {
+// TestStrayCrashLeavesRivals lets a host crash for another reason while it begins to answer a
+// request with one of two suspects. After a second one the other is no rival any more.
+func TestStrayCrashLeavesRivals(t *testing.T) {
 	w := newWorld(t)
 	for _, suspects := range [][]Fingerprint{{part(1)}, {part(1), part(2)}, {part(1), part(2)}, {part(1), part(2)}} {
 		w.crash(suspects...)
 		w.now += 300 * ms
 	}
-	require.True(t, w.Decide(w.now, []Fingerprint{part(1)}, true).Trial)
-	w.now += Defaults().TrialInterval
+	require.Equal(t, []Fingerprint{part(2)}, w.verdicts[part(1)].Rivals)
 	w.crash(part(1))
-	require.True(t, w.refused(part(1)))
+	require.Empty(t, w.verdicts[part(1)].Rivals)
 }
 
 // TestBystanderIsFoundSound condemns a fingerprint that was on board by chance, then the one that
@@ -204,31 +194,26 @@
 		w.crash(suspects...)
 		w.now += 300 * ms
 	}
-	require.True(t, w.refused(x))
-	require.True(t, w.Decide(w.now, []Fingerprint{bystander}, true).Trial)
+	require.NotNil(t, w.verdicts[x])
+	require.NotEmpty(t, w.Decide(w.now, []Fingerprint{bystander}, true).Tried)
 	changes := w.success(bystander)
 	require.Len(t, changes, 1)
 	require.Equal(t, EndedSound, changes[0].Ended)
-	require.True(t, w.refused(x))
+	require.NotNil(t, w.verdicts[x])
 }
 
-// TestVerdictExplainsCrashes condemns a part, and lets another one that most of its requests have
-// be on board of more crashes, but of too few that the verdict does not explain.
-func TestVerdictExplainsCrashes(t *testing.T) {
+// TestVerdictHidesNoOther condemns a first part by the crashes of two others that share it. The one
+// that crashes hosts under other first parts as well must be condemned too.
+func TestVerdictHidesNoOther(t *testing.T) {
 	w := newWorld(t)
-	x, common := part(9), part(1)
-	w.crash(x)
-	for range 2 {
-		w.now += 300 * ms
-		w.crash(x, common)
-	}
-	for range 2 {
+	first, x, y := part(1), part(8), part(9)
+	for _, suspects := range [][]Fingerprint{{first, x}, {first, y}, {first, x}, {part(2), x}} {
+		w.crash(suspects...)
 		w.now += 300 * ms
-		w.crash(common)
 	}
-	require.Len(t, w.Verdicts(), 1)
-	require.Equal(t, x, w.Verdicts()[0].Fingerprint)
-	require.False(t, w.refused(common))
+	require.NotNil(t, w.verdicts[x])
+	require.True(t, w.refused(x, first))
+	require.False(t, w.refused(y))
 }
 
 // TestExpiredVerdictReturnsAtOnce lets a verdict expire. The next crash brings it back for twice
@@ -266,7 +251,7 @@
 func TestVerdictOfAnotherDaemon(t *testing.T) {
 	w := newWorld(t)
 	x, y := content(1), content(2)
-	adopted := Verdict{Fingerprint: x, Hosts: []string{"a", "b", "c"}, Level: 2}
+	adopted := Verdict{Fingerprint: x, SoleSuspects: []Fingerprint{x}, Hosts: []string{"a", "b", "c"}, Level: 2}
 	require.Len(t, w.Adopt(w.now, adopted), 1)
 	require.Empty(t, w.Adopt(w.now, adopted))
 	require.Equal(t, 4*Defaults().VerdictTTL, w.Decide(w.now, []Fingerprint{x}, true).RetryAfter)
@@ -322,55 +307,45 @@
 	}
 }
 
-// TestVerdictOnPartIsTried condemns a part of prompts that has no rival. One request is let through
-// after a while, and more with growing delays if it crashes its host too.
-func TestVerdictOnPartIsTried(t *testing.T) {
-	x := part(7)
-	for _, sound := range []bool{true, false} {
-		w := newWorld(t)
-		for range 3 {
-			w.crash(x)
-			w.now += 300 * ms
-		}
-		w.now -= 300 * ms
-		turn := 2 * Defaults().TrialStep
-		for i, delay := range []time.Duration{Defaults().TrialDelay, Defaults().NextTrialDelay, 11 * Defaults().NextTrialDelay} {
-			require.Equal(t, Decision{Refused: x, RetryAfter: delay + turn}, w.Decide(w.now, []Fingerprint{x}, true))
-			w.now += delay + turn
-			require.Equal(t, Decision{Refused: x, RetryAfter: Defaults().TrialInterval}, w.Decide(w.now, []Fingerprint{x}, false))
-			require.Equal(t, Decision{Trial: true}, w.Decide(w.now, []Fingerprint{content(uint64(i)), x}, true))
-			require.True(t, w.refused(x), "one at a time")
-			if sound {
-				break
-			}
-			w.crashTrial(x, content(uint64(i)))
-		}
-		if sound {
-			w.success(x)
-			require.False(t, w.refused(x))
-			continue
-		}
-		w.now += Defaults().VerdictTTL / 2
-		require.Greater(t, w.Decide(w.now, []Fingerprint{x}, true).RetryAfter, time.Minute)
+// TestRequestThatCrashedHostsAloneIsNotTried condemns a request that was sent again and again, with
+// a part that others share. Another request was on board of one more crash.
+func TestRequestThatCrashedHostsAloneIsNotTried(t *testing.T) {
+	w := newWorld(t)
+	request := []Fingerprint{content(1), part(2)}
+	for _, suspects := range [][]Fingerprint{request, append([]Fingerprint{content(7)}, request...), request} {
+		w.crash(suspects...)
+		w.now += 300 * ms
 	}
+	require.Less(t, w.Decide(w.now, request, true).RetryAfter, time.Minute, "the other one may be the cause")
+	w.crash(request...)
+	require.Equal(t, w.verdicts[content(1)].left(w.now), w.Decide(w.now, request, true).RetryAfter)
+	require.Less(t, w.Decide(w.now, []Fingerprint{content(3), part(2)}, true).RetryAfter, time.Minute, "another request with the part")
 }
 
-// TestTrialDecidesOnlyOnRequestsWithTheSameSuspects crashes a host under a trial that has two
-// condemned parts.
-func TestTrialDecidesOnlyOnRequestsWithTheSameSuspects(t *testing.T) {
+// TestVerdictOnPartIsTried condemns a part of prompts that has no rival. Requests with it are let
+// through after growing delays, of which each daemon makes those that are its turn.
+func TestVerdictOnPartIsTried(t *testing.T) {
+	set, x := Defaults(), part(7)
+	turn := 2 * set.TrialStep
 	w := newWorld(t)
-	x, y := part(1), part(2)
-	for range 3 {
-		w.crash(x, y)
+	for i := range uint64(3) {
+		w.crash(x, content(100+i))
 		w.now += 300 * ms
 	}
-	w.now += 5 * time.Second
-	require.True(t, w.Decide(w.now, []Fingerprint{x, y}, true).Trial)
-	w.crashTrial(x, y)
-	w.now += 5 * time.Second
-	require.True(t, w.refused(x, y))
-	require.True(t, w.Decide(w.now, []Fingerprint{x}, true).Trial, "it may be sound")
-	w.success(x)
-	require.False(t, w.refused(x))
-	require.True(t, w.refused(y), "the trial had no other suspect")
+	w.now -= 300 * ms
+	for i, delay := range []time.Duration{set.TrialDelay, set.NextTrialDelay, 10 * set.NextTrialDelay} {
+		require.Equal(t, Decision{Refused: x, RetryAfter: delay + turn}, w.Decide(w.now, []Fingerprint{x}, true))
+		w.now += delay + turn
+		require.Equal(t, Decision{Refused: x, RetryAfter: set.TrialDelay}, w.Decide(w.now, []Fingerprint{x}, false))
+		require.Equal(t, Decision{Tried: []Fingerprint{x}}, w.Decide(w.now, []Fingerprint{content(uint64(i)), x}, true))
+		w.crash(x, content(uint64(i)))
+	}
+	require.Equal(t, 100*set.NextTrialDelay+turn, w.Decide(w.now, []Fingerprint{x}, true).RetryAfter)
+
+	w.RecordTrial(Trial{Fingerprint: x, At: w.now, Void: true})
+	require.Equal(t, 10*set.NextTrialDelay+turn, w.Decide(w.now, []Fingerprint{x}, true).RetryAfter)
+	w.now += time.Second
+	w.RecordTrial(Trial{Fingerprint: x, At: w.now})
+	w.RecordTrial(Trial{Fingerprint: part(8), At: w.now})
+	require.Greater(t, w.Decide(w.now, []Fingerprint{x}, true).RetryAfter, 100*set.NextTrialDelay, "another daemon has made one")
 }
--- a/internal/relay/notify.go
+++ b/internal/relay/notify.go
@@ -130,6 +130,7 @@
 type evidenceMessage struct {
 	Crashes   []crashMessage   `json:"crashes,omitempty"`
 	Successes []successMessage `json:"successes,omitempty"`
+	Trials    []trialMessage   `json:"trials,omitempty"`
 }
 
 type crashMessage struct {
@@ -137,7 +138,6 @@
 	Incarnation int64                    `json:"incarnation"`
 	AgeMillis   int64                    `json:"ageMillis"`
 	Begun       bool                     `json:"begun,omitempty"`
-	Tried       bool                     `json:"tried,omitempty"`
 	Suspects    []quarantine.Fingerprint `json:"suspects"`
 }
 
@@ -146,14 +146,23 @@
 	AgeMillis   int64                  `json:"ageMillis"`
 }
 
+type trialMessage struct {
+	Fingerprint quarantine.Fingerprint `json:"fingerprint"`
+	AgeMillis   int64                  `json:"ageMillis"`
+	Void        bool                   `json:"void,omitempty"`
+}
+
 func encodeEvidence(now time.Duration, e quarantine.Evidence) evidenceMessage {
 	var m evidenceMessage
 	for _, c := range e.Crashes {
-		m.Crashes = append(m.Crashes, crashMessage{c.Host, c.Incarnation, (now - c.At).Milliseconds(), c.Begun, c.Tried, c.Suspects})
+		m.Crashes = append(m.Crashes, crashMessage{c.Host, c.Incarnation, (now - c.At).Milliseconds(), c.Begun, c.Suspects})
 	}
 	for _, s := range e.Successes {
 		m.Successes = append(m.Successes, successMessage{s.Fingerprint, (now - s.At).Milliseconds()})
 	}
+	for _, t := range e.Trials {
+		m.Trials = append(m.Trials, trialMessage{t.Fingerprint, (now - t.At).Milliseconds(), t.Void})
+	}
 	return m
 }
 
@@ -161,10 +170,13 @@
 	var e quarantine.Evidence
 	at := func(ageMillis int64) time.Duration { return now - time.Duration(max(0, ageMillis))*time.Millisecond }
 	for _, c := range m.Crashes {
-		e.Crashes = append(e.Crashes, quarantine.Crash{Host: c.Host, Incarnation: c.Incarnation, At: at(c.AgeMillis), Begun: c.Begun, Tried: c.Tried, Suspects: c.Suspects})
+		e.Crashes = append(e.Crashes, quarantine.Crash{Host: c.Host, Incarnation: c.Incarnation, At: at(c.AgeMillis), Begun: c.Begun, Suspects: c.Suspects})
 	}
 	for _, s := range m.Successes {
 		e.Successes = append(e.Successes, quarantine.Success{Fingerprint: s.Fingerprint, At: at(s.AgeMillis)})
 	}
+	for _, t := range m.Trials {
+		e.Trials = append(e.Trials, quarantine.Trial{Fingerprint: t.Fingerprint, At: at(t.AgeMillis), Void: t.Void})
+	}
 	return e
 }
--- a/internal/stub/soak/calls.go
+++ b/internal/stub/soak/calls.go
@@ -43,6 +43,7 @@
 	Daemon     int
 	Route      int // number of the extra route of a probe
 	Path, Body string
+	Parts      string // of the prompt of a chat request
 	// crasher is the name of the crasher to which the request belongs; empty for a sound one.
 	crasher string
 	SentAt  time.Time
@@ -71,23 +72,23 @@
 	if kind == probe {
 		c.Path = fmt.Sprintf("/extra-%d/%s", route, id)
 	}
+	if kind == chat {
+		c.Parts = promptParts(id, "")
+	}
 	return r.sendPrepared(ctx, d, c, disconnectAfter)
 }
 
 func newCallID(kind callKind) string { return fmt.Sprintf("%s-%d", kind, lastCallNumber.Add(1)) }
 
-// sendPrepared is sendCall for a request that lacks its daemon, and its ID if that is empty.
+// sendPrepared is sendCall for a request that lacks its daemon.
 func (r *run) sendPrepared(ctx context.Context, d *daemon, c *call, disconnectAfter time.Duration) outcome {
 	c.Daemon = d.index
-	if c.ID == "" {
-		c.ID = newCallID(c.Kind)
-	}
 	header := map[string]string{
 		"X-Request-Id": c.ID, "X-Credential": site.Key, "X-Deadline-Ms": strconv.FormatInt(requestDeadline.Milliseconds(), 10),
 		"X-Tenant": "forged", "X-Expect-Instance": "forged",
 	}
 	if c.Kind == chat {
-		header["X-Model"], header["X-Token-Count"] = site.Model, "100,100"
+		header["X-Model"], header["X-Token-Count"], header["X-Prefix-Hash"] = site.Model, "100,100", c.Parts
 	}
 	timeout := requestDeadline + deadlineGrace
 	if disconnectAfter > 0 {
--- a/internal/stub/soak/crashers.go
+++ b/internal/stub/soak/crashers.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/rendezvous"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/stub/site"
 )
 
@@ -16,6 +17,9 @@
 	// CrashingRequest is one request that crashes each server that begins to answer it, and that
 	// callers send again and again to any daemon.
 	CrashingRequest Kind = "crashing-request"
+	// CrashingPart is a part of prompts that crashes each server that begins to answer a request
+	// with it, whatever else the request has. Sound requests have the same first parts.
+	CrashingPart Kind = "crashing-part"
 
 	// The request is sent every minCrashInterval to maxCrashInterval. A server is down for
 	// minDowntime to maxDowntime.
@@ -24,10 +28,24 @@
 	// After so many crashes and propagation, at most maxSentAfterVerdict further requests may
 	// reach servers from daemons that are not disturbed.
 	crashesOfRequest    = 3
+	crashesOfPart       = 5
 	verdictPropagation  = 3 * time.Second
 	maxSentAfterVerdict = 3
+	// From soundServedAfter after the last of these crashes on, less than half of the sound requests
+	// with the same first parts may be refused for the part, if there are minSoundRequests.
+	soundServedAfter = 2 * verdictPropagation
+	minSoundRequests = 20
+	// firstParts is the number of first parts of prompts.
+	firstParts = 3
 )
 
+// promptParts returns the parts of the prompt of a chat request: a first part that many share,
+// further ones, and one of its own.
+func promptParts(id string, further string) string {
+	h := rendezvous.Hash(id)
+	return fmt.Sprintf("f%d:40%s,%x:60", h%firstParts, further, h)
+}
+
 // crashCatalogue has the kinds of requests that crash servers; see Draw.
 var crashCatalogue = []kindSpec{
 	{CrashingRequest, false, 9 * time.Second, func(r *run, f Fault) func() {
@@ -35,7 +53,16 @@
 		kind := []callKind{chat, write, read}[f.Pick%3]
 		path, body := fmt.Sprintf("/%s/%s?q=%%2F", kind, name), "body of "+name
 		return r.sendCrashers(f, &crasher{name: name, bound: crashesOfRequest}, func(req *http.Request, b string) bool { return req.URL.RequestURI() == path && b == body },
-			func() *call { return &call{Kind: kind, Path: path, Body: body} })
+			func() *call { return &call{ID: newCallID(kind), Kind: kind, Path: path, Body: body} })
+	}},
+	{CrashingPart, false, 16 * time.Second, func(r *run, f Fault) func() {
+		part := fmt.Sprintf(",%x:10,", f.Pick)
+		return r.sendCrashers(f, &crasher{name: "crash" + part, bound: crashesOfPart, sharesParts: true},
+			func(req *http.Request, _ string) bool { return strings.Contains(req.Header.Get("X-Prefix-Hash"), part) },
+			func() *call {
+				id := newCallID(chat)
+				return &call{ID: id, Kind: chat, Path: "/chat/" + id, Body: "body of " + id, Parts: promptParts(id, strings.TrimSuffix(part, ","))}
+			})
 	}},
 }
 
@@ -44,6 +71,9 @@
 type crasher struct {
 	name  string
 	bound int
+	// sharesParts is set if sound requests have parts of the crashing ones, and may be refused for a
+	// while.
+	sharesParts bool
 }
 
 // sendCrashers lets requests crash servers and sends such requests until the returned function is
@@ -89,17 +119,17 @@
 			sent[c.crasher] = append(sent[c.crasher], a)
 		}
 	}
+	crashesOf := make(map[string][]time.Time)
+	for _, crash := range crashes {
+		crashesOf[crash.Crasher] = append(crashesOf[crash.Crasher], crash.At)
+	}
+	k.checkSoundServed(crashesOf)
 	for _, x := range k.crashers {
-		var at []time.Time
-		for _, crash := range crashes {
-			if crash.Crasher == x.name {
-				at = append(at, crash.At)
-			}
-		}
+		at := crashesOf[x.name]
+		slices.SortFunc(at, time.Time.Compare)
 		if len(at) < x.bound {
 			continue
 		}
-		slices.SortFunc(at, time.Time.Compare)
 		from, n := at[x.bound-1].Add(verdictPropagation), 0
 		for _, a := range sent[x.name] {
 			if a.At.After(from) && k.inTouch(k.calls[a.Request].Daemon, at[0], a.At) {
@@ -112,6 +142,44 @@
 	}
 }
 
+// checkSoundServed checks that not too many sound requests are refused for a part that they share
+// with crashing ones, as long as such requests come. It judges requests that were sent
+// soundServedAfter or more after the first crashes of each crasher that had begun. The caller holds
+// mu.
+func (k *checker) checkSoundServed(crashesOf map[string][]time.Time) {
+	var unsettled [][2]time.Time
+	firstCrash := time.Now()
+	for _, x := range k.crashers {
+		at := crashesOf[x.name]
+		if !x.sharesParts || len(at) == 0 {
+			continue
+		}
+		slices.SortFunc(at, time.Time.Compare)
+		unsettled = append(unsettled, [2]time.Time{at[0], at[min(len(at), x.bound)-1].Add(soundServedAfter)})
+		if at[0].Before(firstCrash) {
+			firstCrash = at[0]
+		}
+	}
+	sent, refused := 0, 0
+	for _, c := range k.calls {
+		if c.Kind != chat || c.crasher != "" || c.EndedAt.IsZero() || c.SentAt.Before(firstCrash) || !k.inTouch(c.Daemon, firstCrash, c.EndedAt) {
+			continue
+		}
+		if slices.ContainsFunc(unsettled, func(t [2]time.Time) bool { return c.EndedAt.After(t[0]) && c.SentAt.Before(t[1]) }) {
+			continue
+		}
+		sent++
+		if wasQuarantined(c) {
+			refused++
+		}
+	}
+	if sent >= minSoundRequests && 2*refused > sent {
+		k.addFindingLocked("sound", "most sound requests are refused for their parts, from %s after the first crashes on", soundServedAfter)
+	}
+}
+
+func wasQuarantined(c *call) bool { return strings.Contains(c.Answer.Body, `"quarantined"`) }
+
 // inTouch reports whether a daemon must know what others have found out since the first crash. A
 // disturbance of the store alone does not excuse it if no daemon was disturbed since.
 func (k *checker) inTouch(daemon int, firstCrash, at time.Time) bool {
@@ -121,9 +189,11 @@
 	return !k.timeline.daemonsDisturbed(firstCrash, at)
 }
 
-// checkQuarantined checks that a refusal as a request that crashes servers meets no other.
+// checkQuarantined checks that a refusal as a request that crashes servers meets no request that
+// shares nothing with one. The caller holds mu.
 func (k *checker) checkQuarantined(c *call) {
-	if c.crasher == "" && strings.Contains(c.Answer.Body, `"quarantined"`) {
+	mayShare := c.Kind == chat && slices.ContainsFunc(k.crashers, func(x *crasher) bool { return x.sharesParts })
+	if c.crasher == "" && !mayShare && wasQuarantined(c) {
 		k.addFindingLocked("sound", "%s was refused as a request that crashes servers", c.ID)
 	}
 }
