--- a/internal/stub/soak/crashers_test.go
+++ b/internal/stub/soak/crashers_test.go
@@ -59,3 +59,41 @@
 	h.request(read, refuse)
 	require.Equal(t, []string{"sound"}, promises(h.findings))
 }
+
+// TestRefusedPromptsAreFound refuses sound chat requests beside a part that crashes servers.
+func TestRefusedPromptsAreFound(t *testing.T) {
+	const second = time.Second
+	for name, c := range map[string]struct {
+		from    time.Duration // of the first of 30 requests, 0.1 s apart
+		refused int
+		another time.Duration // crash under another part; zero for none
+		found   bool
+	}{
+		"half of them":                {9 * second, 15, 0, false},
+		"most of them":                {9 * second, 16, 0, true},
+		"soon after the crashes":      {5 * second, 30, 0, false},
+		"another part, later":         {9 * second, 30, 20 * second, true},
+		"another part, a moment ago":  {9 * second, 30, 7 * second, false},
+		"another part, some time ago": {9 * second, 30, 2 * second, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newCheckerTest()
+			crashes := []site.Crash{{Crasher: "x", At: h.now}, {Crasher: "x", At: h.now.Add(2 * second)}}
+			h.recordCrasher(&crasher{name: "x", bound: 5, sharesParts: true})
+			h.recordCrasher(&crasher{name: "y", bound: 5, sharesParts: true})
+			if c.another > 0 {
+				crashes = append(crashes, site.Crash{Crasher: "y", At: h.now.Add(c.another)})
+			}
+			for i := range 30 {
+				r := &call{ID: newCallID(chat), Kind: chat, SentAt: h.now.Add(c.from + time.Duration(i)*100*time.Millisecond)}
+				r.EndedAt = r.SentAt.Add(time.Millisecond)
+				if i < c.refused {
+					r.Answer.Body = `{"error":{"code":"quarantined"}}`
+				}
+				h.recordSent(r)
+			}
+			h.checkCrashers(crashes, nil)
+			require.Equal(t, c.found, len(h.findings) > 0, "%v", h.findings)
+		})
+	}
+}
