gateway: bytes without end and answers that end with their connection

The body of a refusal was read until the deadline (6 s). - A stream without any event was never answered: complete ones are, and one that has neither a length nor chunks counts as broken, since a server that crashes ends its connection too.

Now each has a bound, and all that is held beyond 64 KiB an answer shares a fifth of the memory setting, so that endless answers leave small ones room.

Ruled out: a lower bound for each answer alone (60 at once of 1 MiB are too much for small hosts).

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -23,8 +23,11 @@
 	// counts as broken.
 	maxAnswerBytes = 16 << 20
 	// maxEventBytes bounds one event of a stream; a stream with a larger one counts as broken.
-	// It also bounds how much of a refusal's body is read to reuse the connection.
 	maxEventBytes = 1 << 20
+	// A refusal's body is read so that its connection can be reused, if it has no more than
+	// maxRefusalBytes and arrives within refusalTimeout.
+	maxRefusalBytes = 4 << 10
+	refusalTimeout  = 20 * time.Millisecond
 	// stallReportInterval is the time between two reports to the reducer of the same attempt
 	// that still receives nothing.
 	stallReportInterval = 100 * time.Millisecond
@@ -43,7 +46,7 @@
 	a.result.ID, a.result.Attempt, a.result.Delivered = f.ID, f.Attempt, x.eventsDelivered
 	ctx, cancel := context.WithTimeout(ctx, f.Deadline-x.daemon.clock())
 	defer cancel()
-	a.ctx = ctx
+	a.ctx, a.cancel = ctx, cancel
 	a.result.Ending = a.run()
 	countAttemptEnd(a.result.Ending)
 	a.result.Delivered = x.eventsDelivered
@@ -56,6 +59,7 @@
 	exchange       *exchange
 	forward        step.Forward
 	ctx            context.Context
+	cancel         context.CancelFunc // of ctx
 	result         step.ForwardEnded
 	targetActiveAt *atomic.Int64 // when the target last sent something; shared by its attempts
 	// stallTimer fires when the target has sent nothing for too long. ended keeps a timer that
@@ -91,8 +95,9 @@
 		return step.EndedWrongAttempt
 	case header.NotRun:
 		a.result.Load = header.Load
-		// Reading the rest of a short answer lets the connection be reused.
-		_, _ = io.CopyN(io.Discard, resp.Body, maxEventBytes)
+		timer := time.AfterFunc(refusalTimeout, a.cancel)
+		defer timer.Stop()
+		_, _ = io.CopyN(io.Discard, resp.Body, maxRefusalBytes) // an error leaves the connection unused
 		return step.EndedRefused
 	}
 	a.exchange.daemon.Post(step.AnswerBegan{ID: a.forward.ID, Attempt: a.forward.Attempt, Load: header.Load})
@@ -188,14 +193,17 @@
 
 // bufferAnswer reads the complete answer and buffers it for the reducer to decide on.
 func (a *attempt) bufferAnswer(resp *http.Response) step.Ending {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	held := &buffer{budget: a.exchange.daemon.buffers}
+	body, err := io.ReadAll(io.LimitReader(&budgetedReader{Reader: resp.Body, buffer: held}, maxAnswerBytes+1))
 	if err != nil {
+		held.release()
 		return a.classifyError(err)
 	}
 	if len(body) > maxAnswerBytes || resp.StatusCode < 300 && resp.Header.Get("Content-Encoding") != "" {
+		held.release()
 		return step.EndedBroken // callers request no encoding: the body is not the target's own
 	}
-	a.exchange.buffered = &bufferedAnswer{status: resp.StatusCode, header: resp.Header, body: body}
+	a.exchange.hold(&bufferedAnswer{status: resp.StatusCode, header: resp.Header, body: body, held: held})
 	if resp.StatusCode >= http.StatusInternalServerError {
 		return step.EndedError
 	}
@@ -207,19 +215,29 @@
 func (a *attempt) relayStream(resp *http.Response) step.Ending {
 	a.startStallTimer(a.forward.EventGapTimeout)
 	in := bufio.NewReader(resp.Body)
+	held := &buffer{budget: a.exchange.daemon.buffers}
+	defer held.release()
 	var pending []byte
+	lineBegan := 0 // index in pending
 	for {
-		line, err := in.ReadBytes('\n')
-		pending = append(pending, line...)
+		piece, err := in.ReadSlice('\n')
+		pending = append(pending, piece...)
 		if len(pending) > maxEventBytes {
 			return step.EndedBroken
 		}
-		if err == io.EOF && len(bytes.TrimSpace(pending)) == 0 {
-			return step.EndedComplete
+		if err := held.grow(len(pending)); err != nil {
+			return a.classifyError(err)
 		}
-		if err != nil {
+		switch {
+		case errors.Is(err, bufio.ErrBufferFull):
+			continue // the line is longer than the reader's buffer
+		case err == io.EOF && len(bytes.TrimSpace(pending)) == 0:
+			return a.endStream(resp)
+		case err != nil:
 			return a.classifyError(err)
 		}
+		line := pending[lineBegan:]
+		lineBegan = len(pending)
 		if len(bytes.TrimRight(line, "\r\n")) > 0 {
 			continue
 		}
@@ -232,8 +250,21 @@
 			a.exchange.daemon.Post(step.CallerGone{ID: a.forward.ID})
 			return step.EndedCancelled
 		}
-		pending = pending[:0]
+		pending, lineBegan = pending[:0], 0
+	}
+}
+
+// endStream ends a stream whose last event is complete. A stream without any event is complete
+// only if its framing says so: a target that has crashed ends its connection too.
+func (a *attempt) endStream(resp *http.Response) step.Ending {
+	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+	switch {
+	case !a.started && !framed:
+		return step.EndedBroken
+	case !a.exchange.streamStarted:
+		a.exchange.hold(&bufferedAnswer{status: resp.StatusCode, header: resp.Header, held: &buffer{budget: a.exchange.daemon.buffers}})
 	}
+	return step.EndedComplete
 }
 
 // deliverEvent writes one complete event to the caller. It skips an event that the caller
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -64,9 +64,9 @@
 	// daemon ended; the setting ShutdownTimeout bounds the time before. Connections that are
 	// still open after it are closed.
 	finalWriteTimeout = 300 * time.Millisecond
-	// maxHeaderBytes bounds the header of a caller's request, and headerTimeout the reading of
-	// a header on every listener. Both are fixed: the header limits of the configuration are
-	// not applied.
+	// maxHeaderBytes bounds the header of a caller's request and of a target's answer, and
+	// headerTimeout the reading of a header on every listener. Both are fixed: the header limits
+	// of the configuration are not applied.
 	maxHeaderBytes = 64 << 10
 	headerTimeout  = 10 * time.Second
 )
@@ -92,6 +92,7 @@
 	isLeaseHolder atomic.Bool // this daemon orders the groups of engines
 	targets       *targets
 	notifier      *relay.Notifier
+	buffers       *bufferBudget
 	idleConns     idleConns
 	background    sync.WaitGroup
 }
@@ -106,7 +107,7 @@
 	d := &Daemon{
 		settings: set, log: log, platform: p, incarnation: id.String(), clock: clock,
 		events: make(chan step.Event, eventQueueSize), reducerDone: make(chan struct{}),
-		targets: newTargets(clock), notifier: relay.NewNotifier(clock),
+		targets: newTargets(clock), notifier: relay.NewNotifier(clock), buffers: newBufferBudget(set.MemoryMiB),
 	}
 	d.state = core.New(core.Settings{
 		Daemon: set.Daemon, Incarnation: d.incarnation, DataCentre: set.DataCentre, Cores: set.Cores,
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -74,6 +74,15 @@
 	status int
 	header http.Header
 	body   []byte
+	held   *buffer // the memory of body
+}
+
+// hold keeps an answer in place of an earlier one; nil keeps none.
+func (x *exchange) hold(a *bufferedAnswer) {
+	if x.buffered != nil {
+		x.buffered.held.release()
+	}
+	x.buffered = a
 }
 
 // readBody reads the request's body. If that fails, it sends an error answer and returns
@@ -178,11 +187,13 @@
 	if _, err := x.w.Write(x.buffered.body); err != nil {
 		x.daemon.log.Debug("caller disconnected before its answer was written", "request", x.callerID, "error", err)
 	}
+	x.hold(nil)
 }
 
 // sendError sends an error answer of the daemon itself. If a stream has started, it aborts the
 // connection instead, so that the caller can't mistake the stream for a complete one.
 func (x *exchange) sendError(a step.Answer) {
+	x.hold(nil)
 	if x.streamStarted {
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/gateway/targets.go
+++ b/internal/gateway/targets.go
@@ -49,7 +49,7 @@
 	}
 	return &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConnsPerTarget, IdleConnTimeout: idleConnTimeout,
-		DisableCompression: true,
+		DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 }
 
--- a/internal/stub/site/server.go
+++ b/internal/stub/site/server.go
@@ -79,6 +79,14 @@
 	Status int
 	// Hang withholds all answers until the callers disconnect.
 	Hang bool
+	// Endless is what the server sends without end instead of an answer; empty for none.
+	Endless Endless
+	// Unframed ends answers with their connections: they have neither a length nor chunks.
+	Unframed bool
+	// BreakInEvent ends the connection in the middle of a stream's event with this number, and
+	// NoEvents before the first one. 0 and false end no stream.
+	BreakInEvent int
+	NoEvents     bool
 	// OrderDelay is the time from the arrival of an order until it is carried out, without an
 	// answer. 0 carries out and answers orders at once.
 	OrderDelay time.Duration
@@ -408,6 +416,9 @@
 	run := v.site.beginRun(v, r, string(body))
 	defer v.site.endRun(run)
 	h.Set("X-Server-Stamp", v.ID+"."+id)
+	if faults.Unframed {
+		h.Set("Transfer-Encoding", "identity") // net/http ends such an answer with its connection
+	}
 	if c := v.site.crasherOf(r, string(body)); c != nil {
 		v.crashUnder(c, w, id, arrival.Born)
 	}
@@ -415,18 +426,20 @@
 	case faults.Hang:
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
+	case faults.Endless != "":
+		v.sendEndless(w, faults.Endless)
 	case faults.Status != 0:
 		w.WriteHeader(faults.Status)
 	case v.Domain == "":
 		_, _ = fmt.Fprintf(w, "%s ran %s for %s", v.ID, id, r.Header.Get("X-Tenant"))
 	default:
-		v.stream(w, r, m, id)
+		v.stream(w, r, m, id, faults)
 	}
 }
 
 // stream sends the events of a request that follow the last one that the caller has. It aborts
 // the stream when the group no longer serves.
-func (v *Server) stream(w http.ResponseWriter, r *http.Request, m *Membership, id string) {
+func (v *Server) stream(w http.ResponseWriter, r *http.Request, m *Membership, id string, faults Faults) {
 	v.mu.Lock()
 	v.streams++
 	v.mu.Unlock()
@@ -437,10 +450,17 @@
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	out := http.NewResponseController(w)
+	if faults.NoEvents {
+		return
+	}
 	for ; next <= Events; next++ {
 		if !v.waitForNextEvent(r.Context(), m) {
 			panic(http.ErrAbortHandler)
 		}
+		if next == faults.BreakInEvent {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: %s.", next, id)
+			return
+		}
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s.%d\n\n", next, id, next); err != nil || out.Flush() != nil {
 			return
 		}
