--- a/internal/core/gateway/calls.go
+++ b/internal/core/gateway/calls.go
@@ -138,7 +138,7 @@
 // the fallback answer or, if that is empty or no attempt may have run, with a refusal.
 func (s *State) sendToTarget(now time.Duration, c *call, fallback step.Answer, out *step.Out) {
 	request := s.placement(now, c)
-	decision := s.quarantineDecision(now, c, c.attempts == 0 && s.targets.Peek(now, request).Target != nil)
+	decision := s.quarantineDecision(now, c, c.attempts == 0)
 	if decision.RetryAfter > 0 {
 		s.endQuarantined(now, c, decision, fallback, out)
 		return
--- a/internal/core/gateway/crashes.go
+++ b/internal/core/gateway/crashes.go
@@ -322,6 +322,7 @@
 	if !s.crashes.tracker.HasVerdicts() || len(c.tried) > 0 && c.reachedAttempts() == 0 {
 		return quarantine.Decision{}
 	}
+	mayTry = mayTry && s.targets.Peek(now, s.placement(now, c)).Target != nil
 	return s.crashes.tracker.Decide(now, c.fingerprints(), mayTry)
 }
 
--- a/internal/core/quarantine/quarantine_test.go
+++ b/internal/core/quarantine/quarantine_test.go
@@ -349,3 +349,30 @@
 	w.RecordTrial(Trial{Fingerprint: part(8), At: w.now})
 	require.Greater(t, w.Decide(w.now, []Fingerprint{x}, true).RetryAfter, 100*set.NextTrialDelay, "another daemon has made one")
 }
+
+// BenchmarkDecide decides on a request with two shared parts beside as many verdicts as there may be.
+func BenchmarkDecide(b *testing.B) {
+	t := New(Defaults(), func(Fingerprint) int { return 0 })
+	for i := range uint64(maxVerdicts) {
+		t.Adopt(0, Verdict{Fingerprint: part(1000 + i)})
+	}
+	request := []Fingerprint{content(1), part(2), part(3)}
+	for b.Loop() {
+		t.Decide(time.Second, request, true)
+	}
+}
+
+// BenchmarkEvaluate evaluates as many crashes and suspects as are remembered.
+func BenchmarkEvaluate(b *testing.B) {
+	t := New(Defaults(), func(Fingerprint) int { return 0 })
+	for i := range maxCrashes {
+		c := Crash{Host: fmt.Sprint(i), At: time.Duration(i) * time.Second, Begun: true}
+		for j := range maxSuspects {
+			c.Suspects = append(c.Suspects, content(uint64(i*maxSuspects+j)))
+		}
+		t.RecordCrash(c.At, c)
+	}
+	for b.Loop() {
+		t.evaluate(maxCrashes * time.Second)
+	}
+}
--- a/internal/stub/soak/crashers.go
+++ b/internal/stub/soak/crashers.go
@@ -20,6 +20,10 @@
 	// CrashingPart is a part of prompts that crashes each server that begins to answer a request
 	// with it, whatever else the request has. Sound requests have the same first parts.
 	CrashingPart Kind = "crashing-part"
+	// ServerEndless is a server that sends bytes without end instead of answers. ServerUnframed is
+	// one whose answers end with their connections, some streams in the middle of an event.
+	ServerEndless  Kind = "server-endless"
+	ServerUnframed Kind = "server-unframed"
 
 	// The request is sent every minCrashInterval to maxCrashInterval. A server is down for
 	// minDowntime to maxDowntime.
@@ -66,6 +70,17 @@
 	}},
 }
 
+// answerCatalogue has the kinds of answers that are none, or that are framed in another way.
+var answerCatalogue = []kindSpec{
+	{ServerEndless, false, 4 * time.Second, func(r *run, f Fault) func() {
+		parts := []site.Endless{site.EndlessHead, site.EndlessBody, site.EndlessEvent, site.EndlessRefusal}
+		return r.failServer(f, site.Faults{Endless: parts[f.Pick%uint64(len(parts))]})
+	}},
+	{ServerUnframed, false, 6 * time.Second, func(r *run, f Fault) func() {
+		return r.failServer(f, site.Faults{Unframed: true, BreakInEvent: int(f.Pick % (2 * site.Events))})
+	}},
+}
+
 // crasher is a kind of request that crashes servers, with the number of crashes after which
 // daemons must refuse it.
 type crasher struct {
--- a/internal/stub/soak/plan.go
+++ b/internal/stub/soak/plan.go
@@ -100,10 +100,13 @@
 	plannedInterval = 4 * time.Second
 )
 
+// catalogues are the series of kinds of disturbances, in the order in which they were added.
+var catalogues = [][]kindSpec{catalogue, laterCatalogue, crashCatalogue, answerCatalogue}
+
 // Kinds returns all kinds of disturbances.
 func Kinds() []Kind {
 	var kinds []Kind
-	for _, t := range slices.Concat(catalogue, laterCatalogue, crashCatalogue) {
+	for _, t := range slices.Concat(catalogues...) {
 		kinds = append(kinds, t.kind)
 	}
 	return kinds
@@ -126,7 +129,7 @@
 // disturb the servers most of the time, which excuses daemons from other promises.
 func Draw(seed uint64, length time.Duration, kinds []Kind) []Fault {
 	var faults []Fault
-	for series, specs := range [][]kindSpec{catalogue, laterCatalogue, crashCatalogue} {
+	for series, specs := range catalogues {
 		if series == crashSeries && len(kinds) == 0 && seed%2 == 0 {
 			continue
 		}
--- a/internal/stub/soak/soak.go
+++ b/internal/stub/soak/soak.go
@@ -224,7 +224,7 @@
 }
 
 func (r *run) disturb(f Fault) {
-	for _, t := range slices.Concat(catalogue, laterCatalogue, crashCatalogue) {
+	for _, t := range slices.Concat(catalogues...) {
 		if t.kind != f.Kind {
 			continue
 		}
