gateway: successes count before a crash condemns; breaks after a probe are probed again

A crash began verdicts before the streams under way that clear its suspects had been recorded: the verdict began, cancelled waiting attempts and ended in one step. Recording and evaluating are two steps now. An attempt that broke between a probe and its answer 'accepted' was forgotten; its host is probed again. The rank of a daemon uses hashes of names made once.

--- a/internal/core/gateway/crashes.go
+++ b/internal/core/gateway/crashes.go
@@ -42,7 +42,8 @@
 type brokenAttempt struct {
 	request      step.RequestID
 	attempt      step.AttemptID
-	incarnation  int64 // of the host, when the attempt was sent
+	address      string // of the host
+	incarnation  int64  // of the host, when the attempt was sent
 	at           time.Duration
 	begun        bool
 	fingerprints []quarantine.Fingerprint
@@ -63,7 +64,7 @@
 }
 
 // CondemnedFingerprints returns the number of fingerprints whose requests are refused.
-func (s *State) CondemnedFingerprints() int { return len(s.crashes.tracker.Verdicts()) }
+func (s *State) CondemnedFingerprints() int { return s.crashes.tracker.VerdictCount() }
 
 // fingerprints returns what identifies a request to the quarantine.
 func (c *call) fingerprints() []quarantine.Fingerprint {
@@ -109,7 +110,7 @@
 		out.Add(step.ProbeHost{Host: c.host, Address: c.address})
 	}
 	s.crashes.broken[c.host] = append(s.crashes.broken[c.host], brokenAttempt{
-		request: c.req.ID, attempt: c.attempt, incarnation: c.incarnation, at: now, begun: begun, fingerprints: c.fingerprints(),
+		request: c.req.ID, attempt: c.attempt, address: c.address, incarnation: c.incarnation, at: now, begun: begun, fingerprints: c.fingerprints(),
 	})
 	return true
 }
@@ -121,10 +122,18 @@
 }
 
 // onProbed decides whether a host has crashed under the attempts that broke there, and goes on
-// with the requests that wait for it.
+// with the requests that wait for it. Attempts that broke after the probe was accepted need another.
 func (s *State) onProbed(now time.Duration, e step.HostProbed, out *step.Out) {
 	attempts := s.crashes.broken[e.Host]
 	delete(s.crashes.broken, e.Host)
+	if e.Result == step.ProbeAccepted {
+		later := slices.IndexFunc(attempts, func(a brokenAttempt) bool { return a.at > e.Sent })
+		if later >= 0 {
+			s.crashes.broken[e.Host] = attempts[later:]
+			attempts = attempts[:later]
+			out.Add(step.ProbeHost{Host: e.Host, Address: s.crashes.broken[e.Host][0].address})
+		}
+	}
 	if e.Result == step.ProbeRefused {
 		for _, c := range crashesOf(e.Host, attempts) {
 			s.learnCrash(now, c, true, out)
@@ -169,14 +178,13 @@
 
 // learnCrash records a crash that this daemon has found itself, or that another one reports.
 func (s *State) learnCrash(now time.Duration, c quarantine.Crash, own bool, out *step.Out) {
-	changes, isNew := s.crashes.tracker.RecordCrash(now, c)
-	if !isNew {
+	if !s.crashes.tracker.RecordCrash(now, c) {
 		return
 	}
 	out.Log(event.TargetDied, event.F("host", c.Host), event.F("incarnation", c.Incarnation), event.F("own", own), event.F("begun", c.Begun),
 		event.F("suspects", names(c.Suspects)), event.F("ageMillis", (now-c.At).Milliseconds()))
 	s.recordRunningStreams(now, out)
-	s.applyVerdicts(now, changes, own, out)
+	s.applyVerdicts(now, s.crashes.tracker.Evaluate(now), own, out)
 	if !own {
 		return
 	}
@@ -216,12 +224,13 @@
 	}
 	for _, success := range e.Successes {
 		f := success.Fingerprint
-		_, changes := s.crashes.tracker.RecordSuccess(now, success.At, []quarantine.Fingerprint{f})
-		s.applyVerdicts(now, changes, false, out)
+		_, ended := s.crashes.tracker.RecordSuccess(success.At, []quarantine.Fingerprint{f})
+		s.applyVerdicts(now, ended, false, out)
 		if own, ok := s.crashes.successes[f]; ok && own.at <= success.At {
 			delete(s.crashes.successes, f)
 		}
 	}
+	s.applyVerdicts(now, s.crashes.tracker.Evaluate(now), false, out)
 }
 
 // recordSuccess records that a request ran well at a time, which clears what it is suspected of.
@@ -229,20 +238,20 @@
 	if s.crashes.tracker.Idle() {
 		return
 	}
-	cleared, changes := s.crashes.tracker.RecordSuccess(now, at, c.fingerprints())
+	cleared, ended := s.crashes.tracker.RecordSuccess(at, c.fingerprints())
 	for _, f := range cleared {
 		delay := min(time.Duration(s.rankFor(f))*successShareStep, maxSuccessShareDelay)
 		s.crashes.successes[f] = unsharedSuccess{at: at, dueAt: now + delay}
 	}
-	s.applyVerdicts(now, changes, true, out)
+	s.applyVerdicts(now, ended, true, out)
 }
 
 // rankFor is the rank of this daemon among all for a duty about a fingerprint.
 func (s *State) rankFor(f quarantine.Fingerprint) int {
 	own := rendezvous.Score(rendezvous.Hash(s.settings.Daemon), f.Hash, 0)
 	rank := 0
-	for name := range s.daemonAddresses {
-		if rendezvous.Score(rendezvous.Hash(name), f.Hash, 0) > own {
+	for _, h := range s.daemonHashes {
+		if rendezvous.Score(h, f.Hash, 0) > own {
 			rank++
 		}
 	}
@@ -319,7 +328,7 @@
 // quarantineDecision decides whether a request may be sent to a host. A trial may go on until it
 // has reached one.
 func (s *State) quarantineDecision(now time.Duration, c *call, mayTry bool) quarantine.Decision {
-	if !s.crashes.tracker.HasVerdicts() || len(c.tried) > 0 && c.reachedAttempts() == 0 {
+	if s.crashes.tracker.VerdictCount() == 0 || len(c.tried) > 0 && c.reachedAttempts() == 0 {
 		return quarantine.Decision{}
 	}
 	mayTry = mayTry && s.targets.Peek(now, s.placement(now, c)).Target != nil
--- a/internal/core/gateway/crashes_test.go
+++ b/internal/core/gateway/crashes_test.go
@@ -372,3 +372,43 @@
 	x.requireForward(send("q=3"))
 	require.Greater(t, x.requireRefused(send("q=1")).RetryAfter, time.Minute)
 }
+
+// TestBreakAfterProbeIsProbedAgain lets one attempt break at a host, and another one between the
+// probe and its answer, which says that the host accepts connections.
+func TestBreakAfterProbeIsProbedAgain(t *testing.T) {
+	x := newCrashHarness(t)
+	x.setHosts(plainHost("a"))
+	breakOff := func(f step.Forward) (effects []step.Effect) {
+		for _, e := range x.s.Reduce(step.Time{Mono: x.now}, step.ForwardEnded{AttemptEnded: step.AttemptEnded{ID: f.ID, Attempt: f.Attempt, Ending: step.EndedBroken}}) {
+			if _, ok := e.(step.ProbeHost); ok {
+				effects = append(effects, e)
+			}
+		}
+		return effects
+	}
+	first, second := x.requireForward(x.send("/once/1", 1)), x.requireForward(x.send("/once/1", 2))
+	require.Len(t, breakOff(first), 1)
+	sent := x.now
+	x.now += 5 * time.Millisecond
+	require.Empty(t, breakOff(second))
+	x.crashed["a"] = true
+	_, shared := withoutEvidence(x.reduce(step.HostProbed{Host: "a", Result: step.ProbeAccepted, Sent: sent}))
+	require.Len(t, shared, 1, "the second probe is refused")
+	require.Len(t, shared[0].Evidence.Crashes[0].Suspects, 1)
+}
+
+// TestRunningStreamKeepsVerdictFromBeginning crashes hosts under a stream while another one with the
+// same part has just begun well.
+func TestRunningStreamKeepsVerdictFromBeginning(t *testing.T) {
+	x := newCrashHarness(t)
+	for range 3 {
+		sound, waiting := x.requireForward(x.sendParts(5)), x.requireForward(x.sendParts(5))
+		x.reduce(step.AnswerBegan{ID: sound.ID, Attempt: sound.Attempt})
+		x.reduce(step.StreamStarted{ID: sound.ID, Attempt: sound.Attempt})
+		x.now += beginPhase
+		effects, _ := withoutEvidence(x.crash(x.requireForward(x.sendParts(5))))
+		require.NotContains(t, effects, step.Cancel{ID: waiting.ID, Attempt: waiting.Attempt})
+		x.now += 300 * time.Millisecond
+	}
+	require.Zero(t, x.s.CondemnedFingerprints())
+}
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/fabric"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/place"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/quiet"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/rendezvous"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/retry"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/site"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
@@ -50,6 +51,7 @@
 	suspicionSentAt map[string]time.Duration
 	// daemonAddresses are the addresses at which other daemons take calls, by name.
 	daemonAddresses map[string]string
+	daemonHashes    []uint64        // of their names
 	evacuated       map[string]bool // data centres that must get no work
 	storeReachable  bool            // as last reported
 	// hadOutage is whether the store was ever unreachable after it had been reached;
@@ -208,7 +210,9 @@
 // the limit.
 func (s *State) onDaemons(now time.Duration, e step.SiteDaemons) {
 	s.daemonAddresses = make(map[string]string, len(e.Daemons))
+	s.daemonHashes = s.daemonHashes[:0]
 	for _, d := range e.Daemons {
+		s.daemonHashes = append(s.daemonHashes, rendezvous.Hash(d.Daemon))
 		s.daemonNames[d.Daemon] = true
 		s.daemonAddresses[d.Daemon] = d.Address
 	}
--- a/internal/core/gateway/verdicts.go
+++ b/internal/core/gateway/verdicts.go
@@ -99,7 +99,7 @@
 // verdictTick writes what is due.
 func (s *State) verdictTick(now time.Duration, out *step.Out) {
 	w := &s.verdicts
-	if !w.known || !s.storeReachable || len(w.writeAt) == 0 && len(w.endedAt) == 0 && !s.crashes.tracker.HasVerdicts() {
+	if !w.known || !s.storeReachable || len(w.writeAt) == 0 && len(w.endedAt) == 0 && s.crashes.tracker.VerdictCount() == 0 {
 		return
 	}
 	inForce := make(map[quarantine.Fingerprint]bool)
--- a/internal/core/quarantine/decision.go
+++ b/internal/core/quarantine/decision.go
@@ -115,8 +115,8 @@
 	return !slices.ContainsFunc(all, func(f Fingerprint) bool { return !slices.Contains(fingerprints, f) })
 }
 
-// HasVerdicts reports whether any request may be refused now.
-func (t *Tracker) HasVerdicts() bool { return len(t.verdicts) > 0 }
+// VerdictCount returns the number of verdicts in force.
+func (t *Tracker) VerdictCount() int { return len(t.verdicts) }
 
 // Suspects returns those of a crash's suspects that no success has cleared.
 func (t *Tracker) Suspects(c Crash) []Fingerprint {
@@ -159,5 +159,5 @@
 	}
 	delete(t.verdicts, f)
 	t.lastSuccess[f] = now
-	return append([]Change{{Verdict: v, Ended: EndedLifted}}, t.evaluate(now)...)
+	return append([]Change{{Verdict: v, Ended: EndedLifted}}, t.Evaluate(now)...)
 }
--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -66,7 +66,8 @@
 	lastSuccess map[Fingerprint]time.Duration
 	verdicts    map[Fingerprint]*Verdict
 	probations  map[Fingerprint]probation
-	suspected   map[Fingerprint]bool // as of the last evaluation
+	suspected   map[Fingerprint]bool // as of the last evaluation, and of crashes since
+	outdated    bool                 // something was recorded since
 	forgotAt    time.Duration        // when forget last ran
 	rank        func(Fingerprint) int
 }
@@ -85,19 +86,24 @@
 	return len(t.suspected) == 0 && len(t.verdicts) == 0 && len(t.probations) == 0
 }
 
-// RecordCrash records what a daemon knows of a crash. It returns the verdicts that began and
-// ended, and whether the record is new.
-func (t *Tracker) RecordCrash(now time.Duration, c Crash) (changes []Change, isNew bool) {
+// RecordCrash records what a daemon knows of a crash, and reports whether that is new. Evaluate
+// should follow once all that is known of successes has been recorded as well; the next Tick
+// does it otherwise.
+func (t *Tracker) RecordCrash(now time.Duration, c Crash) (isNew bool) {
 	if len(c.Suspects) == 0 || now-c.At > t.set.CrashTTL || !t.addCrash(c) {
-		return nil, false
+		return false
 	}
-	return t.evaluate(now), true
+	for _, f := range c.Suspects {
+		t.suspected[f] = true
+	}
+	t.outdated = true
+	return true
 }
 
 // RecordSuccess records that a request with these fingerprints ran well at a time: a host began
-// to answer it and did not crash. It returns the fingerprints that were suspected until then and
-// no longer are, or whose verdict ends, beside the changes of verdicts.
-func (t *Tracker) RecordSuccess(now, at time.Duration, fingerprints []Fingerprint) (cleared []Fingerprint, changes []Change) {
+// to answer it and did not crash. It returns the fingerprints that were suspected until then, and
+// the verdicts that end.
+func (t *Tracker) RecordSuccess(at time.Duration, fingerprints []Fingerprint) (cleared []Fingerprint, ended []Change) {
 	for _, f := range fingerprints {
 		_, onProbation := t.probations[f]
 		v := t.verdicts[f]
@@ -108,20 +114,22 @@
 			continue
 		}
 		t.lastSuccess[f] = at
+		if !slices.ContainsFunc(t.crashes, func(c Crash) bool { return slices.Contains(c.Suspects, f) && t.counts(c, f) }) {
+			delete(t.suspected, f)
+		}
+		t.outdated = true
 		delete(t.probations, f)
 		cleared = append(cleared, f)
 		if v != nil {
 			delete(t.verdicts, f)
-			changes = append(changes, Change{Verdict: v, Ended: EndedSound})
+			ended = append(ended, Change{Verdict: v, Ended: EndedSound})
 		}
 	}
-	if len(cleared) > 0 {
-		changes = append(changes, t.evaluate(now)...)
-	}
-	return cleared, changes
+	return cleared, ended
 }
 
-// Tick forgets what is too old, and returns the verdicts that ended by that.
+// Tick forgets what is too old, evaluates what was recorded, and returns the verdicts that began
+// and ended.
 func (t *Tracker) Tick(now time.Duration) []Change {
 	var changes []Change
 	for _, f := range slices.SortedFunc(maps.Keys(t.verdicts), Compare) {
@@ -144,8 +152,8 @@
 		t.forgotAt = now
 		t.forget(now)
 	}
-	if len(changes) > 0 || len(t.crashes) != before {
-		changes = append(changes, t.evaluate(now)...)
+	if t.outdated || len(changes) > 0 || len(t.crashes) != before {
+		changes = append(changes, t.Evaluate(now)...)
 	}
 	return changes
 }
--- a/internal/core/quarantine/quarantine_test.go
+++ b/internal/core/quarantine/quarantine_test.go
@@ -27,14 +27,13 @@
 
 func (w *world) crash(suspects ...Fingerprint) []Change {
 	w.crashed++
-	changes, isNew := w.RecordCrash(w.now, Crash{Host: fmt.Sprintf("h%d", w.crashed), Incarnation: 1, At: w.now, Begun: true, Suspects: suspects})
-	require.True(w.t, isNew)
-	return changes
+	require.True(w.t, w.RecordCrash(w.now, Crash{Host: fmt.Sprintf("h%d", w.crashed), Incarnation: 1, At: w.now, Begun: true, Suspects: suspects}))
+	return w.Evaluate(w.now)
 }
 
 func (w *world) success(fingerprints ...Fingerprint) []Change {
-	_, changes := w.RecordSuccess(w.now, w.now, fingerprints)
-	return changes
+	_, ended := w.RecordSuccess(w.now, fingerprints)
+	return append(ended, w.Evaluate(w.now)...)
 }
 
 func (w *world) refused(fingerprints ...Fingerprint) bool {
@@ -88,7 +87,7 @@
 	for range 10 {
 		w.now += time.Second
 		require.Empty(t, w.crash(x))
-		cleared, _ := w.RecordSuccess(w.now, w.now-successValidity, []Fingerprint{x, y})
+		cleared, _ := w.RecordSuccess(w.now-successValidity, []Fingerprint{x, y})
 		require.Equal(t, []Fingerprint{x}, cleared, "it ran well just before")
 	}
 	w.now += time.Second
@@ -120,6 +119,7 @@
 			for _, c := range reports {
 				c.Host, c.Incarnation, c.At = "h", int64(i), w.now
 				w.RecordCrash(w.now, c)
+				w.Evaluate(w.now)
 			}
 			w.now += 300 * ms
 		}
@@ -135,10 +135,10 @@
 	for range 5 {
 		c := Crash{Host: "h", Incarnation: 1, At: w.now, Begun: true, Suspects: []Fingerprint{x}}
 		w.RecordCrash(w.now, c)
-		_, isNew := w.RecordCrash(w.now, c)
-		require.False(t, isNew)
+		require.False(t, w.RecordCrash(w.now, c))
 		c.Suspects = []Fingerprint{x, y}
 		w.RecordCrash(w.now, c)
+		w.Evaluate(w.now)
 		w.now += 300 * ms
 	}
 	require.Empty(t, w.Verdicts())
@@ -373,6 +373,6 @@
 		t.RecordCrash(c.At, c)
 	}
 	for b.Loop() {
-		t.evaluate(maxCrashes * time.Second)
+		t.Evaluate(maxCrashes * time.Second)
 	}
 }
--- a/internal/core/quarantine/verdict.go
+++ b/internal/core/quarantine/verdict.go
@@ -78,12 +78,13 @@
 	return [...]string{"began", "a request has run well", "expired", "lifted"}[e]
 }
 
-// evaluate begins verdicts by the crashes that count, and returns them. All fingerprints that
+// Evaluate begins verdicts by the crashes that count, and returns them. All fingerprints that
 // enough crashes speak against are condemned, since nothing but a success tells those that happened
 // to be on board: two crashing parts with common first parts look like one crashing first part.
 // Requests that are refused wrongly are found by trials.
-func (t *Tracker) evaluate(now time.Duration) []Change {
+func (t *Tracker) Evaluate(now time.Duration) []Change {
 	against := t.suspicions()
+	t.outdated = false
 	t.suspected = make(map[Fingerprint]bool, len(against))
 	for f := range against {
 		t.suspected[f] = true
