--- a/internal/stub/site/server.go
+++ b/internal/stub/site/server.go
@@ -413,6 +413,10 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if faults.Endless == EndlessRefusal {
+		v.sendEndless(w, EndlessRefusal)
+		return
+	}
 	run := v.site.beginRun(v, r, string(body))
 	defer v.site.endRun(run)
 	h.Set("X-Server-Stamp", v.ID+"."+id)
