--- a/internal/relay/notify_test.go
+++ b/internal/relay/notify_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"encoding/json"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -72,3 +73,25 @@
 	tries = -1
 	require.Error(t, notifier.SendEvidence(t.Context(), strings.TrimPrefix(server.URL, "http://"), quarantine.Evidence{}))
 }
+
+// BenchmarkSendEvidence sends the evidence of one crash to a daemon over a new connection each time,
+// as after a long calm. It counts both sides.
+func BenchmarkSendEvidence(b *testing.B) {
+	clock := func() time.Duration { return 0 }
+	server := httptest.NewServer(EvidenceHandler(clock, func(quarantine.Evidence) {}))
+	defer server.Close()
+	notifier := NewNotifier(clock)
+	defer notifier.Close()
+	crash := quarantine.Crash{Host: "i-0123456789", Incarnation: 1772927805729, Begun: true}
+	for i := range uint64(3) {
+		crash.Suspects = append(crash.Suspects, quarantine.Fingerprint{Kind: quarantine.PromptPart, Hash: i << 40})
+	}
+	evidence := quarantine.Evidence{Crashes: []quarantine.Crash{crash}}
+	body, err := json.Marshal(encodeEvidence(0, evidence))
+	require.NoError(b, err)
+	for b.Loop() {
+		require.NoError(b, notifier.SendEvidence(b.Context(), strings.TrimPrefix(server.URL, "http://"), evidence))
+		notifier.Close()
+	}
+	b.ReportMetric(float64(len(body)), "bytes/message")
+}
