--- a/internal/core/gateway/crashes.go
+++ b/internal/core/gateway/crashes.go
@@ -310,7 +310,7 @@
 			continue
 		}
 		out.Log(event.FingerprintCondemned, event.F("fingerprint", v.Fingerprint), event.F("hosts", strings.Join(v.Hosts, " ")),
-			event.F("rivals", names(v.Rivals)), event.F("level", v.Level))
+			event.F("rivals", names(v.Rivals)), event.F("level", v.Level), event.F("own", own))
 		s.cancelRefused(out)
 	}
 }
