gateway: attempts that break together are judged by one probe

Cause: at llm-10 two attempts of a crashing request broke, their probe was accepted, and 0.2 ms later a sound stream broke at the same host; the second probe was refused. Only the sound one's fingerprints were kept, so its part became the suspect, there and 0.4 s later at llm-13.

Attempts that broke within 50 ms of each other are now decided on by the last probe. The test had the earlier attempt cleared after 5 ms; it is cleared only beyond 50 ms now, and both sides are tested. It failed before with one suspect in place of two.

Ruled out: the evaluation of crashes (with the right suspects nothing was condemned wrongly).

--- a/internal/core/gateway/crashes.go
+++ b/internal/core/gateway/crashes.go
@@ -23,6 +23,9 @@
 	// others successShareStep later for each rank, unless they have heard of one by then.
 	successShareStep     = 25 * time.Millisecond
 	maxSuccessShareDelay = 500 * time.Millisecond
+	// crashSpread is how long after one attempt another may break by the same crash. A host may
+	// still accept connections while it closes those that it has.
+	crashSpread = 50 * time.Millisecond
 )
 
 // crashWatch finds out which hosts crashed under which requests, exchanges that with the other
@@ -122,14 +125,16 @@
 }
 
 // onProbed decides whether a host has crashed under the attempts that broke there, and goes on
-// with the requests that wait for it. Attempts that broke after the probe was accepted need another.
+// with the requests that wait for it. Attempts that broke after the probe was accepted need another
+// one, which also decides on those that broke just before them.
 func (s *State) onProbed(now time.Duration, e step.HostProbed, out *step.Out) {
 	attempts := s.crashes.broken[e.Host]
 	delete(s.crashes.broken, e.Host)
 	if e.Result == step.ProbeAccepted {
 		later := slices.IndexFunc(attempts, func(a brokenAttempt) bool { return a.at > e.Sent })
 		if later >= 0 {
-			s.crashes.broken[e.Host] = attempts[later:]
+			from := slices.IndexFunc(attempts, func(a brokenAttempt) bool { return attempts[later].at-a.at <= crashSpread })
+			s.crashes.broken[e.Host] = attempts[from:]
 			attempts = attempts[:later]
 			out.Add(step.ProbeHost{Host: e.Host, Address: s.crashes.broken[e.Host][0].address})
 		}
--- a/internal/core/gateway/crashes_test.go
+++ b/internal/core/gateway/crashes_test.go
@@ -374,27 +374,33 @@
 }
 
 // TestBreakAfterProbeIsProbedAgain lets one attempt break at a host, and another one between the
-// probe and its answer, which says that the host accepts connections.
+// probe and its answer, which says that the host accepts connections. The second probe decides on
+// both if they broke at about the same time.
 func TestBreakAfterProbeIsProbedAgain(t *testing.T) {
-	x := newCrashHarness(t)
-	x.setHosts(plainHost("a"))
-	breakOff := func(f step.Forward) (effects []step.Effect) {
-		for _, e := range x.s.Reduce(step.Time{Mono: x.now}, step.ForwardEnded{AttemptEnded: step.AttemptEnded{ID: f.ID, Attempt: f.Attempt, Ending: step.EndedBroken}}) {
-			if _, ok := e.(step.ProbeHost); ok {
-				effects = append(effects, e)
+	for _, c := range []struct {
+		between  time.Duration
+		suspects int
+	}{{crashSpread, 2}, {crashSpread + 1, 1}} {
+		x := newCrashHarness(t)
+		x.setHosts(plainHost("a"))
+		breakOff := func(f step.Forward) (effects []step.Effect) {
+			for _, e := range x.s.Reduce(step.Time{Mono: x.now}, step.ForwardEnded{AttemptEnded: step.AttemptEnded{ID: f.ID, Attempt: f.Attempt, Ending: step.EndedBroken}}) {
+				if _, ok := e.(step.ProbeHost); ok {
+					effects = append(effects, e)
+				}
 			}
+			return effects
 		}
-		return effects
+		first, second := x.requireForward(x.send("/once/1", 1)), x.requireForward(x.send("/once/1", 2))
+		require.Len(t, breakOff(first), 1)
+		sent := x.now
+		x.now += c.between
+		require.Empty(t, breakOff(second))
+		x.crashed["a"] = true
+		_, shared := withoutEvidence(x.reduce(step.HostProbed{Host: "a", Result: step.ProbeAccepted, Sent: sent}))
+		require.Len(t, shared, 1, "the second probe is refused")
+		require.Len(t, shared[0].Evidence.Crashes[0].Suspects, c.suspects)
 	}
-	first, second := x.requireForward(x.send("/once/1", 1)), x.requireForward(x.send("/once/1", 2))
-	require.Len(t, breakOff(first), 1)
-	sent := x.now
-	x.now += 5 * time.Millisecond
-	require.Empty(t, breakOff(second))
-	x.crashed["a"] = true
-	_, shared := withoutEvidence(x.reduce(step.HostProbed{Host: "a", Result: step.ProbeAccepted, Sent: sent}))
-	require.Len(t, shared, 1, "the second probe is refused")
-	require.Len(t, shared[0].Evidence.Crashes[0].Suspects, 1)
 }
 
 // TestRunningStreamKeepsVerdictFromBeginning crashes hosts under a stream while another one with the
