soak: a crashed server refuses connections before it breaks them, and breaks them by resets

Both are the stand-in's: - A stream without length or chunks that its server aborts between two events ended with a plain end of stream, like a complete one. The stand-in now resets it, a crash resets all connections of its server, and the relay passes resets on (TestResetIsPassedOn; it passed them on as an end of stream). - A crash closed the server's connections first and refused new ones at its published address after that. The order is that of a process that ends now.

What a daemon can't tell: a server that ends such an answer between two events without a reset.

--- a/internal/stub/cutter/cutter_test.go
+++ b/internal/stub/cutter/cutter_test.go
@@ -80,6 +80,25 @@
 	require.Eventually(t, func() bool { return c.Stats().Open == 0 }, testTimeout, time.Millisecond)
 }
 
+// TestResetIsPassedOn lets the target reset a connection. Its caller must not read an end of stream.
+func TestResetIsPassedOn(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		if conn, err := listener.Accept(); err == nil {
+			reset(conn)
+		}
+	}()
+	c, err := Open("127.0.0.1:0", listener.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(c.Close)
+	conn := dial(t, c)
+	require.NoError(t, conn.SetDeadline(time.Now().Add(testTimeout)))
+	_, err = io.ReadAll(conn)
+	require.ErrorIs(t, err, syscall.ECONNRESET)
+}
+
 func TestSwallowAffectsOnlyOpenConnections(t *testing.T) {
 	c := open(t)
 	old := dial(t, c)
--- a/internal/stub/cutter/link.go
+++ b/internal/stub/cutter/link.go
@@ -1,8 +1,11 @@
 package cutter
 
 import (
+	"io"
 	"net"
 	"sync"
+
+	"github.com/go-faster/errors"
 )
 
 // bufferBytes is the size of the buffer of one direction.
@@ -75,7 +78,7 @@
 	_ = l.target.Close()
 }
 
-// relayDirection relays one direction and its end of stream.
+// relayDirection relays one direction and its end of stream. A reset resets both sides.
 func (l *link) relayDirection(direction Direction, from, to net.Conn, waitDelay func()) {
 	buffer := make([]byte, bufferBytes)
 	for {
@@ -92,10 +95,14 @@
 				return
 			}
 		}
-		if readErr != nil {
+		if errors.Is(readErr, io.EOF) {
 			halfClose(to)
 			return
 		}
+		if readErr != nil {
+			l.close()
+			return
+		}
 	}
 }
 
--- a/internal/stub/site/crash.go
+++ b/internal/stub/site/crash.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"slices"
 	"time"
+
+	"github.com/rhubarbswitch/rhubarbswitch/internal/stub/serve"
 )
 
 // Crasher is a kind of request that crashes the servers that begin to answer it. A server is back
@@ -57,23 +59,25 @@
 
 // crashUnder ends this incarnation of the server under a request that it begins to answer, and
 // aborts the answer. A plain service has sent nothing by then.
-func (v *Server) crashUnder(c *Crasher, w http.ResponseWriter, request string, born int64) {
+func (v *Server) crashUnder(c *Crasher, w http.ResponseWriter, r *http.Request, born int64) {
 	if v.Domain != "" && !c.Silent {
 		w.Header().Set("Content-Type", "text/event-stream")
 		w.WriteHeader(http.StatusOK)
 		_ = http.NewResponseController(w).Flush() // a caller that has left makes no difference
 		time.Sleep(v.site.Timing.EventInterval)
 	}
-	if v.endIncarnation(born, c.EntryTTL) {
+	ended := v.endIncarnation(born, c.EntryTTL, func() {
 		v.site.mu.Lock()
-		v.site.crashes = append(v.site.crashes, Crash{Crasher: c.Name, Request: request, Server: v.ID, At: time.Now()})
+		v.site.crashes = append(v.site.crashes, Crash{Crasher: c.Name, Request: r.Header.Get("X-Request-Id"), Server: v.ID, At: time.Now()})
 		v.site.mu.Unlock()
 		if v.site.Unpublish != nil {
 			v.site.Unpublish(v.ID)
 		}
+	})
+	if ended {
 		time.AfterFunc(c.Downtime, v.restart)
 	}
-	panic(http.ErrAbortHandler)
+	serve.Abort(r)
 }
 
 // restart starts the server again, unless it was draining or the site has been closed.
--- a/internal/stub/site/server.go
+++ b/internal/stub/site/server.go
@@ -168,11 +168,12 @@
 	v.mu.Lock()
 	born := v.born
 	v.mu.Unlock()
-	v.endIncarnation(born, entryTTL)
+	v.endIncarnation(born, entryTTL, func() {})
 }
 
-// endIncarnation is Crash for one incarnation. It returns false if that one has ended before.
-func (v *Server) endIncarnation(born int64, entryTTL time.Duration) bool {
+// endIncarnation is Crash for one incarnation. It calls a function before it closes connections,
+// and returns false if that incarnation has ended before.
+func (v *Server) endIncarnation(born int64, entryTTL time.Duration, beforeClose func()) bool {
 	v.mu.Lock()
 	if v.born != born || !v.running {
 		v.mu.Unlock()
@@ -182,6 +183,7 @@
 	local := v.local
 	v.site.updateHead(v)
 	v.mu.Unlock()
+	beforeClose()
 	local.Close()
 	time.AfterFunc(entryTTL, func() {
 		v.mu.Lock()
@@ -424,7 +426,7 @@
 		h.Set("Transfer-Encoding", "identity") // net/http ends such an answer with its connection
 	}
 	if c := v.site.crasherOf(r, string(body)); c != nil {
-		v.crashUnder(c, w, id, arrival.Born)
+		v.crashUnder(c, w, r, arrival.Born)
 	}
 	switch {
 	case faults.Hang:
@@ -459,6 +461,9 @@
 	}
 	for ; next <= Events; next++ {
 		if !v.waitForNextEvent(r.Context(), m) {
+			if faults.Unframed {
+				serve.Abort(r) // without a reset the answer would look complete
+			}
 			panic(http.ErrAbortHandler)
 		}
 		if next == faults.BreakInEvent {
