--- a/internal/relay/sources.go
+++ b/internal/relay/sources.go
@@ -11,7 +11,7 @@
 // of the store, whichever way they arrive.
 //
 // The package also has the notification by which a daemon reports a suspected engine to
-// another one, and of the exchange of evidence on crashes (Notifier).
+// another one, and the exchange of evidence on crashes (Notifier).
 package relay
 
 import (
