gateway: what may be sound isn't refused as crashing hosts while no host could take it

Cause, from its logs: with the store away and restored several times nobody held control, and no group served for 30 s (12:00:25 to 12:00:55); all but two first parts were condemned before. Trials reached no host (four void ones), and while no host can take a request none is made. So sound requests were told that requests like them crash targets and not to send them again, where the reason was that nothing served them. When the groups were back both parts were cleared within 0.5 s.

Such a request is refused for want of a host now, with the time after which one may be there; one that surely crashes hosts is still told so. Nothing more is sent: without a host there is no attempt.

Ruled out: trials too rare (they were due and found no host); a lost lift (the store's verdicts and those in force agreed).

--- a/internal/core/gateway/crashes.go
+++ b/internal/core/gateway/crashes.go
@@ -331,13 +331,18 @@
 }
 
 // quarantineDecision decides whether a request may be sent to a host. A trial may go on until it
-// has reached one.
+// has reached one. A request that would be tried if a host could take it is let through, to be
+// refused for want of a host.
 func (s *State) quarantineDecision(now time.Duration, c *call, mayTry bool) quarantine.Decision {
 	if s.crashes.tracker.VerdictCount() == 0 || len(c.tried) > 0 && c.reachedAttempts() == 0 {
 		return quarantine.Decision{}
 	}
-	mayTry = mayTry && s.targets.Peek(now, s.placement(now, c)).Target != nil
-	return s.crashes.tracker.Decide(now, c.fingerprints(), mayTry)
+	hasTarget := s.targets.Peek(now, s.placement(now, c)).Target != nil
+	d := s.crashes.tracker.Decide(now, c.fingerprints(), mayTry && hasTarget)
+	if !hasTarget && !d.Certain {
+		return quarantine.Decision{}
+	}
+	return d
 }
 
 // shareTrial tells the other daemons of a trial, so that they make none for a while, or that it was
--- a/internal/core/quarantine/decision.go
+++ b/internal/core/quarantine/decision.go
@@ -13,6 +13,8 @@
 	// RetryAfter is the time after which the request may be let through; zero if it may be sent
 	// now.
 	RetryAfter time.Duration
+	// Certain is set if the request is refused without a trial.
+	Certain bool
 	// Tried are the condemned fingerprints of a request that is let through to find out whether it
 	// is sound; empty for any other. It must be sent to one host only, and others must know.
 	Tried []Fingerprint
@@ -43,14 +45,15 @@
 	var d Decision
 	for _, v := range condemned {
 		left := v.left(now)
-		if !v.isCertainFor(fingerprints) {
+		certain := v.isCertainFor(fingerprints)
+		if !certain {
 			left = min(left, t.trialFrom(v, fingerprints)+time.Duration(suspects-1)*t.set.JointTrialDelay-now)
 			if !mayTry {
 				left = max(left, t.set.TrialDelay)
 			}
 		}
 		if left > d.RetryAfter {
-			d.Refused, d.RetryAfter = v.Fingerprint, left
+			d.Refused, d.RetryAfter, d.Certain = v.Fingerprint, left, certain
 		}
 	}
 	if d.RetryAfter > 0 {
