gateway: crashes of many hosts at one moment are shared in few messages

At 195 daemons and a dozen heads it would be 2,900 messages sent and as many received by each, on links and processors that have just lost a third of their hosts (worked out).

Cause: each crash that a daemon finds went to all others in a message of its own. Now what follows the first message is gathered, so that a daemon sends at most 300 a second; suspects that were cleared meanwhile are left out. Of another daemon's evidence one RS2005 is logged for each crash. TestHostsLostTogetherAreSharedInFewMessages: 1,800 messages before, at most 451 now. Why it stays in time: the first crash goes out at once, and two rounds lie 1.1 s apart at 340 daemons, where all must know within 3 s.

Ruled out: waiting with all crashes (the third of a crasher must be known at once); fewer receivers (each daemon decides by itself).

--- a/internal/core/gateway/crashes.go
+++ b/internal/core/gateway/crashes.go
@@ -26,6 +26,11 @@
 	// crashSpread is how long after one attempt another may break by the same crash. A host may
 	// still accept connections while it closes those that it has.
 	crashSpread = 50 * time.Millisecond
+	// maxEvidenceRate bounds the messages with evidence that a daemon sends in a second, beyond the
+	// first ones. Many hosts may crash together.
+	maxEvidenceRate = 300
+	// maxSharedCrashes and maxSharedSuccesses bound the evidence of one message.
+	maxSharedCrashes, maxSharedSuccesses = 64, 1024
 )
 
 // crashWatch finds out which hosts crashed under which requests, exchanges that with the other
@@ -40,6 +45,9 @@
 	unbegun []unsharedCrash
 	// successes are to be shared at their times.
 	successes map[quarantine.Fingerprint]unsharedSuccess
+	// outbox is evidence that is to be shared at shareFrom.
+	outbox    quarantine.Evidence
+	shareFrom time.Duration
 }
 
 type brokenAttempt struct {
@@ -183,31 +191,52 @@
 
 // learnCrash records a crash that this daemon has found itself, or that another one reports.
 func (s *State) learnCrash(now time.Duration, c quarantine.Crash, own bool, out *step.Out) {
+	known := s.crashes.tracker.Knows(c)
 	if !s.crashes.tracker.RecordCrash(now, c) {
 		return
 	}
-	out.Log(event.TargetDied, event.F("host", c.Host), event.F("incarnation", c.Incarnation), event.F("own", own), event.F("begun", c.Begun),
-		event.F("suspects", names(c.Suspects)), event.F("ageMillis", (now-c.At).Milliseconds()))
+	if own || !known {
+		out.Log(event.TargetDied, event.F("host", c.Host), event.F("incarnation", c.Incarnation), event.F("own", own), event.F("begun", c.Begun),
+			event.F("suspects", names(c.Suspects)), event.F("ageMillis", (now-c.At).Milliseconds()))
+	}
 	s.recordRunningStreams(now, out)
 	s.applyVerdicts(now, s.crashes.tracker.Evaluate(now), own, out)
 	if !own {
 		return
 	}
 	if c.Begun {
-		s.shareCrash(c, out)
+		s.crashes.outbox.Crashes = append(s.crashes.outbox.Crashes, c)
+		s.shareOutbox(now, out)
 		return
 	}
 	s.crashes.unbegun = append(s.crashes.unbegun, unsharedCrash{crash: c, dueAt: now + unbegunShareDelay})
 }
 
-func (s *State) shareCrash(c quarantine.Crash, out *step.Out) {
-	c.Suspects = s.crashes.tracker.Suspects(c)
-	if len(c.Suspects) > 0 {
-		s.shareEvidence(quarantine.Evidence{Crashes: []quarantine.Crash{c}}, out)
+// shareOutbox shares the evidence in the outbox if its time has come. By then suspects may have
+// been cleared.
+func (s *State) shareOutbox(now time.Duration, out *step.Out) {
+	w := &s.crashes
+	if now < w.shareFrom {
+		return
+	}
+	var e quarantine.Evidence
+	for len(w.outbox.Crashes) > 0 && len(e.Crashes) < maxSharedCrashes {
+		c := w.outbox.Crashes[0]
+		w.outbox.Crashes = w.outbox.Crashes[1:]
+		if c.Suspects = w.tracker.Suspects(c); len(c.Suspects) > 0 {
+			e.Crashes = append(e.Crashes, c)
+		}
+	}
+	n := min(len(w.outbox.Successes), maxSharedSuccesses)
+	e.Successes, w.outbox.Successes = w.outbox.Successes[:n:n], w.outbox.Successes[n:]
+	if len(e.Crashes) == 0 && n == 0 {
+		return
 	}
+	w.shareFrom = now + time.Duration(len(s.daemonAddresses))*time.Second/maxEvidenceRate
+	s.shareEvidence(e, out)
 }
 
-// shareEvidence sends evidence to all other daemons. There is little of it: hosts crash seldom.
+// shareEvidence sends evidence to all other daemons.
 func (s *State) shareEvidence(e quarantine.Evidence, out *step.Out) {
 	var addresses []string
 	for _, name := range slices.Sorted(maps.Keys(s.daemonAddresses)) {
@@ -276,7 +305,7 @@
 // crashTick lets verdicts expire and shares what is due.
 func (s *State) crashTick(now time.Duration, out *step.Out) {
 	w := &s.crashes
-	if w.tracker.Idle() && len(w.unbegun) == 0 && len(w.successes) == 0 {
+	if w.tracker.Idle() && len(w.unbegun) == 0 && len(w.successes) == 0 && len(w.outbox.Crashes) == 0 && len(w.outbox.Successes) == 0 {
 		return
 	}
 	s.applyVerdicts(now, w.tracker.Tick(now), false, out)
@@ -286,21 +315,17 @@
 			return false
 		}
 		if !w.tracker.KnowsBegun(u.crash) {
-			s.shareCrash(u.crash, out)
+			w.outbox.Crashes = append(w.outbox.Crashes, u.crash)
 		}
 		return true
 	})
-	var due quarantine.Evidence
-	for f, success := range w.successes {
-		if now >= success.dueAt {
-			due.Successes = append(due.Successes, quarantine.Success{Fingerprint: f, At: success.at})
+	for _, f := range slices.SortedFunc(maps.Keys(w.successes), quarantine.Compare) {
+		if success := w.successes[f]; now >= success.dueAt {
+			w.outbox.Successes = append(w.outbox.Successes, quarantine.Success{Fingerprint: f, At: success.at})
 			delete(w.successes, f)
 		}
 	}
-	if len(due.Successes) > 0 {
-		slices.SortFunc(due.Successes, func(a, b quarantine.Success) int { return quarantine.Compare(a.Fingerprint, b.Fingerprint) })
-		s.shareEvidence(due, out)
-	}
+	s.shareOutbox(now, out)
 }
 
 // applyVerdicts logs verdicts that began or ended and has them written. own is set if this daemon
--- a/internal/core/gateway/crashes_test.go
+++ b/internal/core/gateway/crashes_test.go
@@ -187,6 +187,42 @@
 	require.Empty(t, shared, "another daemon knows of one that had begun")
 }
 
+// TestHostsLostTogetherAreSharedInFewMessages crashes many hosts at one moment, each under a request
+// of its own.
+func TestHostsLostTogetherAreSharedInFewMessages(t *testing.T) {
+	const daemons, hosts = 151, 12
+	x := newCrashHarness(t)
+	x.setDaemons(daemons)
+	var sent []step.Forward
+	for i := range uint64(hosts) {
+		sent = append(sent, x.requireForward(x.send("/once/1", i)))
+	}
+	var messages, crashes int
+	count := func(effects []step.Effect) {
+		_, shared := withoutEvidence(effects)
+		for _, e := range shared {
+			messages += len(e.Addresses)
+			crashes += len(e.Evidence.Crashes)
+		}
+	}
+	for _, f := range sent {
+		count(x.crash(f))
+		if messages == 0 {
+			t.Fatal("the first crash is shared at once")
+		}
+	}
+	for range 20 {
+		x.now += 50 * time.Millisecond
+		count(x.reduce(step.Tick{}))
+	}
+	lost := make(map[string]bool)
+	for _, f := range sent {
+		lost[f.Host] = true
+	}
+	require.Equal(t, len(lost), crashes)
+	require.LessOrEqual(t, messages, maxEvidenceRate+daemons)
+}
+
 // TestEvidenceOfOtherDaemonsCounts lets other daemons report crashes under a request.
 func TestEvidenceOfOtherDaemonsCounts(t *testing.T) {
 	x := newCrashHarness(t)
--- a/internal/core/quarantine/decision.go
+++ b/internal/core/quarantine/decision.go
@@ -126,9 +126,14 @@
 	return slices.DeleteFunc(slices.Clone(c.Suspects), func(f Fingerprint) bool { return !t.counts(c, f) })
 }
 
+// Knows reports whether a crash is known, whatever its suspects are.
+func (t *Tracker) Knows(c Crash) bool {
+	return slices.ContainsFunc(t.crashes, func(k Crash) bool { return k.isSameAs(c) })
+}
+
 // KnowsBegun reports whether it is known of a request that a crashed host was beginning it.
 func (t *Tracker) KnowsBegun(c Crash) bool {
-	return slices.ContainsFunc(t.crashes, func(k Crash) bool { return k.Begun && k.Host == c.Host && k.Incarnation == c.Incarnation })
+	return slices.ContainsFunc(t.crashes, func(k Crash) bool { return k.Begun && k.isSameAs(c) })
 }
 
 // Verdicts returns the verdicts in force, sorted by fingerprint.
--- a/internal/core/quarantine/evidence.go
+++ b/internal/core/quarantine/evidence.go
@@ -33,6 +33,11 @@
 	Suspects []Fingerprint // distinct
 }
 
+// isSameAs reports whether two daemons speak of the same crash.
+func (c Crash) isSameAs(other Crash) bool {
+	return c.Host == other.Host && c.Incarnation == other.Incarnation
+}
+
 // Success is a request with a fingerprint that ran well at a time.
 type Success struct {
 	Fingerprint Fingerprint
@@ -50,7 +55,7 @@
 // nothing new.
 func (t *Tracker) addCrash(c Crash) bool {
 	c.Suspects = c.Suspects[:min(len(c.Suspects), maxSuspects)]
-	i := slices.IndexFunc(t.crashes, func(k Crash) bool { return k.Host == c.Host && k.Incarnation == c.Incarnation })
+	i := slices.IndexFunc(t.crashes, c.isSameAs)
 	if i < 0 {
 		c.Suspects = slices.Clone(c.Suspects)
 		at, _ := slices.BinarySearchFunc(t.crashes, c.At, func(k Crash, at time.Duration) int { return int(k.At - at) })
