gateway: successes of a message count before its crashes decide

Read through the change before: messages hold crashes and successes together now, and each crash was decided on before the successes of the same message were recorded. Crashes and successes are recorded first, and one evaluation follows, as for own crashes. TestSuccessesOfAMessageCountBeforeItsCrashesDecide fails before: a waiting attempt is cancelled.

--- a/internal/core/gateway/crashes.go
+++ b/internal/core/gateway/crashes.go
@@ -149,7 +149,7 @@
 	}
 	if e.Result == step.ProbeRefused {
 		for _, c := range crashesOf(e.Host, attempts) {
-			s.learnCrash(now, c, true, out)
+			s.learnCrash(now, c, out)
 		}
 	}
 	for _, a := range attempts {
@@ -189,21 +189,13 @@
 	return all
 }
 
-// learnCrash records a crash that this daemon has found itself, or that another one reports.
-func (s *State) learnCrash(now time.Duration, c quarantine.Crash, own bool, out *step.Out) {
-	known := s.crashes.tracker.Knows(c)
-	if !s.crashes.tracker.RecordCrash(now, c) {
+// learnCrash records a crash that this daemon has found, decides on its suspects, and shares it.
+func (s *State) learnCrash(now time.Duration, c quarantine.Crash, out *step.Out) {
+	if !s.recordCrash(now, c, true, out) {
 		return
 	}
-	if own || !known {
-		out.Log(event.TargetDied, event.F("host", c.Host), event.F("incarnation", c.Incarnation), event.F("own", own), event.F("begun", c.Begun),
-			event.F("suspects", names(c.Suspects)), event.F("ageMillis", (now-c.At).Milliseconds()))
-	}
 	s.recordRunningStreams(now, out)
-	s.applyVerdicts(now, s.crashes.tracker.Evaluate(now), own, out)
-	if !own {
-		return
-	}
+	s.applyVerdicts(now, s.crashes.tracker.Evaluate(now), true, out)
 	if c.Begun {
 		s.crashes.outbox.Crashes = append(s.crashes.outbox.Crashes, c)
 		s.shareOutbox(now, out)
@@ -212,6 +204,20 @@
 	s.crashes.unbegun = append(s.crashes.unbegun, unsharedCrash{crash: c, dueAt: now + unbegunShareDelay})
 }
 
+// recordCrash records a crash that this daemon (own) or another one has found, and reports whether
+// that says anything new.
+func (s *State) recordCrash(now time.Duration, c quarantine.Crash, own bool, out *step.Out) bool {
+	known := s.crashes.tracker.Knows(c)
+	if !s.crashes.tracker.RecordCrash(now, c) {
+		return false
+	}
+	if own || !known {
+		out.Log(event.TargetDied, event.F("host", c.Host), event.F("incarnation", c.Incarnation), event.F("own", own), event.F("begun", c.Begun),
+			event.F("suspects", names(c.Suspects)), event.F("ageMillis", (now-c.At).Milliseconds()))
+	}
+	return true
+}
+
 // shareOutbox shares the evidence in the outbox if its time has come. By then suspects may have
 // been cleared.
 func (s *State) shareOutbox(now time.Duration, out *step.Out) {
@@ -249,12 +255,20 @@
 	}
 }
 
+// onEvidence records what another daemon knows, and then decides: successes of the same message may
+// clear the suspects of its crashes.
 func (s *State) onEvidence(now time.Duration, e quarantine.Evidence, out *step.Out) {
 	for _, trial := range e.Trials {
 		s.crashes.tracker.RecordTrial(trial)
 	}
+	learnt := false
 	for _, c := range e.Crashes {
-		s.learnCrash(now, c, false, out)
+		if s.recordCrash(now, c, false, out) {
+			learnt = true
+		}
+	}
+	if learnt {
+		s.recordRunningStreams(now, out)
 	}
 	for _, success := range e.Successes {
 		f := success.Fingerprint
--- a/internal/core/gateway/crashes_test.go
+++ b/internal/core/gateway/crashes_test.go
@@ -247,6 +247,22 @@
 	x.requireRefused(x.send("/chat/1", 1))
 }
 
+// TestSuccessesOfAMessageCountBeforeItsCrashesDecide lets one message hold crashes under a request
+// and its success.
+func TestSuccessesOfAMessageCountBeforeItsCrashesDecide(t *testing.T) {
+	x := newCrashHarness(t)
+	waiting := x.requireForward(x.send("/chat/1", 1))
+	prints := x.s.calls[waiting.ID].fingerprints()
+	e := quarantine.Evidence{Successes: []quarantine.Success{{Fingerprint: prints[0], At: x.now + time.Second}}}
+	for i := range 3 {
+		e.Crashes = append(e.Crashes, quarantine.Crash{Host: fmt.Sprintf("x%d", i), Incarnation: 1, At: x.now, Begun: true, Suspects: prints})
+		x.now += 300 * time.Millisecond
+	}
+	x.now += time.Second
+	require.Empty(t, x.reduce(step.EvidenceReceived{Evidence: e}), "the waiting attempt goes on")
+	require.Zero(t, x.s.CondemnedFingerprints())
+}
+
 // TestSuccessEndsVerdictAndIsShared lets a stream that had been sent before the verdict run well.
 func TestSuccessEndsVerdictAndIsShared(t *testing.T) {
 	x := newCrashHarness(t)
