cutter: the test of resets waits until its connection stands

Traced: the target reset the connection as soon as it was accepted, so that the reset could arrive before the caller's dial had returned; then the read that the test is about was never made.

--- a/internal/stub/cutter/cutter_test.go
+++ b/internal/stub/cutter/cutter_test.go
@@ -80,13 +80,15 @@
 	require.Eventually(t, func() bool { return c.Stats().Open == 0 }, testTimeout, time.Millisecond)
 }
 
-// TestResetIsPassedOn lets the target reset a connection. Its caller must not read an end of stream.
+// TestResetIsPassedOn lets the target reset a connection after its first byte. The caller must not
+// read an end of stream.
 func TestResetIsPassedOn(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
 	go func() {
 		if conn, err := listener.Accept(); err == nil {
+			_, _ = conn.Read(make([]byte, 1))
 			reset(conn)
 		}
 	}()
@@ -95,6 +97,8 @@
 	t.Cleanup(c.Close)
 	conn := dial(t, c)
 	require.NoError(t, conn.SetDeadline(time.Now().Add(testTimeout)))
+	_, err = conn.Write([]byte("x"))
+	require.NoError(t, err)
 	_, err = io.ReadAll(conn)
 	require.ErrorIs(t, err, syscall.ECONNRESET)
 }
