gateway: a stream that has begun waits for a target instead of being cut

Trace: four releases overlap from 11.8 to 24.7 s (24 servers drain, 2 s each). The holder closes heads whose members leave and lets streams end for 1.5 s; what runs longer is cut and goes on elsewhere.

A stream that has begun can't be refused any more, and its caller would only ask for the rest again. It waits for up to 1.5 s (callers leave after a pause of 2 s) and goes on at the first target with room, within the budget of retries.

Left: streams longer than a drain are cut where nothing has room for 1.5 s, also beside a change.

--- a/internal/core/gateway/calls.go
+++ b/internal/core/gateway/calls.go
@@ -82,6 +82,8 @@
 	// awaitsProbe is the end of the last attempt if what follows depends on whether its host has
 	// crashed.
 	awaitsProbe *step.ForwardEnded
+	// interrupted is set while a stream that has begun waits for a target.
+	interrupted *interrupted
 	prints      []quarantine.Fingerprint // see fingerprints
 }
 
@@ -145,7 +147,9 @@
 	}
 	choice := s.targets.Choose(now, request)
 	if choice.Target == nil {
-		s.endWithoutTarget(now, c, choice, fallback, out)
+		if !s.waitForTarget(now, c, choice, fallback) {
+			s.endWithoutTarget(now, c, choice, fallback, out)
+		}
 		return
 	}
 	t := choice.Target
@@ -238,6 +242,9 @@
 
 func (s *State) finish(now time.Duration, c *call, outcome string, out *step.Out) {
 	delete(s.calls, c.req.ID)
+	if c.interrupted != nil {
+		s.endInterruption(c)
+	}
 	if len(c.tried) > 0 && c.reachedAttempts() == 0 {
 		s.shareTrial(now, c, true, out)
 	}
@@ -363,7 +370,9 @@
 	}
 	if mayRetry {
 		if choice := s.targets.Peek(now, s.placement(now, c)); choice.Target == nil {
-			s.endWithoutTarget(now, c, choice, answer, out) // no retry is spent
+			if !s.waitForTarget(now, c, choice, answer) {
+				s.endWithoutTarget(now, c, choice, answer, out) // no retry is spent
+			}
 			return
 		}
 	}
--- a/internal/core/gateway/crashes.go
+++ b/internal/core/gateway/crashes.go
@@ -310,7 +310,7 @@
 func (s *State) recordRunningStreams(now time.Duration, out *step.Out) {
 	for _, id := range slices.Sorted(maps.Keys(s.calls)) {
 		c := s.calls[id]
-		if c.firstEventAt > 0 && now-c.firstEventAt >= beginPhase && c.awaitsProbe == nil {
+		if c.firstEventAt > 0 && now-c.firstEventAt >= beginPhase && c.awaitsProbe == nil && c.interrupted == nil {
 			s.recordSuccess(now, c.firstEventAt, c, out)
 		}
 	}
@@ -362,7 +362,7 @@
 func (s *State) cancelRefused(out *step.Out) {
 	for _, id := range slices.Sorted(maps.Keys(s.calls)) {
 		c := s.calls[id]
-		waits := c.firstEventAt == 0 && c.awaitsProbe == nil && !c.callerGone && !c.moving && len(c.tried) == 0
+		waits := c.firstEventAt == 0 && c.awaitsProbe == nil && c.interrupted == nil && !c.callerGone && !c.moving && len(c.tried) == 0
 		if waits && (c.route.MayRepeat() || c.route.Kind == site.Stream) && s.crashes.tracker.CertainlyRefused(c.fingerprints()) {
 			out.Add(step.Cancel{ID: c.req.ID, Attempt: c.attempt})
 		}
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -71,6 +71,7 @@
 	// still run.
 	daemonNames map[string]bool
 	quiet       quiet.Periods // hosts that asked for no requests
+	interrupted int           // streams that wait for a target
 
 	crashes  crashWatch // requests that crash hosts
 	verdicts verdictStore
@@ -203,6 +204,7 @@
 	s.crashTick(now, out)
 	s.verdictTick(now, out)
 	s.controlTick(now, out)
+	s.resumeInterrupted(now, out)
 }
 
 // onDaemons adds daemons to those among which shared limits are divided. None is ever removed:
