--- a/test/process/soak_test.go
+++ b/test/process/soak_test.go
@@ -81,7 +81,7 @@
 		if text, _, _ := strings.Cut(lines.Text(), "#"); strings.TrimSpace(text) != "" {
 			run := soakRun{daemons: defaultDaemons}
 			if _, err := fmt.Sscan(text, &run.seed, &run.daemons); err != nil {
-				require.ErrorIs(t, err, io.ErrUnexpectedEOF, "only the number of daemons may be missing")
+				require.ErrorIs(t, err, io.EOF, "only the number of daemons may be missing")
 			}
 			runs = append(runs, run)
 		}
