relay: changes are encoded once and compressed

The daemons that wait for a change all get the same answer, which was encoded for each and sent as JSON. It is encoded and compressed once now, and kept until another one is asked for; a daemon's client takes compressed answers anyway.

Ruled out: a deeper tree of daemons (adds a third of a second for each level), compression for each answer (5 % of a core for the source, and up to 32 buffers of a compressor).

--- a/internal/relay/feed.go
+++ b/internal/relay/feed.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -72,6 +73,8 @@
 	changed                  chan struct{} // closed, and replaced, at the next change
 	queried                  bool
 	lastQueryAt              time.Duration
+
+	encoded encodedAnswer
 }
 
 // batch is the content of one answer of the store.
@@ -241,5 +244,15 @@
 	}
 	relayedAnswers.Inc()
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(c) // on an error the other daemon queries again
+	body, err := f.encoded.get(answerID{era: era, after: after, revision: c.Revision, batches: len(c.Batches)}, c)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	if strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") && body.gzipped != nil {
+		w.Header().Set("Content-Encoding", "gzip")
+		_, _ = w.Write(body.gzipped) // on an error the other daemon queries again
+		return
+	}
+	_, _ = w.Write(body.plain)
 }
