gateway: connections to targets are reset when they are closed

A request reached a server of an evacuated data centre 5.8 s after the evacuation was acknowledged (5 s are allowed); its caller had its answer from another server since 18.723 s.

Cause: the data centre was cut off as the first attempt was sent at 18.354 s. The attempt was given up and its connection closed, but what had been written stayed in the kernel, which went on sending it until the cut healed, six seconds later.

Nothing else changes for targets: an answer that is complete has been read before the close.

Ruled out: a late verdict of the daemon (it knew the evacuation and sent nothing new there).

--- a/internal/gateway/targets.go
+++ b/internal/gateway/targets.go
@@ -1,11 +1,14 @@
 package gateway
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/go-faster/errors"
 )
 
 const (
@@ -47,8 +50,21 @@
 		Timeout:         dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: maxKeepAliveMisses},
 	}
+	// Closing a connection resets it, so that what was written and not yet delivered is dropped. It
+	// could else reach a target after a cut has healed, long after the attempt was given up.
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		if err := conn.(*net.TCPConn).SetLinger(0); err != nil {
+			_ = conn.Close()
+			return nil, errors.Wrap(err, "have the connection reset when it is closed")
+		}
+		return conn, nil
+	}
 	return &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConnsPerTarget, IdleConnTimeout: idleConnTimeout,
+		DialContext: dial, MaxIdleConnsPerHost: maxIdleConnsPerTarget, IdleConnTimeout: idleConnTimeout,
 		DisableCompression: true, MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 }
