gateway: requests without a condemned fingerprint don't look for a target twice

While any verdict is in force, 10 min at least, each request looked for a target once more before it was decided that nothing speaks against it. Now that is looked up first; the decision is the same, since Decide refuses and tries nothing without a condemned fingerprint. Tests of core/gateway, with the property over several reducers, and quarantine: passed under race.

--- a/internal/core/gateway/crashes.go
+++ b/internal/core/gateway/crashes.go
@@ -376,6 +376,9 @@
 	if s.crashes.tracker.VerdictCount() == 0 || len(c.tried) > 0 && c.reachedAttempts() == 0 {
 		return quarantine.Decision{}
 	}
+	if !s.crashes.tracker.Condemned(c.fingerprints()) {
+		return quarantine.Decision{}
+	}
 	hasTarget := s.targets.Peek(now, s.placement(now, c)).Target != nil
 	d := s.crashes.tracker.Decide(now, c.fingerprints(), mayTry && hasTarget)
 	if !hasTarget && !d.Certain {
--- a/internal/core/quarantine/decision.go
+++ b/internal/core/quarantine/decision.go
@@ -103,6 +103,11 @@
 	return len(v.SoleSuspects) > 0 && containsAll(fingerprints, v.SoleSuspects)
 }
 
+// Condemned reports whether any of these fingerprints is condemned.
+func (t *Tracker) Condemned(fingerprints []Fingerprint) bool {
+	return slices.ContainsFunc(fingerprints, func(f Fingerprint) bool { return t.verdicts[f] != nil })
+}
+
 // CertainlyRefused reports whether a request with these fingerprints is refused without doubt:
 // one of them is condemned, and has no rival that the request lacks.
 func (t *Tracker) CertainlyRefused(fingerprints []Fingerprint) bool {
