One copy of what the change had twice

The answer to a caller that has left (conclude and streams that wait), the call to the store with its timeout (lease and verdicts), the reset of a connection (stand-ins and the relay). waitForTarget checked for a state that can't be there.

--- a/internal/core/gateway/calls.go
+++ b/internal/core/gateway/calls.go
@@ -346,12 +346,17 @@
 		out.Add(step.Deliver{ID: c.req.ID, Attempt: c.attempt})
 		s.finish(now, c, "whole "+strconv.Itoa(e.Status), out)
 	case c.callerGone:
-		s.end(now, c, step.Answer{Status: 499, Code: step.CodeCancelled, Message: "the caller left"}, "the caller left", out)
+		s.endGone(now, c, out)
 	default:
 		s.retryOrEnd(now, c, e, out)
 	}
 }
 
+// endGone ends a request whose caller has left.
+func (s *State) endGone(now time.Duration, c *call, out *step.Out) {
+	s.end(now, c, step.Answer{Status: 499, Code: step.CodeCancelled, Message: "the caller left"}, "the caller left", out)
+}
+
 // retryOrEnd sends a request to another target after a failed attempt, or ends it.
 func (s *State) retryOrEnd(now time.Duration, c *call, e step.ForwardEnded, out *step.Out) {
 	answer := failureAnswer(c, e)
--- a/internal/core/gateway/resume.go
+++ b/internal/core/gateway/resume.go
@@ -26,11 +26,13 @@
 	if c.events == 0 || c.callerGone || !c.route.MayRepeat() {
 		return false
 	}
-	if c.interrupted == nil {
-		c.interrupted = &interrupted{until: min(now+resumeWait, c.deadline), choice: choice, fallback: fallback}
-		s.interrupted++
+	until := min(now+resumeWait, c.deadline)
+	if now >= until {
+		return false
 	}
-	return now < c.interrupted.until
+	c.interrupted = &interrupted{until: until, choice: choice, fallback: fallback}
+	s.interrupted++
+	return true
 }
 
 // resumeInterrupted sends streams that wait to targets that have room, and ends those that have
@@ -49,7 +51,7 @@
 		switch {
 		case c.callerGone:
 			s.endInterruption(c)
-			s.end(now, c, step.Answer{Status: 499, Code: step.CodeCancelled, Message: "the caller left"}, "the caller left", out)
+			s.endGone(now, c, out)
 		case hasTarget && s.budget.Allow(now, c.reachedAttempts()):
 			s.endInterruption(c)
 			s.sendToTarget(now, c, i.fallback, out)
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -265,33 +265,21 @@
 			d.Post(step.GroupOrderAnswered{Op: e.Op, Host: e.Host, Outcome: d.platform.Order(ctx, e)})
 		})
 	case step.ReadLease:
-		d.background.Go(func() {
-			ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
-			defer cancel()
+		d.callStore(ctx, func(ctx context.Context) step.Event {
 			a := d.platform.ReadLease(ctx, e)
 			d.log.Debug("lease read", "status", a.Status, "revision", a.Revision, "holder", a.Lease.Holder)
-			d.Post(a)
+			return a
 		})
 	case step.WriteLease:
-		d.background.Go(func() {
-			ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
-			defer cancel()
+		d.callStore(ctx, func(ctx context.Context) step.Event {
 			a := d.platform.WriteLease(ctx, e)
 			d.log.Debug("lease written", "if", e.Revision, "status", a.Status, "revision", a.Revision, "holder", a.Lease.Holder)
-			d.Post(a)
+			return a
 		})
 	case step.StoreVerdict:
-		d.background.Go(func() {
-			ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
-			defer cancel()
-			d.Post(d.platform.StoreVerdict(ctx, e))
-		})
+		d.callStore(ctx, func(ctx context.Context) step.Event { return d.platform.StoreVerdict(ctx, e) })
 	case step.RemoveVerdict:
-		d.background.Go(func() {
-			ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
-			defer cancel()
-			d.Post(d.platform.RemoveVerdict(ctx, e))
-		})
+		d.callStore(ctx, func(ctx context.Context) step.Event { return d.platform.RemoveVerdict(ctx, e) })
 	case step.NotifySuspect:
 		d.background.Go(func() {
 			if err := d.notifier.NotifySuspect(ctx, e.Address, e.Host); err != nil {
@@ -316,6 +304,15 @@
 	return false
 }
 
+// callStore makes a call to the store in the background and posts its answer.
+func (d *Daemon) callStore(ctx context.Context, call func(context.Context) step.Event) {
+	d.background.Go(func() {
+		ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+		defer cancel()
+		d.Post(call(ctx))
+	})
+}
+
 // requestReport requests an engine's report. On failure the event has OK unset.
 func (d *Daemon) requestReport(ctx context.Context, e step.RequestReport) step.ReportAnswered {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
--- a/internal/relay/encode_test.go
+++ b/internal/relay/encode_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
 
@@ -59,11 +60,11 @@
 	for range 20 {
 		wait.Go(func() {
 			resp, err := http.Get(server.URL + PathPrefix + "?" + Query(0, 1, 10*time.Second).Encode())
-			if !assertNoError(t, err) {
+			if !assert.NoError(t, err) {
 				return
 			}
 			text, err := io.ReadAll(resp.Body)
-			assertNoError(t, err)
+			assert.NoError(t, err)
 			_ = resp.Body.Close()
 			if !strings.Contains(string(text), "server server") {
 				t.Errorf("answer %q", text)
@@ -75,11 +76,3 @@
 	wait.Wait()
 	require.Equal(t, answerID{after: 1, revision: 2, batches: 1}, f.encoded.id)
 }
-
-func assertNoError(t *testing.T, err error) bool {
-	t.Helper()
-	if err != nil {
-		t.Error(err)
-	}
-	return err == nil
-}
--- a/internal/stub/cutter/link.go
+++ b/internal/stub/cutter/link.go
@@ -6,6 +6,8 @@
 	"sync"
 
 	"github.com/go-faster/errors"
+
+	"github.com/rhubarbswitch/rhubarbswitch/internal/stub/serve"
 )
 
 // bufferBytes is the size of the buffer of one direction.
@@ -155,8 +157,6 @@
 }
 
 func reset(conn net.Conn) {
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
-	}
+	serve.ResetOnClose(conn)
 	_ = conn.Close()
 }
--- a/internal/stub/serve/local.go
+++ b/internal/stub/serve/local.go
@@ -61,7 +61,7 @@
 func (l *Local) Close() {
 	l.mu.Lock()
 	for conn := range l.conns {
-		resetOnClose(conn)
+		ResetOnClose(conn)
 	}
 	l.mu.Unlock()
 	_ = l.server.Close()
@@ -70,12 +70,13 @@
 // Abort ends the handler of a request to a Local, and resets the request's connection.
 func Abort(r *http.Request) {
 	if conn, ok := r.Context().Value(connKey{}).(net.Conn); ok {
-		resetOnClose(conn)
+		ResetOnClose(conn)
 	}
 	panic(http.ErrAbortHandler)
 }
 
-func resetOnClose(conn net.Conn) {
+// ResetOnClose has a TCP connection reset when it is closed.
+func ResetOnClose(conn net.Conn) {
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
