--- a/internal/core/gateway/crashes.go
+++ b/internal/core/gateway/crashes.go
@@ -291,6 +291,10 @@
 		delay := min(time.Duration(s.rankFor(f))*successShareStep, maxSuccessShareDelay)
 		s.crashes.successes[f] = unsharedSuccess{at: at, dueAt: now + delay}
 	}
+	if len(cleared) > 0 {
+		out.Log(event.SuspicionCleared, event.F("request", c.req.CallerID), event.F("host", c.host), event.F("failed", c.hasFailureAnswer && c.firstEventAt == 0),
+			event.F("fingerprints", names(cleared)), event.F("ageMillis", (now-at).Milliseconds()))
+	}
 	s.applyVerdicts(now, ended, true, out)
 }
 
@@ -357,6 +361,9 @@
 			event.F("rivals", names(v.Rivals)), event.F("level", v.Level), event.F("own", own))
 		s.cancelRefused(out)
 	}
+	for _, u := range s.crashes.tracker.TakeUndecided() {
+		out.Log(event.CrashesUndecided, event.F("fingerprint", u.Fingerprint), event.F("hosts", strings.Join(u.Hosts, " ")), event.F("spanMillis", u.Span.Milliseconds()))
+	}
 }
 
 func (s *State) cancelRefused(out *step.Out) {
--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -68,6 +68,9 @@
 	probations  map[Fingerprint]probation
 	suspected   map[Fingerprint]bool // as of the last evaluation, and of crashes since
 	outdated    bool                 // something was recorded since
+	undecided   map[Fingerprint]bool // as of the last evaluation
+	// newUndecided are those not yet taken by TakeUndecided.
+	newUndecided []Undecided
 	forgotAt    time.Duration        // when forget last ran
 	rank        func(Fingerprint) int
 }
--- a/internal/core/quarantine/verdict.go
+++ b/internal/core/quarantine/verdict.go
@@ -101,9 +101,51 @@
 			t.describe(v, against[f], candidates)
 		}
 	}
+	t.findUndecided(against)
 	return changes
 }
 
+// Undecided is a fingerprint that enough crashes speak against to condemn it, if they were not so
+// close together that the hosts may have been lost together.
+type Undecided struct {
+	Fingerprint Fingerprint
+	Hosts       []string // that crashed
+	Span        time.Duration
+}
+
+// findUndecided records the fingerprints that are undecided now.
+func (t *Tracker) findUndecided(against map[Fingerprint][]int) {
+	before := t.undecided
+	t.undecided = make(map[Fingerprint]bool)
+	for _, f := range slices.SortedFunc(maps.Keys(against), Compare) {
+		crashes := against[f]
+		if f.Kind == PromptPart || t.verdicts[f] != nil || len(crashes) < t.set.MinCrashes {
+			continue
+		}
+		t.undecided[f] = true
+		if before[f] {
+			continue
+		}
+		u := Undecided{Fingerprint: f, Span: t.span(crashes)}
+		for _, i := range crashes {
+			u.Hosts = append(u.Hosts, t.crashes[i].Host)
+		}
+		t.newUndecided = append(t.newUndecided, u)
+	}
+}
+
+// TakeUndecided returns the fingerprints that have become undecided since it was last called.
+func (t *Tracker) TakeUndecided() []Undecided {
+	u := t.newUndecided
+	t.newUndecided = nil
+	return u
+}
+
+// span is the time between the first and the last of some crashes.
+func (t *Tracker) span(crashes []int) time.Duration {
+	return t.crashes[crashes[len(crashes)-1]].At - t.crashes[crashes[0]].At
+}
+
 // candidates returns the fingerprints that enough crashes speak against, with these crashes.
 func (t *Tracker) candidates(against map[Fingerprint][]int) map[Fingerprint][]int {
 	found := make(map[Fingerprint][]int)
@@ -112,7 +154,7 @@
 		if _, onProbation := t.probations[f]; onProbation {
 			minCrashes, minSpan = 1, 0
 		}
-		if len(crashes) >= minCrashes && t.crashes[crashes[len(crashes)-1]].At-t.crashes[crashes[0]].At >= minSpan {
+		if len(crashes) >= minCrashes && t.span(crashes) >= minSpan {
 			found[f] = crashes
 		}
 	}
