gateway: failing test of hosts that crash within a moment under one request

TestCloseCrashesOfFewHosts plays several reducers in a deployment with few hosts, all of which crash within 250 ms under one request and come back seconds later; daemons learn of that at different times. The world of the property can also draw hosts that answer with a failure of their own, which nothing draws yet.

--- a/internal/core/gateway/crashes_property_test.go
+++ b/internal/core/gateway/crashes_property_test.go
@@ -27,6 +27,7 @@
 // crashWorld is a deployment with requests that crash hosts: daemons that exchange messages over
 // links that are slow or cut, a store that keeps verdicts, and hosts that restart.
 type crashWorld struct {
+	crashWorldSettings
 	rt       *rapid.T
 	t        *testing.T
 	now      time.Duration
@@ -44,6 +45,23 @@
 	refused  []string // sound requests that were refused as quarantined
 }
 
+// crashWorldSettings are what differs between deployments.
+type crashWorldSettings struct {
+	hostsPerService int
+	// maxBeginDelay bounds the time after which a host begins to answer, or crashes.
+	maxBeginDelay time.Duration
+	// downtime is how long a host is down after a crash, and downtimeSpread by how much that differs.
+	downtime, downtimeSpread time.Duration
+	// maxViewDelay bounds the time after which a daemon knows of a restarted host.
+	maxViewDelay time.Duration
+	// failureShare is how many of 100 requests a host answers with a failure of its own.
+	failureShare int
+}
+
+func defaultCrashWorld() crashWorldSettings {
+	return crashWorldSettings{hostsPerService: 8, maxBeginDelay: 200 * time.Millisecond, downtime: 500 * time.Millisecond, downtimeSpread: 1500 * time.Millisecond}
+}
+
 type worldEvent struct {
 	at time.Duration
 	do func()
@@ -81,12 +99,12 @@
 	inTouch bool
 }
 
-func newCrashWorld(rt *rapid.T, t *testing.T, daemons int) *crashWorld {
+func newCrashWorld(rt *rapid.T, t *testing.T, daemons int, set crashWorldSettings) *crashWorld {
 	w := &crashWorld{
-		rt: rt, t: t, now: time.Minute, hosts: make(map[string]*worldHost), store: make(map[quarantine.Fingerprint]quarantine.Verdict), storeUp: true,
+		crashWorldSettings: set, rt: rt, t: t, now: time.Minute, hosts: make(map[string]*worldHost), store: make(map[quarantine.Fingerprint]quarantine.Verdict), storeUp: true,
 		requests: make(map[step.RequestID]worldRequest), crashes: make(map[string][]time.Duration), bounds: make(map[string]int), sends: make(map[string][]worldSend),
 	}
-	for i := range 8 {
+	for i := range w.hostsPerService {
 		for _, h := range []site.Host{plainHost(fmt.Sprintf("p%d", i)), openHead(fmt.Sprintf("h%d", i))} {
 			w.hosts[h.ID] = &worldHost{Host: h, up: true, attempts: make(map[step.AttemptID]*worldAttempt)}
 		}
@@ -237,13 +255,18 @@
 		w.after(time.Millisecond, 0, func() { w.end(d, f, step.EndedUnsent, 0) })
 		return
 	}
+	known := d.s.hosts[f.Host].Incarnation == h.Incarnation
 	if r.crasher != "" {
 		inTouch := !d.isCut && w.now-d.calmFrom >= verdictWithin && w.storeUp && w.now-w.storeAt >= verdictWithin
 		w.sends[r.crasher] = append(w.sends[r.crasher], worldSend{w.now, inTouch})
 	}
+	if !known {
+		w.after(time.Millisecond, 0, func() { w.end(d, f, step.EndedRefused, 0) })
+		return
+	}
 	a := &worldAttempt{Forward: f, daemon: d, request: r}
 	h.attempts[f.Attempt+step.AttemptID(fmt.Sprint(d.index))] = a
-	w.after(20*time.Millisecond, 200*time.Millisecond, func() { w.begin(h, a) })
+	w.after(20*time.Millisecond, w.maxBeginDelay, func() { w.begin(h, a) })
 }
 
 func (w *crashWorld) running(h *worldHost, a *worldAttempt) bool {
@@ -255,6 +278,11 @@
 	if !w.running(h, a) {
 		return
 	}
+	if rapid.IntRange(0, 99).Draw(w.rt, "fails") < w.failureShare {
+		delete(h.attempts, a.Attempt+step.AttemptID(fmt.Sprint(a.daemon.index)))
+		w.end(a.daemon, a.Forward, step.EndedError, 0)
+		return
+	}
 	if a.Stream {
 		w.post(a.daemon, step.AnswerBegan{ID: a.ID, Attempt: a.Attempt})
 	}
@@ -294,11 +322,11 @@
 		}
 		w.after(time.Millisecond, 5*time.Millisecond, func() { w.end(a.daemon, a.Forward, step.EndedBroken, delivered) })
 	}
-	w.after(500*time.Millisecond, 2*time.Second, func() {
+	w.after(w.downtime, w.downtime+w.downtimeSpread, func() {
 		h.up = true
 		h.Incarnation++
 		for _, d := range w.daemons {
-			w.postHosts(d)
+			w.after(0, w.maxViewDelay, func() { w.postHosts(d) })
 		}
 	})
 }
@@ -330,9 +358,9 @@
 		w.storeUp = false
 		w.after(time.Second, 5*time.Second, func() { w.storeUp, w.storeAt = true, w.now })
 	case 3: // one host crashes under sound requests
-		w.crash(w.hosts[fmt.Sprintf("%s%d", rapid.SampledFrom([]string{"p", "h"}).Draw(w.rt, "service"), rapid.IntRange(0, 7).Draw(w.rt, "host"))])
+		w.crash(w.hosts[fmt.Sprintf("%s%d", rapid.SampledFrom([]string{"p", "h"}).Draw(w.rt, "service"), rapid.IntRange(0, w.hostsPerService-1).Draw(w.rt, "host"))])
 	case 4: // half of the hosts lose their power
-		for i := range 4 {
+		for i := range w.hostsPerService / 2 {
 			w.crash(w.hosts[fmt.Sprintf("p%d", i)])
 			w.crash(w.hosts[fmt.Sprintf("h%d", i)])
 		}
@@ -388,7 +416,7 @@
 // cut off, the store is away and hosts crash for other reasons.
 func TestCrashingRequestsAreRefusedByAllDaemons(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		w := newCrashWorld(rt, t, rapid.IntRange(2, 4).Draw(rt, "daemons"))
+		w := newCrashWorld(rt, t, rapid.IntRange(2, 4).Draw(rt, "daemons"), defaultCrashWorld())
 		var crashers []func() worldRequest
 		for i := range rapid.IntRange(1, 2).Draw(rt, "crashers") {
 			crashers = append(crashers, w.drawCrasher(fmt.Sprintf("x%d", i)))
@@ -408,16 +436,64 @@
 			}
 		}
 		w.check()
-		// Long enough for a second trial: a host may crash for another reason under the first.
-		for range 12 {
-			w.refused = nil
-			for _, d := range w.daemons {
-				for _, r := range sound {
-					w.send(d, r)
-				}
+		w.requireSoundServed(sound)
+	})
+}
+
+// requireSoundServed sends sound requests for long enough for a second trial: a host may crash for
+// another reason under the first.
+func (w *crashWorld) requireSoundServed(sound []worldRequest) {
+	for range 12 {
+		w.refused = nil
+		for _, d := range w.daemons {
+			for _, r := range sound {
+				w.send(d, r)
 			}
-			w.run(1200 * time.Millisecond)
 		}
-		require.Empty(rt, w.refused, "sound requests are refused")
+		w.run(1200 * time.Millisecond)
+	}
+	require.Empty(w.rt, w.refused, "sound requests are refused")
+}
+
+// drawFewHosts draws a deployment in which all hosts of a service may crash within a moment and come
+// back seconds later, under new identities that not all daemons know at once.
+func drawFewHosts(rt *rapid.T) crashWorldSettings {
+	return crashWorldSettings{
+		hostsPerService: rapid.IntRange(3, 4).Draw(rt, "hosts"), maxBeginDelay: 60 * time.Millisecond,
+		downtime: time.Duration(rapid.IntRange(1, 5).Draw(rt, "downtime")) * time.Second, downtimeSpread: 300 * time.Millisecond,
+		maxViewDelay: 500 * time.Millisecond,
+	}
+}
+
+// sendWaves sends a request that crashes hosts to several daemons at once, again and again, beside
+// sound ones.
+func (w *crashWorld) sendWaves(crasher worldRequest, sound []worldRequest) {
+	for range rapid.IntRange(2, 5).Draw(w.rt, "waves") {
+		for range rapid.IntRange(1, 6).Draw(w.rt, "at once") {
+			w.send(w.daemons[rapid.IntRange(0, len(w.daemons)-1).Draw(w.rt, "to")], crasher)
+			w.run(time.Duration(rapid.IntRange(0, 3).Draw(w.rt, "pause")) * 20 * time.Millisecond)
+		}
+		w.send(w.daemons[0], sound[rapid.IntRange(0, len(sound)-1).Draw(w.rt, "sound")])
+		w.run(time.Duration(rapid.IntRange(1, 60).Draw(w.rt, "until the next wave")) * 100 * time.Millisecond)
+	}
+}
+
+// TestCloseCrashesOfFewHosts crashes all hosts of a service within a moment, as often as they come
+// back, while daemons restart.
+func TestCloseCrashesOfFewHosts(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		w := newCrashWorld(rt, t, rapid.IntRange(2, 7).Draw(rt, "daemons"), drawFewHosts(rt))
+		w.bounds["x"] = 3
+		crasher := worldRequest{crasher: "x", path: rapid.SampledFrom([]string{"/read/1", "/once/1"}).Draw(rt, "path"), body: rendezvous.Hash("x")}
+		sound := soundRequests()
+		w.run(5 * time.Second)
+		for range rapid.IntRange(1, 3).Draw(rt, "rounds") {
+			w.sendWaves(crasher, sound)
+			if rapid.Bool().Draw(rt, "restart") {
+				w.startDaemon(rapid.IntRange(0, len(w.daemons)-1).Draw(rt, "which"))
+			}
+		}
+		w.check()
+		w.requireSoundServed(sound)
 	})
 }
