gateway: requests under which hosts crashed within a moment go to one host at a time

Callers saw all servers of a service end again as soon as they were back: three servers that crash within 250 ms under one request led to no verdict, since hosts that lose their power together must condemn nothing, and until the fourth crash every daemon let the request go to any host at once.

Cause: nothing lay between unknown and condemned. Now such crashes begin a provisional verdict on the request: it is sent to one host at a time over all daemons, by the turns that trials have already. A success ends it, another crash makes it final. It is stored, so that daemons that restart know it, and replaced in the store when it becomes final. Parts of prompts get none: a common part is on board of all hosts that are lost together. Two things that slipped through beside it: turns count from the first request that could be tried, so daemons that get one at the same moment after a pause don't all send it; and crashes beyond the third count as trials of a request.

TestHostsLostTogetherCondemnNothing is unchanged.

Ruled out: a verdict as soon as the request was sent on after each crash; hosts that die one after the other take a sound request that is retried with them the same way.

--- a/internal/core/gateway/crashes.go
+++ b/internal/core/gateway/crashes.go
@@ -75,7 +75,17 @@
 }
 
 // CondemnedFingerprints returns the number of fingerprints whose requests are refused.
-func (s *State) CondemnedFingerprints() int { return s.crashes.tracker.VerdictCount() }
+func (s *State) CondemnedFingerprints() int {
+	final, _ := s.crashes.tracker.VerdictCount()
+	return final
+}
+
+// ProvisionalFingerprints returns the number of fingerprints whose requests are sent to one host at
+// a time.
+func (s *State) ProvisionalFingerprints() int {
+	_, provisional := s.crashes.tracker.VerdictCount()
+	return provisional
+}
 
 // fingerprints returns what identifies a request to the quarantine.
 func (c *call) fingerprints() []quarantine.Fingerprint {
@@ -361,8 +371,9 @@
 			event.F("rivals", names(v.Rivals)), event.F("level", v.Level), event.F("own", own))
 		s.cancelRefused(out)
 	}
-	for _, u := range s.crashes.tracker.TakeUndecided() {
-		out.Log(event.CrashesUndecided, event.F("fingerprint", u.Fingerprint), event.F("hosts", strings.Join(u.Hosts, " ")), event.F("spanMillis", u.Span.Milliseconds()))
+	for _, v := range s.crashes.tracker.TakeProvisional() {
+		s.scheduleWrite(now, quarantine.Change{Verdict: v}, own)
+		out.Log(event.FingerprintProvisional, event.F("fingerprint", v.Fingerprint), event.F("hosts", strings.Join(v.Hosts, " ")), event.F("own", own))
 	}
 }
 
@@ -380,7 +391,7 @@
 // has reached one. A request that would be tried if a host could take it is let through, to be
 // refused for want of a host.
 func (s *State) quarantineDecision(now time.Duration, c *call, mayTry bool) quarantine.Decision {
-	if s.crashes.tracker.VerdictCount() == 0 || len(c.tried) > 0 && c.reachedAttempts() == 0 {
+	if !s.crashes.tracker.HasVerdicts() || len(c.tried) > 0 && c.reachedAttempts() == 0 {
 		return quarantine.Decision{}
 	}
 	if !s.crashes.tracker.Condemned(c.fingerprints()) {
--- a/internal/core/gateway/crashes_property_test.go
+++ b/internal/core/gateway/crashes_property_test.go
@@ -237,16 +237,18 @@
 	}
 	w.requests[id] = r
 	w.post(d, call)
-	if r.crasher == "" && d.s.calls[id] == nil && w.wouldRefuse(d, call) {
-		w.refused = append(w.refused, string(id))
+	if r.crasher == "" && d.s.calls[id] == nil {
+		if decision := w.decision(d, call); decision.RetryAfter > 0 {
+			w.refused = append(w.refused, fmt.Sprintf("%s at %v by %s: %+v, verdicts %+v", id, w.now, d.s.settings.Daemon, decision, d.s.crashes.tracker.Verdicts()))
+		}
 	}
 }
 
-// wouldRefuse reports whether the daemon refuses a request as quarantined.
-func (w *crashWorld) wouldRefuse(d *worldDaemon, r step.Call) bool {
+// decision is what the daemon's quarantine decides on a request.
+func (w *crashWorld) decision(d *worldDaemon, r step.Call) quarantine.Decision {
 	c := &call{req: r}
 	c.team = "team"
-	return d.s.quarantineDecision(w.now, c, false).RetryAfter > 0
+	return d.s.quarantineDecision(w.now, c, false)
 }
 
 func (w *crashWorld) forward(d *worldDaemon, f step.Forward) {
--- a/internal/core/gateway/verdicts.go
+++ b/internal/core/gateway/verdicts.go
@@ -27,17 +27,25 @@
 	// known is set once a complete list of the store's current era has come.
 	known  bool
 	stored map[quarantine.Fingerprint]bool
+	// provisional are those of the stored ones that are provisional.
+	provisional map[quarantine.Fingerprint]bool
 	// writeAt is when a verdict that began is to be stored, or one that ended to be removed.
 	writeAt map[quarantine.Fingerprint]time.Duration
 	endedAt map[quarantine.Fingerprint]time.Duration
 	// writes are the calls that have not been answered.
-	writes map[step.OpID]quarantine.Fingerprint
+	writes map[step.OpID]verdictWrite
+}
+
+// verdictWrite is a verdict that is being stored or removed.
+type verdictWrite struct {
+	fingerprint quarantine.Fingerprint
+	provisional bool
 }
 
 func newVerdictStore() verdictStore {
 	return verdictStore{
-		stored: make(map[quarantine.Fingerprint]bool), writeAt: make(map[quarantine.Fingerprint]time.Duration),
-		endedAt: make(map[quarantine.Fingerprint]time.Duration), writes: make(map[step.OpID]quarantine.Fingerprint),
+		stored: make(map[quarantine.Fingerprint]bool), provisional: make(map[quarantine.Fingerprint]bool), writeAt: make(map[quarantine.Fingerprint]time.Duration),
+		endedAt: make(map[quarantine.Fingerprint]time.Duration), writes: make(map[step.OpID]verdictWrite),
 	}
 }
 
@@ -74,14 +82,14 @@
 	}
 	for _, f := range gone {
 		delete(w.stored, f)
+		delete(w.provisional, f)
 		s.applyVerdicts(now, s.crashes.tracker.Lift(now, f), true, out)
 	}
 	for _, v := range e.Verdicts {
-		w.stored[v.Fingerprint] = true
-		if _, ended := w.endedAt[v.Fingerprint]; ended {
-			continue
+		if _, ended := w.endedAt[v.Fingerprint]; !ended {
+			s.applyVerdicts(now, s.crashes.tracker.Adopt(now, v), false, out)
 		}
-		s.applyVerdicts(now, s.crashes.tracker.Adopt(now, v), false, out)
+		w.recordStored(v.Fingerprint, v.Provisional)
 	}
 }
 
@@ -90,6 +98,7 @@
 	w := &s.verdicts
 	w.known = false
 	clear(w.stored)
+	clear(w.provisional)
 	clear(w.writes)
 	for _, v := range s.crashes.tracker.Verdicts() {
 		w.writeAt[v.Fingerprint] = now + time.Duration(s.rankFor(v.Fingerprint))*verdictWriteStep
@@ -99,14 +108,15 @@
 // verdictTick writes what is due.
 func (s *State) verdictTick(now time.Duration, out *step.Out) {
 	w := &s.verdicts
-	if !w.known || !s.storeReachable || len(w.writeAt) == 0 && len(w.endedAt) == 0 && s.crashes.tracker.VerdictCount() == 0 {
+	if !w.known || !s.storeReachable || len(w.writeAt) == 0 && len(w.endedAt) == 0 && !s.crashes.tracker.HasVerdicts() {
 		return
 	}
 	inForce := make(map[quarantine.Fingerprint]bool)
 	for _, v := range s.crashes.tracker.Verdicts() {
 		inForce[v.Fingerprint] = true
-		if !w.stored[v.Fingerprint] && s.isDue(now, v.Fingerprint) {
-			op := s.beginWrite(now, v.Fingerprint)
+		missing := !w.stored[v.Fingerprint] || w.provisional[v.Fingerprint] && !v.Provisional
+		if missing && s.isDue(now, v.Fingerprint) {
+			op := s.beginWrite(now, verdictWrite{v.Fingerprint, v.Provisional})
 			out.Add(step.StoreVerdict{Op: op, Verdict: v})
 		}
 	}
@@ -117,7 +127,7 @@
 			continue
 		}
 		if w.stored[f] && !inForce[f] && s.isDue(now, f) {
-			op := s.beginWrite(now, f)
+			op := s.beginWrite(now, verdictWrite{fingerprint: f})
 			out.Add(step.RemoveVerdict{Op: op, Fingerprint: f})
 		}
 	}
@@ -128,23 +138,32 @@
 	return now >= s.verdicts.writeAt[f]
 }
 
-func (s *State) beginWrite(now time.Duration, f quarantine.Fingerprint) step.OpID {
+func (s *State) beginWrite(now time.Duration, v verdictWrite) step.OpID {
 	op := s.nextOp()
-	s.verdicts.writes[op] = f
-	s.verdicts.writeAt[f] = now + verdictRetryDelay
+	s.verdicts.writes[op] = v
+	s.verdicts.writeAt[v.fingerprint] = now + verdictRetryDelay
 	return op
 }
 
 // onVerdictAnswered records the result of a write. The store's next change shows it too.
 func (s *State) onVerdictAnswered(e step.VerdictAnswered) {
-	f, ok := s.verdicts.writes[e.Op]
+	v, ok := s.verdicts.writes[e.Op]
 	delete(s.verdicts.writes, e.Op)
 	if !ok || !e.OK {
 		return
 	}
-	if _, ended := s.verdicts.endedAt[f]; ended {
-		delete(s.verdicts.stored, f)
+	if _, ended := s.verdicts.endedAt[v.fingerprint]; ended {
+		delete(s.verdicts.stored, v.fingerprint)
+		return
+	}
+	s.verdicts.recordStored(v.fingerprint, v.provisional)
+}
+
+func (w *verdictStore) recordStored(f quarantine.Fingerprint, provisional bool) {
+	w.stored[f] = true
+	if provisional {
+		w.provisional[f] = true
 	} else {
-		s.verdicts.stored[f] = true
+		delete(w.provisional, f)
 	}
 }
--- a/internal/core/gateway/verdicts_test.go
+++ b/internal/core/gateway/verdicts_test.go
@@ -150,3 +150,34 @@
 	_, removed = x.writes(verdictWriteDelay + 3*verdictWriteStep)
 	require.NotEmpty(t, removed, "it has expired")
 }
+
+// TestProvisionalVerdictIsStoredAndThenReplaced crashes three hosts within a moment, and one more.
+func TestProvisionalVerdictIsStoredAndThenReplaced(t *testing.T) {
+	x := newVerdictHarness(t)
+	for range 3 {
+		x.crash(x.requireForward(x.send("/once/1", 1)))
+		x.now += 50 * time.Millisecond
+	}
+	stored, _ := x.writes(100 * time.Millisecond)
+	require.Len(t, stored, 1)
+	require.True(t, stored[0].Verdict.Provisional)
+	x.reduce(step.VerdictAnswered{Op: stored[0].Op, OK: true})
+	x.reduce(step.SiteVerdicts{Verdicts: []quarantine.Verdict{stored[0].Verdict}})
+	require.Equal(t, 1, x.s.ProvisionalFingerprints())
+	require.Zero(t, x.s.CondemnedFingerprints())
+	more, _ := x.writes(5 * time.Second)
+	require.Empty(t, more)
+
+	x.now += time.Duration(x.s.rankFor(stored[0].Verdict.Fingerprint)) * quarantine.Defaults().TrialStep
+	effects, _ := withoutEvidence(x.send("/once/1", 1))
+	x.crash(x.requireForward(effects))
+	replaced, _ := x.writes(100 * time.Millisecond)
+	require.Len(t, replaced, 1)
+	require.False(t, replaced[0].Verdict.Provisional)
+	require.Len(t, replaced[0].Verdict.Hosts, 4)
+	x.reduce(step.VerdictAnswered{Op: replaced[0].Op, OK: true})
+	x.reduce(step.SiteVerdicts{Verdicts: []quarantine.Verdict{stored[0].Verdict}})
+	again, _ := x.writes(2 * time.Second)
+	require.Len(t, again, 1, "the store still has the provisional one")
+	require.Equal(t, 1, x.s.CondemnedFingerprints())
+}
--- a/internal/core/quarantine/decision.go
+++ b/internal/core/quarantine/decision.go
@@ -5,6 +5,20 @@
 	"time"
 )
 
+const (
+	// provisionalRetryAfter bounds the time after which a caller should come back whose request is
+	// held back by a provisional verdict. A trial ends within about that time.
+	provisionalRetryAfter = 250 * time.Millisecond
+	// maxProvisionalDoublings bounds the growth of the delays between trials under a provisional
+	// verdict.
+	maxProvisionalDoublings = 6
+	// turnValidity is how long a daemon's turn lasts. A caller that was told when to come back comes
+	// within it.
+	turnValidity = 2 * time.Second
+	// maxMissedTurns is after how many turns without a request a daemon no longer waits for its turn.
+	maxMissedTurns = 3
+)
+
 // Decision is whether a request may be sent to a host.
 type Decision struct {
 	// Refused is the fingerprint for which the request is refused; valid if RetryAfter is
@@ -43,14 +57,18 @@
 		}
 	}
 	var d Decision
+	joint := time.Duration(suspects-1) * t.set.JointTrialDelay
 	for _, v := range condemned {
 		left := v.left(now)
 		certain := v.isCertainFor(fingerprints)
 		if !certain {
-			left = min(left, t.trialFrom(v, fingerprints)+time.Duration(suspects-1)*t.set.JointTrialDelay-now)
+			left = min(left, t.trialFrom(now, v, fingerprints, joint, mayTry)-now)
 			if !mayTry {
 				left = max(left, t.set.TrialDelay)
 			}
+			if v.Provisional {
+				left = min(left, provisionalRetryAfter)
+			}
 		}
 		if left > d.RetryAfter {
 			d.Refused, d.RetryAfter, d.Certain = v.Fingerprint, left, certain
@@ -67,21 +85,48 @@
 }
 
 // trialFrom returns the time from which a request with a condemned fingerprint may be let through.
-// The first one is let through at once if it lacks a rival of the fingerprint.
-func (t *Tracker) trialFrom(v *Verdict, fingerprints []Fingerprint) time.Duration {
-	turn := time.Duration(t.rank(v.Fingerprint)) * t.set.TrialStep
-	from := v.since
-	if v.trials > 0 {
+// The first one is let through at once if it lacks a rival of the fingerprint. joint is the
+// additional delay of a request with several suspects.
+func (t *Tracker) trialFrom(now time.Duration, v *Verdict, fingerprints []Fingerprint, joint time.Duration, mayTry bool) time.Duration {
+	trials, lastTrialAt := v.trials, v.lastTrialAt
+	if v.Fingerprint.Kind != PromptPart && v.crashes-t.set.MinCrashes > trials {
+		trials, lastTrialAt = v.crashes-t.set.MinCrashes, max(lastTrialAt, v.lastCrashAt)
+	}
+	var due time.Duration
+	switch {
+	case v.Provisional && trials == 0:
+		due = v.since
+	case v.Provisional:
+		due = lastTrialAt + t.set.TrialDelay<<min(trials-1, maxProvisionalDoublings)
+	case trials > 0:
 		wait := t.set.NextTrialDelay
-		for range v.trials - 1 {
+		for range trials - 1 {
 			wait *= trialDelayFactor
 		}
-		from = v.lastTrialAt + wait + turn
-	} else if containsAll(fingerprints, v.Rivals) {
-		from += t.set.TrialDelay + turn
+		due = lastTrialAt + wait + joint
+	case containsAll(fingerprints, v.Rivals):
+		due = v.since + t.set.TrialDelay + joint
+	case !v.voidTrial:
+		return v.since + joint
 	}
 	if v.voidTrial {
-		from = max(from, v.lastTrialAt+t.set.TrialDelay+turn)
+		due = max(due, v.lastTrialAt+t.set.TrialDelay+joint)
+	}
+	return t.turnFrom(now, v, due, mayTry)
+}
+
+// turnFrom returns the time from which this daemon may let a trial through that is due. Daemons take
+// turns by rank, so that one hears of the trial of another before its own turn. A turn that passed
+// without a request is over; only after several has the daemon surely been the only one asked.
+func (t *Tracker) turnFrom(now time.Duration, v *Verdict, due time.Duration, mayTry bool) time.Duration {
+	turn := time.Duration(t.rank(v.Fingerprint)) * t.set.TrialStep
+	from := max(due, v.asked.since) + turn
+	if mayTry && (v.asked.occasions == 0 || now > from+turnValidity) {
+		v.asked = demand{occasions: v.asked.occasions + 1, since: now}
+		from = max(due, now) + turn
+		if v.asked.occasions > maxMissedTurns {
+			from = max(due, now)
+		}
 	}
 	return from
 }
@@ -93,14 +138,14 @@
 	case !tr.Void:
 		v.recordTrial(tr.At)
 	default:
-		v.trials, v.voidTrial = max(0, v.trials-1), true
+		v.trials, v.voidTrial, v.asked = max(0, v.trials-1), true, demand{occasions: 1, since: v.lastTrialAt}
 	}
 }
 
 // isCertainFor reports whether enough hosts have crashed under nothing but what a request consists
 // of.
 func (v *Verdict) isCertainFor(fingerprints []Fingerprint) bool {
-	return len(v.SoleSuspects) > 0 && containsAll(fingerprints, v.SoleSuspects)
+	return !v.Provisional && len(v.SoleSuspects) > 0 && containsAll(fingerprints, v.SoleSuspects)
 }
 
 // Condemned reports whether any of these fingerprints is condemned.
@@ -108,11 +153,17 @@
 	return slices.ContainsFunc(fingerprints, func(f Fingerprint) bool { return t.verdicts[f] != nil })
 }
 
+// Refuses reports whether a verdict on the fingerprint is in force that is not provisional.
+func (t *Tracker) Refuses(f Fingerprint) bool {
+	v := t.verdicts[f]
+	return v != nil && !v.Provisional
+}
+
 // CertainlyRefused reports whether a request with these fingerprints is refused without doubt:
 // one of them is condemned, and has no rival that the request lacks.
 func (t *Tracker) CertainlyRefused(fingerprints []Fingerprint) bool {
 	for _, f := range fingerprints {
-		if v := t.verdicts[f]; v != nil && containsAll(fingerprints, v.Rivals) {
+		if t.Refuses(f) && containsAll(fingerprints, t.verdicts[f].Rivals) {
 			return true
 		}
 	}
@@ -123,8 +174,20 @@
 	return !slices.ContainsFunc(all, func(f Fingerprint) bool { return !slices.Contains(fingerprints, f) })
 }
 
-// VerdictCount returns the number of verdicts in force.
-func (t *Tracker) VerdictCount() int { return len(t.verdicts) }
+// HasVerdicts reports whether any verdict is in force.
+func (t *Tracker) HasVerdicts() bool { return len(t.verdicts) > 0 }
+
+// VerdictCount returns the number of verdicts in force, with and without the provisional ones.
+func (t *Tracker) VerdictCount() (final, provisional int) {
+	for _, v := range t.verdicts {
+		if v.Provisional {
+			provisional++
+		} else {
+			final++
+		}
+	}
+	return final, provisional
+}
 
 // Suspects returns those of a crash's suspects that no success has cleared.
 func (t *Tracker) Suspects(c Crash) []Fingerprint {
@@ -155,12 +218,19 @@
 // its own from which to decide.
 func (t *Tracker) Adopt(now time.Duration, v Verdict) []Change {
 	f := v.Fingerprint
+	if known := t.verdicts[f]; known != nil && known.Provisional && !v.Provisional {
+		return []Change{t.confirm(now, known)}
+	}
 	if _, cleared := t.lastSuccess[f]; cleared || t.suspected[f] || t.verdicts[f] != nil || len(t.verdicts) >= maxVerdicts {
 		return nil
 	}
 	own := t.begin(now, f)
 	own.Rivals, own.SoleSuspects, own.Hosts, own.Level, own.ttl = v.Rivals, v.SoleSuspects, v.Hosts, v.Level, t.ttl(v.Level)
 	own.trials, own.lastTrialAt = adoptedTrials, now
+	if own.Provisional = v.Provisional; v.Provisional {
+		t.newProvisional = append(t.newProvisional, own)
+		return nil
+	}
 	return []Change{{Verdict: own}}
 }
 
--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -28,7 +28,8 @@
 	// condemned.
 	MinCrashes int
 	// MinSpan is the least time between the first and the last of these crashes: hosts that
-	// lose their power or network together crash at the same time, whatever they run.
+	// lose their power or network together crash at the same time, whatever they run. If the
+	// crashes are closer together, the verdict on a request is provisional.
 	MinSpan time.Duration
 	// CrashTTL is how long a crash counts.
 	CrashTTL time.Duration
@@ -39,6 +40,9 @@
 	// out whether it is sound. TrialDelay after the verdict began the first one is let through by
 	// the daemon of rank 0, and TrialStep later by that of each further rank; at once if the request
 	// lacks a rival. The next one follows after NextTrialDelay, and later ones after longer delays.
+	// Crashes beyond MinCrashes count as trials of a request. If none has come by its time, each
+	// daemon's TrialStep counts from the first one that comes later. Under a provisional verdict the
+	// first trial has no delay, and later ones have TrialDelay and longer ones.
 	// A request waits JointTrialDelay longer for each further part of its prompt and suspect that it
 	// has, since it tells less. A request is not tried if MinCrashes crashes had nothing on board but
 	// what it consists of, such as one that is sent again and again.
@@ -68,11 +72,10 @@
 	probations  map[Fingerprint]probation
 	suspected   map[Fingerprint]bool // as of the last evaluation, and of crashes since
 	outdated    bool                 // something was recorded since
-	undecided   map[Fingerprint]bool // as of the last evaluation
-	// newUndecided are those not yet taken by TakeUndecided.
-	newUndecided []Undecided
-	forgotAt    time.Duration        // when forget last ran
-	rank        func(Fingerprint) int
+	// newProvisional are the verdicts that TakeProvisional returns next.
+	newProvisional []*Verdict
+	forgotAt       time.Duration // when forget last ran
+	rank           func(Fingerprint) int
 }
 
 // New returns a Tracker that knows of no crashes. rank returns this daemon's rank among all for a
@@ -141,7 +144,9 @@
 			continue
 		}
 		delete(t.verdicts, f)
-		t.probations[f] = probation{level: v.Level, until: now + v.ttl, soleSuspects: v.SoleSuspects}
+		if !v.Provisional {
+			t.probations[f] = probation{level: v.Level, until: now + v.ttl, soleSuspects: v.SoleSuspects}
+		}
 		t.lastSuccess[f] = now // its crashes have been paid for
 		changes = append(changes, Change{Verdict: v, Ended: EndedExpired})
 	}
--- a/internal/core/quarantine/quarantine_test.go
+++ b/internal/core/quarantine/quarantine_test.go
@@ -72,6 +72,123 @@
 	require.NotEmpty(t, w.crash(x), "another crash, at another time")
 }
 
+// closeCrashes crashes three hosts within 139 ms.
+func (w *world) closeCrashes(suspects ...Fingerprint) {
+	for _, pause := range []time.Duration{42 * ms, 97 * ms, 0} {
+		require.Empty(w.t, w.crash(suspects...))
+		w.now += pause
+	}
+}
+
+// TestRequestThatCrashedHostsWithinAMomentIsSentToOneHostAtATime crashes three hosts within a moment.
+// One of the requests that follow is let through, and decides.
+func TestRequestThatCrashedHostsWithinAMomentIsSentToOneHostAtATime(t *testing.T) {
+	set, request := Defaults(), []Fingerprint{content(1), part(5)}
+	for _, sound := range []bool{true, false} {
+		w := newWorld(t)
+		w.closeCrashes(request...)
+		provisional := w.TakeProvisional()
+		require.Len(t, provisional, 1, "parts of prompts are left alone")
+		require.Equal(t, []string{"h1", "h2", "h3"}, provisional[0].Hosts)
+		require.Empty(t, w.TakeProvisional())
+		require.False(t, w.refused(part(5), content(2)))
+		require.False(t, w.CertainlyRefused(request))
+
+		w.now += 4900 * ms // the hosts are back
+		require.Equal(t, Decision{Refused: request[0], RetryAfter: provisionalRetryAfter}, w.Decide(w.now, request, true), "it is the turn of two others")
+		w.now += 2 * set.TrialStep
+		require.Equal(t, Decision{Refused: request[0], RetryAfter: provisionalRetryAfter}, w.Decide(w.now, request, false), "a retry")
+		require.Equal(t, Decision{Tried: request[:1]}, w.Decide(w.now, request, true))
+		require.True(t, w.refused(request...), "one at a time")
+		w.now += 50 * ms
+		if sound {
+			require.Len(t, w.success(request...), 1)
+			require.False(t, w.refused(request...))
+			require.False(t, w.HasVerdicts())
+			continue
+		}
+		require.Len(t, w.crash(request...), 2)
+		require.Equal(t, Decision{Refused: request[0], RetryAfter: set.VerdictTTL, Certain: true}, w.Decide(w.now, request, true))
+	}
+}
+
+// TestTrialUnderProvisionalVerdictThatDecidesNothing lets trials end without a crash or a success.
+func TestTrialUnderProvisionalVerdictThatDecidesNothing(t *testing.T) {
+	set, x := Defaults(), content(1)
+	turn := 2 * set.TrialStep
+	w := newWorld(t)
+	w.closeCrashes(x)
+	require.True(t, w.refused(x))
+	w.now += turn
+	for _, delay := range []time.Duration{set.TrialDelay, 2 * set.TrialDelay, 4 * set.TrialDelay} {
+		require.NotEmpty(t, w.Decide(w.now, []Fingerprint{x}, true).Tried)
+		require.True(t, w.refused(x))
+		w.now += delay + turn - ms
+		require.True(t, w.refused(x))
+		w.now += ms
+	}
+	w.now += set.VerdictTTL
+	changes := w.Tick(w.now)
+	require.Len(t, changes, 1)
+	require.Equal(t, EndedExpired, changes[0].Ended)
+	w.crash(x)
+	require.False(t, w.refused(x), "it is on no probation")
+}
+
+// TestProvisionalVerdictOfAnotherDaemon adopts one and learns of another crash, or that the verdict is
+// no longer provisional.
+func TestProvisionalVerdictOfAnotherDaemon(t *testing.T) {
+	x := content(1)
+	provisional := Verdict{Fingerprint: x, Hosts: []string{"a", "b", "c"}, SoleSuspects: []Fingerprint{x}, Provisional: true}
+	final := provisional
+	final.Provisional = false
+	for _, crashes := range []bool{true, false} {
+		w := newWorld(t)
+		require.Empty(t, w.Adopt(w.now, provisional))
+		require.Len(t, w.TakeProvisional(), 1)
+		require.True(t, w.refused(x))
+		if crashes {
+			require.Empty(t, w.crash(x), "as close to the others")
+			w.now += 300 * ms
+			require.Len(t, w.crash(x), 1)
+		} else {
+			require.Len(t, w.Adopt(w.now, final), 1)
+		}
+		require.True(t, w.Decide(w.now, []Fingerprint{x}, true).Certain)
+		require.Empty(t, w.Adopt(w.now, provisional))
+		require.True(t, w.Refuses(x))
+	}
+}
+
+// TestCrashesBeforeTheVerdictCountAsTrials crashes five hosts at once before there is a verdict, each
+// with another request on board.
+func TestCrashesBeforeTheVerdictCountAsTrials(t *testing.T) {
+	set, x := Defaults(), content(1)
+	w := newWorld(t)
+	for i := range uint64(5) {
+		w.RecordCrash(w.now, Crash{Host: fmt.Sprint(i), Incarnation: 1, At: w.now, Suspects: []Fingerprint{x, content(10 + i)}})
+		w.now += 100 * ms
+	}
+	require.Len(t, w.Evaluate(w.now), 1)
+	w.now += set.TrialDelay + 2*set.TrialStep + set.JointTrialDelay
+	require.True(t, w.refused(x))
+	require.Greater(t, w.Decide(w.now, []Fingerprint{x}, true).RetryAfter, 9*set.NextTrialDelay)
+}
+
+// TestTurnsCountFromTheFirstRequest lets the first request come long after its trial is due: daemons
+// that get one at the same moment take turns all the same. One that nobody else is asked for goes on.
+func TestTurnsCountFromTheFirstRequest(t *testing.T) {
+	set, x := Defaults(), content(1)
+	w := newWorld(t)
+	w.closeCrashes(x)
+	w.now += time.Minute
+	for range maxMissedTurns {
+		require.True(t, w.refused(x))
+		w.now += 2*set.TrialStep + turnValidity + ms
+	}
+	require.False(t, w.refused(x))
+}
+
 // TestSuccessClears lets requests run well between crashes, shortly before one, and after the
 // verdict.
 func TestSuccessClears(t *testing.T) {
--- a/internal/core/quarantine/verdict.go
+++ b/internal/core/quarantine/verdict.go
@@ -34,19 +34,31 @@
 	// Level is 0 for the first verdict on a fingerprint and rises with each one that follows
 	// within the time of the one before.
 	Level int
+	// Provisional is set while the hosts crashed so close together that they may have been lost
+	// together. Requests are then sent to one host at a time, until one runs well or crashes
+	// another host.
+	Provisional bool
 
 	since       time.Duration // when this daemon decided, or learnt of it
 	ttl         time.Duration
+	crashes     int // that speak against the fingerprint
 	lastCrashAt time.Duration
 	trials      int           // of all daemons
 	lastTrialAt time.Duration // valid if there was one
 	voidTrial   bool          // the last one reached no host
+	asked       demand        // since the last trial
+}
+
+// demand records the requests with a condemned fingerprint that a daemon could have tried.
+type demand struct {
+	occasions int           // how often requests came after a pause
+	since     time.Duration // when the last of these began; valid if there was one
 }
 
 func (v *Verdict) left(now time.Duration) time.Duration { return v.since + v.ttl - now }
 
 func (v *Verdict) recordTrial(at time.Duration) {
-	v.trials, v.lastTrialAt, v.voidTrial = v.trials+1, max(v.lastTrialAt, at), false
+	v.trials, v.lastTrialAt, v.voidTrial, v.asked = v.trials+1, max(v.lastTrialAt, at), false, demand{}
 }
 
 // probation follows a verdict that has expired: the next crash brings the next verdict.
@@ -92,69 +104,64 @@
 	candidates := t.candidates(against)
 	var changes []Change
 	for _, f := range slices.SortedFunc(maps.Keys(candidates), Compare) {
-		if t.verdicts[f] == nil && len(t.verdicts) < maxVerdicts {
+		switch v := t.verdicts[f]; {
+		case v == nil && len(t.verdicts) < maxVerdicts:
 			changes = append(changes, Change{Verdict: t.begin(now, f)})
+		case v != nil && v.Provisional:
+			changes = append(changes, t.confirm(now, v))
 		}
 	}
+	t.beginProvisional(now, against)
 	for f, v := range t.verdicts {
 		if len(against[f]) > 0 {
 			t.describe(v, against[f], candidates)
 		}
 	}
-	t.findUndecided(against)
 	return changes
 }
 
-// Undecided is a fingerprint that enough crashes speak against to condemn it, if they were not so
-// close together that the hosts may have been lost together.
-type Undecided struct {
-	Fingerprint Fingerprint
-	Hosts       []string // that crashed
-	Span        time.Duration
-}
-
-// findUndecided records the fingerprints that are undecided now.
-func (t *Tracker) findUndecided(against map[Fingerprint][]int) {
-	before := t.undecided
-	t.undecided = make(map[Fingerprint]bool)
+// beginProvisional begins provisional verdicts on requests under which enough hosts crashed, but
+// so close together that the hosts may have been lost together. Parts of prompts get none: a common
+// part is on board of all hosts that are lost together.
+func (t *Tracker) beginProvisional(now time.Duration, against map[Fingerprint][]int) {
 	for _, f := range slices.SortedFunc(maps.Keys(against), Compare) {
-		crashes := against[f]
-		if f.Kind == PromptPart || t.verdicts[f] != nil || len(crashes) < t.set.MinCrashes {
+		if f.Kind == PromptPart || t.verdicts[f] != nil || len(against[f]) < t.set.MinCrashes || len(t.verdicts) >= maxVerdicts {
 			continue
 		}
-		t.undecided[f] = true
-		if before[f] {
-			continue
-		}
-		u := Undecided{Fingerprint: f, Span: t.span(crashes)}
-		for _, i := range crashes {
-			u.Hosts = append(u.Hosts, t.crashes[i].Host)
-		}
-		t.newUndecided = append(t.newUndecided, u)
+		v := t.begin(now, f)
+		v.Provisional = true
+		t.newProvisional = append(t.newProvisional, v)
 	}
 }
 
-// TakeUndecided returns the fingerprints that have become undecided since it was last called.
-func (t *Tracker) TakeUndecided() []Undecided {
-	u := t.newUndecided
-	t.newUndecided = nil
-	return u
+// TakeProvisional returns the provisional verdicts that have begun since it was last called.
+func (t *Tracker) TakeProvisional() []*Verdict {
+	v := t.newProvisional
+	t.newProvisional = nil
+	return v
 }
 
-// span is the time between the first and the last of some crashes.
-func (t *Tracker) span(crashes []int) time.Duration {
-	return t.crashes[crashes[len(crashes)-1]].At - t.crashes[crashes[0]].At
+// confirm turns a provisional verdict into one that refuses requests.
+func (t *Tracker) confirm(now time.Duration, v *Verdict) Change {
+	v.Provisional, v.since, v.asked = false, now, demand{}
+	return Change{Verdict: v}
 }
 
 // candidates returns the fingerprints that enough crashes speak against, with these crashes.
 func (t *Tracker) candidates(against map[Fingerprint][]int) map[Fingerprint][]int {
 	found := make(map[Fingerprint][]int)
 	for f, crashes := range against {
-		minCrashes, minSpan := t.set.MinCrashes, t.set.MinSpan
+		minCrashes, from := t.set.MinCrashes, t.crashes[crashes[0]].At+t.set.MinSpan
 		if _, onProbation := t.probations[f]; onProbation {
-			minCrashes, minSpan = 1, 0
+			minCrashes, from = 1, 0
+		}
+		if v := t.verdicts[f]; v != nil && v.Provisional {
+			// A daemon that knows of fewer crashes has adopted the verdict: one more is enough.
+			if len(crashes) < t.set.MinCrashes {
+				minCrashes, from = 1, v.since+t.set.MinSpan
+			}
 		}
-		if len(crashes) >= minCrashes && t.span(crashes) >= minSpan {
+		if len(crashes) >= minCrashes && t.crashes[crashes[len(crashes)-1]].At >= from {
 			found[f] = crashes
 		}
 	}
@@ -163,7 +170,7 @@
 
 // describe sets what follows from the crashes that speak against a condemned fingerprint.
 func (t *Tracker) describe(v *Verdict, crashes []int, candidates map[Fingerprint][]int) {
-	v.Hosts, v.Rivals = nil, nil
+	v.Hosts, v.Rivals, v.crashes = nil, nil, len(crashes)
 	if sole := t.soleSuspects(crashes); sole != nil {
 		v.SoleSuspects = sole // else what was known before some crashes were forgotten
 	}
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -22,7 +22,7 @@
 	FingerprintCondemned   ID = 2009
 	FingerprintReleased    ID = 2010
 	RequestTried           ID = 2011
-	CrashesUndecided       ID = 2012
+	FingerprintProvisional ID = 2012
 	SuspicionCleared       ID = 2013
 	ClaimOwnerUnresponsive ID = 3001
 	ClaimUnreachable       ID = 3002
@@ -97,7 +97,7 @@
 	{FingerprintCondemned, slog.LevelWarn, "requests with a fingerprint are refused: hosts crashed as they began to answer them", "Find out who sends them and why they crash hosts; see docs/OPERATIONS.md."},
 	{FingerprintReleased, slog.LevelInfo, "requests with a fingerprint are no longer refused", ""},
 	{RequestTried, slog.LevelInfo, "request sent to one target to find out whether it is sound", ""},
-	{CrashesUndecided, slog.LevelWarn, "hosts crashed under requests with a fingerprint, so close together that they may have been lost together", "If it comes again for one fingerprint, see FingerprintCondemned."},
+	{FingerprintProvisional, slog.LevelWarn, "requests with a fingerprint are sent to one host at a time: hosts crashed under them, so close together that they may have been lost together", "If RS2009 follows, find out who sends them; else nothing. See docs/OPERATIONS.md."},
 	{SuspicionCleared, slog.LevelInfo, "answer to a request cleared its fingerprints of suspicion", ""},
 	{ClaimOwnerUnresponsive, slog.LevelInfo, "daemon asked to write a claim did not answer; claim is written here", ""},
 	{ClaimUnreachable, slog.LevelWarn, "call refused: its claim could not be written", "Check the platform; callers retry with the same key."},
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -231,6 +231,7 @@
 		}
 		d.isLeaseHolder.Store(d.state.HoldsControl())
 		condemnedFingerprints.Set(float64(d.state.CondemnedFingerprints()))
+		provisionalFingerprints.Set(float64(d.state.ProvisionalFingerprints()))
 		if _, ok := e.(step.SiteConfig); ok {
 			d.config.Store(d.state.Config())
 		}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -13,6 +13,9 @@
 	answerBeginSeconds = metrics.NewHistogram("rhubarbswitch_answer_begin_seconds")
 	// condemnedFingerprints is the number of fingerprints whose requests are refused.
 	condemnedFingerprints = metrics.NewGauge("rhubarbswitch_condemned_fingerprints", nil)
+	// provisionalFingerprints is the number of fingerprints whose requests are sent to one host at
+	// a time.
+	provisionalFingerprints = metrics.NewGauge("rhubarbswitch_provisional_fingerprints", nil)
 )
 
 // countAttemptEnd counts the end of an attempt by how it ended.
