quarantine: a daemon that knows some of the crashes adopts a stored verdict

Single requests that crash servers went through after a verdict: a daemon that had started between the crashes, or had missed a message, had the fingerprint as a suspect, and then refused to adopt the verdict from the store since it decided by its own evidence. That is only a part of the evidence. Now only a success that it knows of stands against a stored verdict. What the store says of a verdict stays while the daemon knows fewer crashes: describing it by its own crashes alone would lose the rivals.

TestVerdictOfAnotherDaemon asked for the old behaviour; it now asks that the verdict is adopted and refuses, and TestDaemonThatKnowsSomeCrashesAdoptsVerdict that a success still prevents it (both failed before).

--- a/internal/core/quarantine/decision.go
+++ b/internal/core/quarantine/decision.go
@@ -214,14 +214,14 @@
 	return all
 }
 
-// Adopt takes over a verdict of another daemon, unless this one knows crashes or successes of
-// its own from which to decide.
+// Adopt takes over a verdict of another daemon, unless this one knows that a request with the
+// fingerprint has run well. It may know only some of the crashes.
 func (t *Tracker) Adopt(now time.Duration, v Verdict) []Change {
 	f := v.Fingerprint
 	if known := t.verdicts[f]; known != nil && known.Provisional && !v.Provisional {
 		return []Change{t.confirm(now, known)}
 	}
-	if _, cleared := t.lastSuccess[f]; cleared || t.suspected[f] || t.verdicts[f] != nil || len(t.verdicts) >= maxVerdicts {
+	if _, cleared := t.lastSuccess[f]; cleared || t.verdicts[f] != nil || len(t.verdicts) >= maxVerdicts {
 		return nil
 	}
 	own := t.begin(now, f)
--- a/internal/core/quarantine/quarantine_test.go
+++ b/internal/core/quarantine/quarantine_test.go
@@ -374,7 +374,8 @@
 	require.Equal(t, 4*Defaults().VerdictTTL, w.Decide(w.now, []Fingerprint{x}, true).RetryAfter)
 	w.crash(y)
 	require.True(t, w.refused(x), "evidence on others does not end it")
-	require.Empty(t, w.Adopt(w.now, Verdict{Fingerprint: y}), "this daemon decides by its own evidence")
+	require.Len(t, w.Adopt(w.now, Verdict{Fingerprint: y, Hosts: []string{"a", "b", "c"}}), 1, "this daemon may have missed the other crashes")
+	require.True(t, w.refused(y))
 	changes := w.Lift(w.now, x)
 	require.Len(t, changes, 1)
 	require.Equal(t, EndedLifted, changes[0].Ended)
@@ -386,6 +387,24 @@
 	require.Empty(t, w.Adopt(w.now, adopted), "it has run well here")
 }
 
+// TestDaemonThatKnowsSomeCrashesAdoptsVerdict starts a daemon between the crashes that led to a verdict.
+func TestDaemonThatKnowsSomeCrashesAdoptsVerdict(t *testing.T) {
+	x, rival := content(1), content(2)
+	w := newWorld(t)
+	w.crash(x)
+	stored := Verdict{Fingerprint: x, Rivals: []Fingerprint{rival}, Hosts: []string{"a", "b", "h1"}}
+	require.Len(t, w.Adopt(w.now, stored), 1)
+	require.True(t, w.refused(x))
+	w.now += 300 * ms
+	w.crash(x)
+	got := w.Verdicts()[0]
+	require.Equal(t, stored.Hosts, got.Hosts, "the store knows of more")
+	require.Equal(t, stored.Rivals, got.Rivals)
+	w.now += 300 * ms
+	w.success(x)
+	require.Empty(t, w.Adopt(w.now, stored), "it has run well since")
+}
+
 // TestMemoryIsBounded reports crashes with fingerprints that never come again.
 func TestMemoryIsBounded(t *testing.T) {
 	w := newWorld(t)
--- a/internal/core/quarantine/verdict.go
+++ b/internal/core/quarantine/verdict.go
@@ -170,13 +170,16 @@
 
 // describe sets what follows from the crashes that speak against a condemned fingerprint.
 func (t *Tracker) describe(v *Verdict, crashes []int, candidates map[Fingerprint][]int) {
+	v.lastCrashAt = max(v.lastCrashAt, t.crashes[crashes[len(crashes)-1]].At)
+	if len(crashes) < len(v.Hosts) {
+		return // the daemon that gave the verdict knew of more, or some have been forgotten
+	}
 	v.Hosts, v.Rivals, v.crashes = nil, nil, len(crashes)
 	if sole := t.soleSuspects(crashes); sole != nil {
-		v.SoleSuspects = sole // else what was known before some crashes were forgotten
+		v.SoleSuspects = sole
 	}
 	for _, i := range crashes {
 		v.Hosts = append(v.Hosts, t.crashes[i].Host)
-		v.lastCrashAt = max(v.lastCrashAt, t.crashes[i].At)
 	}
 	for _, g := range slices.SortedFunc(maps.Keys(candidates), Compare) {
 		if g != v.Fingerprint && strays(crashes, candidates[g]) <= maxStrayCrashes {
