gateway: a failure answer of a host clears no request of crashing hosts

Requests that crash servers went on where some servers answer part of what they get with a failure of their own: such an answer counted as a run that went well, cleared the request, and ended its verdict. A host may fail before it runs a request, so a failure says nothing: only complete answers count now.

TestFailureOfAHostClearsNothing failed before: with a 500 between the crashes there was no verdict. TestCloseCrashesOfFewHosts draws hosts that fail 20 or 60 of 100 requests, and failed in its second draw before.

The soak has crashing-burst: one request that comes to several daemons at once, again and again, while servers are down for up to 4 s.

Cost: a sound request whose trial meets a failure waits for the next trial.

--- a/internal/core/gateway/calls.go
+++ b/internal/core/gateway/calls.go
@@ -339,7 +339,8 @@
 // conclude goes on with a request after the end of its attempt: it is answered, or sent again.
 func (s *State) conclude(now time.Duration, c *call, e step.ForwardEnded, out *step.Out) {
 	c.hasFailureAnswer = e.Ending == step.EndedError
-	if e.Ending == step.EndedComplete || e.Ending == step.EndedError {
+	if e.Ending == step.EndedComplete {
+		// A failure answer shows nothing: a host may fail before it runs the request.
 		s.recordSuccess(now, cmp.Or(c.firstEventAt, now), c, out)
 	}
 	switch {
--- a/internal/core/gateway/crashes.go
+++ b/internal/core/gateway/crashes.go
@@ -413,7 +413,7 @@
 		trial := quarantine.Trial{Fingerprint: f, At: now, Void: void}
 		e.Trials = append(e.Trials, trial)
 		if void {
-			s.crashes.tracker.RecordTrial(trial)
+			s.crashes.tracker.WithdrawTrial(trial)
 		}
 	}
 	s.shareEvidence(e, out)
--- a/internal/core/gateway/crashes_property_test.go
+++ b/internal/core/gateway/crashes_property_test.go
@@ -463,7 +463,7 @@
 	return crashWorldSettings{
 		hostsPerService: rapid.IntRange(3, 4).Draw(rt, "hosts"), maxBeginDelay: 60 * time.Millisecond,
 		downtime: time.Duration(rapid.IntRange(1, 5).Draw(rt, "downtime")) * time.Second, downtimeSpread: 300 * time.Millisecond,
-		maxViewDelay: 500 * time.Millisecond,
+		maxViewDelay: 500 * time.Millisecond, failureShare: rapid.SampledFrom([]int{0, 0, 20, 60}).Draw(rt, "failures"),
 	}
 }
 
--- a/internal/core/gateway/crashes_test.go
+++ b/internal/core/gateway/crashes_test.go
@@ -263,6 +263,29 @@
 	require.Zero(t, x.s.CondemnedFingerprints())
 }
 
+// TestFailureOfAHostClearsNothing lets hosts answer with failures of their own between the crashes under
+// one request, and to its trial.
+func TestFailureOfAHostClearsNothing(t *testing.T) {
+	for _, path := range []string{"/once/1", "/chat/1"} {
+		x := newCrashHarness(t)
+		for range 3 {
+			x.crash(x.requireForward(x.send(path, 1)))
+			x.now += 300 * time.Millisecond
+			if x.s.CondemnedFingerprints() == 0 {
+				x.endAttempt(x.requireForward(x.send(path, 1)), step.EndedError, 500)
+				x.now += 300 * time.Millisecond
+			}
+		}
+		x.requireRefused(x.send(path, 1))
+	}
+	x := newCrashHarness(t)
+	x.condemnParts(1, 2)
+	effects, _ := withoutEvidence(x.sendParts(1))
+	x.endAttempt(x.requireForward(effects), step.EndedError, 500)
+	x.now += time.Second
+	x.requireRefused(x.sendParts(1))
+}
+
 // TestSuccessEndsVerdictAndIsShared lets a stream that had been sent before the verdict run well.
 func TestSuccessEndsVerdictAndIsShared(t *testing.T) {
 	x := newCrashHarness(t)
--- a/internal/core/quarantine/decision.go
+++ b/internal/core/quarantine/decision.go
@@ -9,12 +9,6 @@
 	// provisionalRetryAfter bounds the time after which a caller should come back whose request is
 	// held back by a provisional verdict. A trial ends within about that time.
 	provisionalRetryAfter = 250 * time.Millisecond
-	// maxProvisionalDoublings bounds the growth of the delays between trials under a provisional
-	// verdict.
-	maxProvisionalDoublings = 6
-	// turnValidity is how long a daemon's turn lasts. A caller that was told when to come back comes
-	// within it.
-	turnValidity = 2 * time.Second
 	// maxMissedTurns is after how many turns without a request a daemon no longer waits for its turn.
 	maxMissedTurns = 3
 )
@@ -97,13 +91,9 @@
 	case v.Provisional && trials == 0:
 		due = v.since
 	case v.Provisional:
-		due = lastTrialAt + t.set.TrialDelay<<min(trials-1, maxProvisionalDoublings)
+		due = lastTrialAt + delayAfter(trials, t.set.TrialDelay)
 	case trials > 0:
-		wait := t.set.NextTrialDelay
-		for range trials - 1 {
-			wait *= trialDelayFactor
-		}
-		due = lastTrialAt + wait + joint
+		due = lastTrialAt + delayAfter(trials, t.set.NextTrialDelay) + joint
 	case containsAll(fingerprints, v.Rivals):
 		due = v.since + t.set.TrialDelay + joint
 	case !v.voidTrial:
@@ -115,13 +105,21 @@
 	return t.turnFrom(now, v, due, mayTry)
 }
 
+// delayAfter returns the delay after some trials. It grows with each.
+func delayAfter(trials int, first time.Duration) time.Duration {
+	for range trials - 1 {
+		first *= trialDelayFactor
+	}
+	return first
+}
+
 // turnFrom returns the time from which this daemon may let a trial through that is due. Daemons take
-// turns by rank, so that one hears of the trial of another before its own turn. A turn that passed
-// without a request is over; only after several has the daemon surely been the only one asked.
+// turns by rank, so that one hears of the trial of another before its own turn. A turn lasts for one
+// TrialStep. A daemon that has missed several goes on at once: no other was asked all the while.
 func (t *Tracker) turnFrom(now time.Duration, v *Verdict, due time.Duration, mayTry bool) time.Duration {
 	turn := time.Duration(t.rank(v.Fingerprint)) * t.set.TrialStep
 	from := max(due, v.asked.since) + turn
-	if mayTry && (v.asked.occasions == 0 || now > from+turnValidity) {
+	if mayTry && (v.asked.occasions == 0 || now >= from+t.set.TrialStep) {
 		v.asked = demand{occasions: v.asked.occasions + 1, since: now}
 		from = max(due, now) + turn
 		if v.asked.occasions > maxMissedTurns {
@@ -142,6 +140,14 @@
 	}
 }
 
+// WithdrawTrial records that a trial of this daemon was void. It need not wait for its turn again.
+func (t *Tracker) WithdrawTrial(tr Trial) {
+	t.RecordTrial(tr)
+	if v := t.verdicts[tr.Fingerprint]; v != nil {
+		v.asked.occasions = maxMissedTurns
+	}
+}
+
 // isCertainFor reports whether enough hosts have crashed under nothing but what a request consists
 // of.
 func (v *Verdict) isCertainFor(fingerprints []Fingerprint) bool {
--- a/internal/stub/soak/crashers.go
+++ b/internal/stub/soak/crashers.go
@@ -20,6 +20,9 @@
 	// CrashingPart is a part of prompts that crashes each server that begins to answer a request
 	// with it, whatever else the request has. Sound requests have the same first parts.
 	CrashingPart Kind = "crashing-part"
+	// CrashingBurst is one request that crashes servers and comes to several daemons at once. All
+	// servers of a service may crash within a moment, and are down for longer.
+	CrashingBurst Kind = "crashing-burst"
 	// ServerEndless is a server that sends bytes without end instead of answers. ServerUnframed is
 	// one whose answers end with their connections, some streams in the middle of an event.
 	ServerEndless  Kind = "server-endless"
@@ -29,6 +32,12 @@
 	// minDowntime to maxDowntime.
 	minCrashInterval, maxCrashInterval = 30 * time.Millisecond, 400 * time.Millisecond
 	minDowntime, maxDowntime           = 200 * time.Millisecond, 2 * time.Second
+	// In a burst, up to maxCallsInBurst requests come within burstSpread, and the next burst
+	// minBurstInterval to maxBurstInterval later. Servers are down for up to maxBurstDowntime.
+	maxCallsInBurst                    = 6
+	burstSpread                        = 150 * time.Millisecond
+	minBurstInterval, maxBurstInterval = 300 * time.Millisecond, 5 * time.Second
+	maxBurstDowntime                   = 4 * time.Second
 	// After so many crashes and propagation, at most maxSentAfterVerdict further requests may
 	// reach servers from daemons that are not disturbed.
 	crashesOfRequest    = 3
@@ -56,12 +65,12 @@
 		name := fmt.Sprintf("crash-%x", f.Pick)
 		kind := []callKind{chat, write, read}[f.Pick%3]
 		path, body := fmt.Sprintf("/%s/%s?q=%%2F", kind, name), "body of "+name
-		return r.sendCrashers(f, &crasher{name: name, bound: crashesOfRequest}, func(req *http.Request, b string) bool { return req.URL.RequestURI() == path && b == body },
+		return r.sendCrashers(f, singly, &crasher{name: name, bound: crashesOfRequest}, func(req *http.Request, b string) bool { return req.URL.RequestURI() == path && b == body },
 			func() *call { return &call{ID: newCallID(kind), Kind: kind, Path: path, Body: body} })
 	}},
 	{CrashingPart, false, 16 * time.Second, func(r *run, f Fault) func() {
 		part := fmt.Sprintf(",%x:10,", f.Pick)
-		return r.sendCrashers(f, &crasher{name: "crash" + part, bound: crashesOfPart, sharesParts: true},
+		return r.sendCrashers(f, singly, &crasher{name: "crash" + part, bound: crashesOfPart, sharesParts: true},
 			func(req *http.Request, _ string) bool { return strings.Contains(req.Header.Get("X-Prefix-Hash"), part) },
 			func() *call {
 				id := newCallID(chat)
@@ -70,6 +79,29 @@
 	}},
 }
 
+// crashBurstCatalogue has requests that crash servers in bursts.
+var crashBurstCatalogue = []kindSpec{
+	{CrashingBurst, false, 16 * time.Second, func(r *run, f Fault) func() {
+		name := fmt.Sprintf("burst-%x", f.Pick)
+		kind := []callKind{write, read}[f.Pick%2]
+		path, body := fmt.Sprintf("/%s/%s", kind, name), "body of "+name
+		return r.sendCrashers(f, inBursts, &crasher{name: name, bound: crashesOfRequest}, func(req *http.Request, b string) bool { return req.URL.RequestURI() == path && b == body },
+			func() *call { return &call{ID: newCallID(kind), Kind: kind, Path: path, Body: body} })
+	}},
+}
+
+// crashPace is how requests that crash servers come.
+type crashPace struct {
+	minInterval, maxInterval time.Duration // between two of them, or two bursts
+	maxAtOnce                int
+	maxDowntime              time.Duration // of a server
+}
+
+var (
+	singly   = crashPace{minCrashInterval, maxCrashInterval, 1, maxDowntime}
+	inBursts = crashPace{minBurstInterval, maxBurstInterval, maxCallsInBurst, maxBurstDowntime}
+)
+
 // answerCatalogue has the kinds of answers that are none, or that are framed in another way.
 var answerCatalogue = []kindSpec{
 	{ServerEndless, false, 4 * time.Second, func(r *run, f Fault) func() {
@@ -93,7 +125,7 @@
 
 // sendCrashers lets requests crash servers and sends such requests until the returned function is
 // called. newCall returns the next request without its ID.
-func (r *run) sendCrashers(f Fault, c *crasher, crashes func(*http.Request, string) bool, newCall func() *call) func() {
+func (r *run) sendCrashers(f Fault, pace crashPace, c *crasher, crashes func(*http.Request, string) bool, newCall func() *call) func() {
 	draw := rand.New(rand.NewPCG(f.Pick, 1))
 	between := func(least, most time.Duration) time.Duration {
 		return least + time.Duration(draw.Int64N(int64(most-least)))
@@ -101,20 +133,29 @@
 	s := r.timeline.begin(scopeServers, false)
 	r.checker.recordCrasher(c)
 	remove := r.site.AddCrasher(site.Crasher{
-		Name: c.name, Crashes: crashes, Downtime: between(minDowntime, maxDowntime), EntryTTL: entryTTL, Silent: f.Pick%4 == 0,
+		Name: c.name, Crashes: crashes, Downtime: between(minDowntime, pace.maxDowntime), EntryTTL: entryTTL, Silent: f.Pick%4 == 0,
 	})
 	ctx, stop := context.WithCancel(context.Background())
 	r.background.Go(func() {
-		for sleepContext(ctx, between(minCrashInterval, maxCrashInterval)) {
-			d, next := r.daemons[draw.IntN(len(r.daemons))], newCall()
-			next.crasher = c.name
-			r.background.Go(func() { r.sendPrepared(context.Background(), d, next, 0) })
+		for sleepContext(ctx, between(pace.minInterval, pace.maxInterval)) {
+			atOnce := 1
+			if pace.maxAtOnce > 1 {
+				atOnce += draw.IntN(pace.maxAtOnce)
+			}
+			for range atOnce {
+				d, next := r.daemons[draw.IntN(len(r.daemons))], newCall()
+				next.crasher = c.name
+				r.background.Go(func() { r.sendPrepared(context.Background(), d, next, 0) })
+				if atOnce > 1 {
+					sleepContext(ctx, between(0, burstSpread/time.Duration(pace.maxAtOnce)))
+				}
+			}
 		}
 	})
 	return func() {
 		stop()
 		remove()
-		r.runAfter(maxDowntime, func() { r.timeline.end(s) })
+		r.runAfter(pace.maxDowntime, func() { r.timeline.end(s) })
 	}
 }
 
--- a/internal/stub/soak/plan.go
+++ b/internal/stub/soak/plan.go
@@ -93,15 +93,15 @@
 	// seriesStream times the number of a series is the random stream of its draws. The streams
 	// below are used for requests.
 	seriesStream = 16
-	// crashSeries is the number of the series with requests that crash servers.
-	crashSeries = 2
+	// crashSeries and crashBurstSeries are the numbers of the series with requests that crash servers.
+	crashSeries, crashBurstSeries = 2, 4
 	// plannedInterval is the mean time between actions of operators, which also occur in calm
 	// periods.
 	plannedInterval = 4 * time.Second
 )
 
 // catalogues are the series of kinds of disturbances, in the order in which they were added.
-var catalogues = [][]kindSpec{catalogue, laterCatalogue, crashCatalogue, answerCatalogue}
+var catalogues = [][]kindSpec{catalogue, laterCatalogue, crashCatalogue, answerCatalogue, crashBurstCatalogue}
 
 // Kinds returns all kinds of disturbances.
 func Kinds() []Kind {
@@ -130,7 +130,7 @@
 func Draw(seed uint64, length time.Duration, kinds []Kind) []Fault {
 	var faults []Fault
 	for series, specs := range catalogues {
-		if series == crashSeries && len(kinds) == 0 && seed%2 == 0 {
+		if (series == crashSeries || series == crashBurstSeries) && len(kinds) == 0 && seed%2 == 0 {
 			continue
 		}
 		faults = append(faults, drawSeries(rand.New(rand.NewPCG(seed, uint64(series)*seriesStream)), specs, length, kinds)...)
