--- a/internal/stub/cutter/cutter.go
+++ b/internal/stub/cutter/cutter.go
@@ -65,6 +65,12 @@
 	PathStats = "/stub/stats"
 )
 
+const (
+	// bindTries and bindRetryDelay bound how long Refuse waits for its port to be free.
+	bindTries      = 20
+	bindRetryDelay = 25 * time.Millisecond
+)
+
 // Cutter relays the connections of one listener to one target.
 type Cutter struct {
 	target   string
@@ -113,27 +119,44 @@
 	_ = c.listener.Close()
 	c.Apply(Cut{Existing: Reset, New: Reset})
 	address := c.listener.Addr().(*net.TCPAddr)
+	// A connection of another process may use the port for a moment after the listener has gone.
+	var socket int
+	var err error
+	for range bindTries {
+		if socket, err = reserve(address); !errors.Is(err, unix.EADDRINUSE) {
+			break
+		}
+		time.Sleep(bindRetryDelay)
+	}
+	if err != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reserved = socket
+	return nil
+}
+
+// reserve returns a socket that is bound to an address and does not listen.
+func reserve(address *net.TCPAddr) (int, error) {
 	socket, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
 	if err != nil {
-		return errors.Wrap(err, "open a socket")
+		return 0, errors.Wrap(err, "open a socket")
 	}
 	// The connections that were just reset would else keep the port from being bound.
 	if err := unix.SetsockoptInt(socket, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1); err != nil {
 		_ = unix.Close(socket)
-		return errors.Wrap(err, "share the address with connections that have ended")
+		return 0, errors.Wrap(err, "share the address with connections that have ended")
 	}
 	if err := unix.Bind(socket, &unix.SockaddrInet4{Port: address.Port, Addr: [4]byte(address.IP.To4())}); err != nil {
 		_ = unix.Close(socket)
-		return errors.Wrap(err, "keep the address")
+		return 0, errors.Wrap(err, "keep the address")
 	}
 	if err := unix.SetsockoptInt(socket, unix.SOL_SOCKET, unix.SO_REUSEADDR, 0); err != nil {
 		_ = unix.Close(socket)
-		return errors.Wrap(err, "keep the address from others")
+		return 0, errors.Wrap(err, "keep the address from others")
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.reserved = socket
-	return nil
+	return socket, nil
 }
 
 // Apply applies a cut.
