gateway: read and log the limits that hosts name in their answers

The adapter reads it from answers and reports, the reducer keeps what each incarnation of a host names, the newest statement by when its request was sent, and logs its beginning, changes and end. No decision uses it yet.

A report without a limit ends only one that reports have named. Answers with 421 are another server's and say nothing.

Unit tests of the touched packages pass.

--- a/internal/core/gateway/calls.go
+++ b/internal/core/gateway/calls.go
@@ -252,12 +252,13 @@
 		event.F("attempts", c.attempts), event.F("events", c.events), event.F("millis", (now-c.arrivedAt).Milliseconds()))
 }
 
-func (s *State) onBegan(now time.Duration, e step.AnswerBegan) {
+func (s *State) onBegan(now time.Duration, e step.AnswerBegan, out *step.Out) {
 	c := s.calls[e.ID]
 	if c == nil || c.attempt != e.Attempt || c.answerBegan {
 		return
 	}
 	c.answerBegan = true
+	s.recordLimit(now, c, e.Limit, out)
 	s.targets.AnswerBegan(now, c.host, c.req.PromptTokens, e.Load)
 }
 
@@ -311,6 +312,9 @@
 		return
 	}
 	c.events = max(c.events, e.Delivered)
+	if e.Limit != nil {
+		s.recordLimit(now, c, *e.Limit, out)
+	}
 	mayHaveRun := e.Ending != step.EndedUnsent && e.Ending != step.EndedRefused
 	s.targets.EndRequest(now, c.host, place.Outcome{
 		PromptTokens: c.req.PromptTokens, AnswerBegan: c.answerBegan, Load: e.Load,
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/fabric"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/hostlimit"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/place"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/quiet"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/rendezvous"
@@ -71,7 +72,10 @@
 	// still run.
 	daemonNames map[string]bool
 	quiet       quiet.Periods // hosts that asked for no requests
-	interrupted int           // streams that wait for a target
+	limits      *hostlimit.Limits
+	// invalidLimits are the incarnations of hosts that named a limit that can't be read, by host.
+	invalidLimits map[string]int64
+	interrupted   int // streams that wait for a target
 
 	crashes  crashWatch // requests that crash hosts
 	verdicts verdictStore
@@ -105,6 +109,8 @@
 		targets:         place.New(set.Daemon, set.DataCentre),
 		calls:           make(map[step.RequestID]*call),
 		pools:           make(map[string]*fabric.Pool),
+		limits:          hostlimit.New(),
+		invalidLimits:   make(map[string]int64),
 		budget:          retry.NewWindow(0),
 	}
 	s.crashes, s.verdicts = newCrashWatch(s.rankFor), newVerdictStore()
@@ -135,7 +141,7 @@
 	case step.Call:
 		s.onCall(now.Mono, e, out)
 	case step.AnswerBegan:
-		s.onBegan(now.Mono, e)
+		s.onBegan(now.Mono, e, out)
 	case step.StreamStarted:
 		s.onStreamStarted(now.Mono, e)
 	case step.AnswerStalled:
@@ -176,6 +182,7 @@
 	case step.VerdictAnswered:
 		s.onVerdictAnswered(e)
 	case step.ReportAnswered:
+		s.recordReportedLimit(now.Mono, e, out)
 		for _, p := range s.pools {
 			p.OnReport(now.Mono, e, out)
 		}
@@ -302,6 +309,7 @@
 	delete(s.hosts, id)
 	delete(s.missing, id)
 	delete(s.suspicionSentAt, id)
+	delete(s.invalidLimits, id)
 }
 
 func (s *State) onPlatform(now time.Duration, e step.PlatformState, out *step.Out) {
--- /dev/null
+++ b/internal/core/gateway/limits.go
@@ -0,0 +1,63 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/hostlimit"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/site"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/event"
+)
+
+// limitSource is where a statement about a host's limit comes from, as it appears in logs.
+type limitSource string
+
+const (
+	limitFromAnswer limitSource = "answer"
+	limitFromReport limitSource = "report"
+)
+
+// recordLimit applies what a host stated about its limit in the answer to the last attempt of a request.
+func (s *State) recordLimit(now time.Duration, c *call, l site.LimitStatement, out *step.Out) {
+	if l.Invalid != "" {
+		s.logInvalidLimit(c.host, c.incarnation, l.Invalid, out)
+		return
+	}
+	s.applyLimit(now, hostlimit.Statement{Host: c.host, Incarnation: c.incarnation, PerSecond: l.PerSecond, AsOf: c.sentAt}, limitFromAnswer, out)
+}
+
+// recordReportedLimit applies what an engine stated with its report, or instead of one.
+func (s *State) recordReportedLimit(now time.Duration, e step.ReportAnswered, out *step.Out) {
+	h := s.hosts[e.Host]
+	if h == nil || !e.OK && e.Limit.PerSecond == 0 {
+		return
+	}
+	if e.Limit.Invalid != "" {
+		s.logInvalidLimit(e.Host, h.Incarnation, e.Limit.Invalid, out)
+		return
+	}
+	s.applyLimit(now, hostlimit.Statement{Host: e.Host, Incarnation: h.Incarnation, InReport: true, PerSecond: e.Limit.PerSecond, AsOf: e.Sent}, limitFromReport, out)
+}
+
+func (s *State) applyLimit(now time.Duration, l hostlimit.Statement, from limitSource, out *step.Out) {
+	change, before := s.limits.Record(now, l)
+	fields := []event.Field{event.F("host", l.Host), event.F("perSecond", l.PerSecond), event.F("before", before), event.F("source", from), event.F("ageMillis", (now - l.AsOf).Milliseconds())}
+	switch change {
+	case hostlimit.Began, hostlimit.Altered:
+		out.Log(event.HostLimited, fields...)
+	case hostlimit.Ended:
+		out.Log(event.HostLimitEnded, fields...)
+	}
+}
+
+// logInvalidLimit logs a limit that can't be read, once for each run of a host.
+func (s *State) logInvalidLimit(host string, incarnation int64, value string, out *step.Out) {
+	if logged, ok := s.invalidLimits[host]; ok && logged == incarnation || s.hosts[host] == nil {
+		return
+	}
+	s.invalidLimits[host] = incarnation
+	out.Log(event.HostLimitInvalid, event.F("host", host), event.F("value", value))
+}
+
+// LimitedHosts returns the number of hosts that name a limit.
+func (s *State) LimitedHosts() int { return s.limits.InForce() }
--- a/internal/core/site/host.go
+++ b/internal/core/site/host.go
@@ -94,6 +94,15 @@
 // Empty reports whether the host states nothing.
 func (n Notice) Empty() bool { return n == Notice{} }
 
+// LimitStatement is what an answer of a host states about the requests that the host takes.
+type LimitStatement struct {
+	// PerSecond is the number of requests a second that the host takes from all daemons together;
+	// zero if it names no limit.
+	PerSecond float64
+	// Invalid is a limit that can't be read; empty if there is none. Such an answer states nothing.
+	Invalid string
+}
+
 // Load is the load that a target reports with an answer.
 type Load struct {
 	Running int // requests that run
--- a/internal/core/step/gateway.go
+++ b/internal/core/step/gateway.go
@@ -58,6 +58,7 @@
 	ID      RequestID
 	Attempt AttemptID
 	Load    site.Load // Slots is zero if the target did not report its load
+	Limit   site.LimitStatement
 }
 
 // StreamStarted reports that the first event of an attempt's stream has been delivered.
@@ -80,6 +81,9 @@
 type ForwardEnded struct {
 	AttemptEnded
 	Load site.Load // Slots is zero if the target did not report its load
+	// Limit is what the target stated as it refused to run the request; nil if the answer was none of
+	// its own. An answer that began states it in AnswerBegan.
+	Limit *site.LimitStatement
 }
 
 // GatewaySettings are the settings that a gateway's reducer applies. The event arrives when the
@@ -218,6 +222,8 @@
 	Report site.Report // valid if OK
 	// Sent is when the request was sent.
 	Sent time.Duration
+	// Limit is what the engine stated, valid also if OK is unset.
+	Limit site.LimitStatement
 }
 
 // GroupOrderKind is the kind of change that an order makes.
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -55,6 +55,9 @@
 	HostQuiet              ID = 4034
 	HostQuietInvalid       ID = 4035
 	HostEntryOutdated      ID = 4036
+	HostLimited            ID = 4037
+	HostLimitEnded         ID = 4038
+	HostLimitInvalid       ID = 4039
 	HostRegistered         ID = 4015
 	HostDeregistered       ID = 4016
 	HostRestarted          ID = 4017
@@ -123,6 +126,9 @@
 	{HostQuiet, slog.LevelInfo, "host turned a request away and asked for no others for a time", "If frequent, the host named is overloaded."},
 	{HostQuietInvalid, slog.LevelWarn, "host asked for no requests for a time that can't be read; ignored", "Correct the Retry-After of the host's service."},
 	{HostEntryOutdated, slog.LevelInfo, "entry of a host is older than what is known of it; ignored", "Nothing, if the platform has just come back from an older copy."},
+	{HostLimited, slog.LevelWarn, "host named a limit for the requests that it takes", "Check the host named: it is in need. If all hosts of a service name one, add hosts."},
+	{HostLimitEnded, slog.LevelInfo, "host no longer names a limit", ""},
+	{HostLimitInvalid, slog.LevelWarn, "host named a limit that can't be read; ignored", "Correct the Server-Limit of the host's service."},
 	{DataCentresOut, slog.LevelInfo, "data centres that get no work", ""},
 	{HostFlapping, slog.LevelWarn, "host repeatedly failed and returned; excluded from groups for a while", "Check the host named."},
 	{HostStraggling, slog.LevelWarn, "host joins its group too slowly and is replaced", "Check the host named."},
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -95,12 +95,15 @@
 		return step.EndedWrongAttempt
 	case header.NotRun:
 		a.result.Load = header.Load
+		if resp.StatusCode != http.StatusMisdirectedRequest {
+			a.result.Limit = &header.Limit
+		}
 		timer := time.AfterFunc(refusalTimeout, a.cancel)
 		defer timer.Stop()
 		_, _ = io.CopyN(io.Discard, resp.Body, maxRefusalBytes) // an error leaves the connection unused
 		return step.EndedRefused
 	}
-	a.exchange.daemon.Post(step.AnswerBegan{ID: a.forward.ID, Attempt: a.forward.Attempt, Load: header.Load})
+	a.exchange.daemon.Post(step.AnswerBegan{ID: a.forward.ID, Attempt: a.forward.Attempt, Load: header.Load, Limit: header.Limit})
 	if a.forward.Stream && resp.StatusCode == http.StatusOK && strings.HasPrefix(resp.Header.Get("Content-Type"), eventStreamType) {
 		return a.relayStream(resp)
 	}
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -232,6 +232,7 @@
 		d.isLeaseHolder.Store(d.state.HoldsControl())
 		condemnedFingerprints.Set(float64(d.state.CondemnedFingerprints()))
 		provisionalFingerprints.Set(float64(d.state.ProvisionalFingerprints()))
+		limitedHosts.Set(float64(d.state.LimitedHosts()))
 		if _, ok := e.(step.SiteConfig); ok {
 			d.config.Store(d.state.Config())
 		}
@@ -319,10 +320,11 @@
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	r := step.ReportAnswered{Host: e.Host, Sent: d.clock()}
-	report, notice, err := d.platform.Report(ctx, e.Address)
-	if !notice.Empty() {
-		d.Post(step.HostNotice{Host: e.Host, Notice: notice})
+	report, stated, err := d.platform.Report(ctx, e.Address)
+	if !stated.Notice.Empty() {
+		d.Post(step.HostNotice{Host: e.Host, Notice: stated.Notice})
 	}
+	r.Limit = stated.Limit
 	if err != nil {
 		d.log.Debug("report request failed", "host", e.Host, "error", err)
 		return r
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -16,6 +16,8 @@
 	// provisionalFingerprints is the number of fingerprints whose requests are sent to one host at
 	// a time.
 	provisionalFingerprints = metrics.NewGauge("rhubarbswitch_provisional_fingerprints", nil)
+	// limitedHosts is the number of hosts that name a limit for the requests that they take.
+	limitedHosts = metrics.NewGauge("rhubarbswitch_limited_hosts", nil)
 )
 
 // countAttemptEnd counts the end of an attempt by how it ended.
--- a/internal/gateway/platform.go
+++ b/internal/gateway/platform.go
@@ -83,13 +83,21 @@
 	Load   site.Load // the target's load; zero if it states none
 	// Notice is what the target states about its availability.
 	Notice site.Notice
+	// Limit is valid if the answer is the target's own.
+	Limit site.LimitStatement
+}
+
+// EngineStatement is what an engine states about itself with any answer.
+type EngineStatement struct {
+	Notice site.Notice
+	Limit  site.LimitStatement
 }
 
 // Engines is the control interface of model engines.
 type Engines interface {
-	// Report requests the report of the engine at an address, host:port. The notice is valid
+	// Report requests the report of the engine at an address, host:port. The statement is valid
 	// also if the request fails.
-	Report(ctx context.Context, address string) (site.Report, site.Notice, error)
+	Report(ctx context.Context, address string) (site.Report, EngineStatement, error)
 	// Order sends an order to an engine. The outcome says whether the engine may have received
 	// it.
 	Order(ctx context.Context, o step.SendGroupOrder) step.OrderOutcome
