gateway: limits that hosts name are kept over all daemons

A server in need got far more requests than the limit that it had named: nothing read it (H1), the holder of control asked each member of a group for a report every 300 ms, 13 in 4 s (H2), and a limit that each daemon kept for itself would be sent as many times as there are daemons (H3).

internal/core/hostlimit keeps what hosts state and divides a limit among a bounded number of daemons by rendezvous, a fifth equally and the rest by the demand that they tell each other once a second while any host is in need; nothing is sent otherwise. internal/core/place spaces what it sends by the part, with the means that cold targets had: the least of both counts. Report requests get a fifth of an engine's limit. What no host can take is refused at once. After the end the rates double every 0.5 s for 3 s.

--- a/internal/core/fabric/pool.go
+++ b/internal/core/fabric/pool.go
@@ -32,6 +32,7 @@
 	"slices"
 	"time"
 
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/hostlimit"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/quiet"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/site"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
@@ -167,6 +168,8 @@
 	evacuated map[string]bool
 	// quiet has the hosts that asked for no requests; nil if none ever does.
 	quiet *quiet.Periods
+	// limits are those that hosts have named; nil if none ever does.
+	limits *hostlimit.Limits
 }
 
 // host is what the pool knows about one engine's host.
@@ -243,6 +246,26 @@
 // SetQuiet sets the periods in which hosts must get no report requests or orders.
 func (p *Pool) SetQuiet(periods *quiet.Periods) { p.quiet = periods }
 
+// SetLimits sets the limits that hosts have named.
+func (p *Pool) SetLimits(l *hostlimit.Limits) { p.limits = l }
+
+// maxLimitedReportInterval bounds the interval of report requests to a host that names a limit: its
+// group depends on them.
+const maxLimitedReportInterval = 5 * time.Second
+
+// limitedReportInterval is the least interval between two report requests to a host that names a limit;
+// zero for any other.
+func (p *Pool) limitedReportInterval(name string) time.Duration {
+	if p.limits == nil {
+		return 0
+	}
+	limit := p.limits.Host(name, p.hosts[name].entry.Incarnation).Limit()
+	if limit <= 0 {
+		return 0
+	}
+	return min(time.Duration(float64(time.Second)/(limit*hostlimit.ReportShare)), maxLimitedReportInterval)
+}
+
 // isQuiet reports whether a host must get no report requests or orders now.
 func (p *Pool) isQuiet(now time.Duration, name string) bool {
 	return p.quiet.Left(now, name, p.hosts[name].entry.Incarnation) > 0
@@ -428,6 +451,9 @@
 		default:
 			h.reportDueAt = h.reportSentAt + max(spareReportInterval, interval)
 		}
+		if h.reportSentAt > 0 {
+			h.reportDueAt = max(h.reportDueAt, h.reportSentAt+p.limitedReportInterval(name))
+		}
 		if h.reportDueAt <= now {
 			due = append(due, name)
 		}
--- a/internal/core/fabric/pool_test.go
+++ b/internal/core/fabric/pool_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/hostlimit"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/quiet"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/site"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
@@ -335,6 +336,35 @@
 	require.Equal(t, members, w.engines[head].memberIDs)
 }
 
+// TestEnginesThatNameALimitGetFewReportRequests lets the members of a group name a limit.
+func TestEnginesThatNameALimitGetFewReportRequests(t *testing.T) {
+	w := started(t, 2)
+	p := w.pools[0]
+	limits := hostlimit.New("d0")
+	p.SetLimits(limits)
+	head := w.member("m0", true)
+	members := w.engines[head].memberIDs
+	for _, id := range members {
+		limits.Record(w.now, hostlimit.Statement{Host: id, Incarnation: w.engines[id].incarnation, PerSecond: 5, AsOf: w.now}, true)
+	}
+	requests := make(map[string]int)
+	last := make(map[string]time.Duration)
+	for range 20 * time.Second / simulationStep {
+		w.run(simulationStep)
+		for _, id := range members {
+			if at := p.hosts[id].reportSentAt; at != last[id] {
+				requests[id]++
+				last[id] = at
+			}
+		}
+	}
+	for _, id := range members {
+		require.LessOrEqual(t, requests[id], 22, "5 a second, of which reports may take a fifth")
+		require.Greater(t, requests[id], 10)
+	}
+	require.Equal(t, members, w.engines[head].memberIDs, "the group stays")
+}
+
 // TestUnknownPredecessor takes control of a running deployment after a holder of which nothing
 // is known. No host that is free may join a group before the head of its last group must have
 // stopped, and no load may begin before those of that holder no longer count.
--- a/internal/core/gateway/calls.go
+++ b/internal/core/gateway/calls.go
@@ -139,6 +139,9 @@
 // sendToTarget sends the request to a target. If no target can take it, the request ends with
 // the fallback answer or, if that is empty or no attempt may have run, with a refusal.
 func (s *State) sendToTarget(now time.Duration, c *call, fallback step.Answer, out *step.Out) {
+	if c.attempts == 0 {
+		s.limits.RecordDemand(now, c.service)
+	}
 	request := s.placement(now, c)
 	decision := s.quarantineDecision(now, c, c.attempts == 0)
 	if decision.RetryAfter > 0 {
@@ -219,6 +222,8 @@
 			fallback.Code, fallback.Message = step.CodeDeadline, "this can't be answered in the time left: give more time"
 		case place.Quiet:
 			fallback.Message = "all targets asked for a pause: come back after it"
+		case place.Limited:
+			fallback.Message = "the targets take only so many requests a second, and have got them: come back"
 		}
 	}
 	s.end(now, c, fallback, choice.Reason.String(), out)
--- a/internal/core/gateway/crashes.go
+++ b/internal/core/gateway/crashes.go
@@ -254,15 +254,20 @@
 
 // shareEvidence sends evidence to all other daemons.
 func (s *State) shareEvidence(e quarantine.Evidence, out *step.Out) {
+	if addresses := s.otherDaemons(); len(addresses) > 0 {
+		out.Add(step.ShareEvidence{Addresses: addresses, Evidence: e})
+	}
+}
+
+// otherDaemons returns the addresses of the daemons that take calls of others.
+func (s *State) otherDaemons() []string {
 	var addresses []string
 	for _, name := range slices.Sorted(maps.Keys(s.daemonAddresses)) {
 		if address := s.daemonAddresses[name]; address != "" && name != s.settings.Daemon {
 			addresses = append(addresses, address)
 		}
 	}
-	if len(addresses) > 0 {
-		out.Add(step.ShareEvidence{Addresses: addresses, Evidence: e})
-	}
+	return addresses
 }
 
 // onEvidence records what another daemon knows, and then decides: successes of the same message may
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -109,13 +109,14 @@
 		targets:         place.New(set.Daemon, set.DataCentre),
 		calls:           make(map[step.RequestID]*call),
 		pools:           make(map[string]*fabric.Pool),
-		limits:          hostlimit.New(),
+		limits:          hostlimit.New(set.Daemon),
 		invalidLimits:   make(map[string]int64),
 		budget:          retry.NewWindow(0),
 	}
 	s.crashes, s.verdicts = newCrashWatch(s.rankFor), newVerdictStore()
 	s.retainedEvacuations = make(map[string]time.Duration)
 	s.targets.SetQuiet(&s.quiet)
+	s.targets.SetLimits(s.limits)
 	s.lease = fabric.NewLease(set.Daemon, set.Incarnation, set.Cores, s.nextOp)
 	s.setBudget(0, 1)
 	return s
@@ -177,6 +178,8 @@
 		s.onProbed(now.Mono, e, out)
 	case step.EvidenceReceived:
 		s.onEvidence(now.Mono, e.Evidence, out)
+	case step.LimitsReceived:
+		s.onLimits(now.Mono, e.Message, out)
 	case step.SiteVerdicts:
 		s.onVerdicts(now.Mono, e, out)
 	case step.VerdictAnswered:
@@ -210,6 +213,7 @@
 	s.expireRetainedEvacuations(now, out)
 	s.crashTick(now, out)
 	s.verdictTick(now, out)
+	s.limitTick(now, out)
 	s.controlTick(now, out)
 	s.resumeInterrupted(now, out)
 }
@@ -225,7 +229,9 @@
 		s.daemonNames[d.Daemon] = true
 		s.daemonAddresses[d.Daemon] = d.Address
 	}
-	s.targets.SetDaemons(slices.Sorted(maps.Keys(s.daemonNames)))
+	names := slices.Sorted(maps.Keys(s.daemonNames))
+	s.targets.SetDaemons(names)
+	s.limits.SetDaemons(names)
 	s.setBudget(now, s.targets.Daemons())
 }
 
@@ -245,6 +251,7 @@
 		if s.pools[name] == nil {
 			s.pools[name] = fabric.New(fabric.Settings{EngineStall: s.settings.Limits.EngineStall}, s.nextOp)
 			s.pools[name].SetQuiet(&s.quiet)
+			s.pools[name].SetLimits(s.limits)
 		}
 		s.pools[name].SetEngine(service.Engine)
 	}
@@ -310,6 +317,7 @@
 	delete(s.missing, id)
 	delete(s.suspicionSentAt, id)
 	delete(s.invalidLimits, id)
+	s.limits.Forget(id)
 }
 
 func (s *State) onPlatform(now time.Duration, e step.PlatformState, out *step.Out) {
--- a/internal/core/gateway/limits.go
+++ b/internal/core/gateway/limits.go
@@ -15,6 +15,7 @@
 const (
 	limitFromAnswer limitSource = "answer"
 	limitFromReport limitSource = "report"
+	limitFromDaemon limitSource = "daemon"
 )
 
 // recordLimit applies what a host stated about its limit in the answer to the last attempt of a request.
@@ -40,7 +41,7 @@
 }
 
 func (s *State) applyLimit(now time.Duration, l hostlimit.Statement, from limitSource, out *step.Out) {
-	change, before := s.limits.Record(now, l)
+	change, before := s.limits.Record(now, l, from != limitFromDaemon)
 	fields := []event.Field{event.F("host", l.Host), event.F("perSecond", l.PerSecond), event.F("before", before), event.F("source", from), event.F("ageMillis", (now - l.AsOf).Milliseconds())}
 	switch change {
 	case hostlimit.Began, hostlimit.Altered:
@@ -59,5 +60,23 @@
 	out.Log(event.HostLimitInvalid, event.F("host", host), event.F("value", value))
 }
 
+// onLimits applies what another daemon has told.
+func (s *State) onLimits(now time.Duration, m hostlimit.Message, out *step.Out) {
+	for _, l := range m.Statements {
+		if s.hosts[l.Host] != nil {
+			s.applyLimit(now, l, limitFromDaemon, out)
+		}
+	}
+	s.limits.RecordMessage(now, m)
+}
+
+// limitTick tells the other daemons what is due.
+func (s *State) limitTick(now time.Duration, out *step.Out) {
+	m, due := s.limits.Tick(now)
+	if addresses := s.otherDaemons(); due && len(addresses) > 0 {
+		out.Add(step.ShareLimits{Addresses: addresses, Message: m})
+	}
+}
+
 // LimitedHosts returns the number of hosts that name a limit.
 func (s *State) LimitedHosts() int { return s.limits.InForce() }
--- a/internal/core/gateway/limits_property_test.go
+++ b/internal/core/gateway/limits_property_test.go
@@ -163,6 +163,12 @@
 			if e.Status == 503 {
 				w.refused++
 			}
+		case step.ShareLimits:
+			for _, other := range w.daemons {
+				if other != d && !d.isCut && !other.isCut {
+					w.after(time.Millisecond, 300*time.Millisecond, func() { w.post(other, step.LimitsReceived{Message: e.Message}) })
+				}
+			}
 		case step.ProbeHost:
 			w.after(time.Millisecond, 0, func() { w.post(d, step.HostProbed{Host: e.Host, Result: step.ProbeAccepted}) })
 		}
@@ -265,6 +271,17 @@
 	}
 }
 
+// longestSpacing is the time between two requests at the lowest limit that was in force last.
+func (w *limitWorld) longestSpacing() time.Duration {
+	var longest time.Duration
+	for _, h := range w.hosts {
+		if n := len(h.limits); n > 0 {
+			longest = max(longest, time.Duration(float64(time.Second)/h.limits[n-2].perSecond))
+		}
+	}
+	return longest
+}
+
 // TestLimitsOfHostsAreKeptOverAllDaemons draws limits that hosts name, rise, fall and end, uneven load, and
 // daemons that restart, freeze or are cut off.
 func TestLimitsOfHostsAreKeptOverAllDaemons(t *testing.T) {
@@ -285,11 +302,12 @@
 		}
 		w.checkLimits()
 
-		// All limits are over: after a while nothing is refused.
+		// All limits are over. A host gets a request about every 1/limit, which shows it, and the rates rise
+		// after that: then nothing is refused.
 		for _, d := range w.daemons {
 			d.perSecond = 3
 		}
-		w.run(12 * time.Second)
+		w.run(10*time.Second + w.longestSpacing())
 		w.refused = 0
 		w.run(3 * time.Second)
 		require.Zero(rt, w.refused, "requests are refused long after the last limit")
--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -7,13 +7,14 @@
 // A target that does not answer becomes suspect. Unless there is no other, it gets no requests
 // for a backoff that doubles each time. A target in a domain with unreached hosts, or with
 // recent failures, gets fewer. A cold target gets only its published rate of requests, over
-// all daemons.
+// all daemons, and a target that names a limit no more than that.
 package place
 
 import (
 	"slices"
 	"time"
 
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/hostlimit"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/quiet"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/rendezvous"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/site"
@@ -66,11 +67,12 @@
 	Full           // all targets that serve it have as many requests as they may get
 	TooLate        // it can't be answered before its deadline
 	Quiet          // all targets that serve it have asked for no requests for a time
+	Limited        // all targets that serve it can take only so many a second, and have got them
 )
 
 // String returns the reason's name in logs.
 func (r Reason) String() string {
-	return [...]string{"chosen", "no host", "full", "too late", "quiet"}[r]
+	return [...]string{"chosen", "no host", "full", "too late", "quiet", "limited"}[r]
 }
 
 // Request describes a request for which a target is to be chosen.
@@ -92,7 +94,7 @@
 	Reason Reason
 	// TimeToFirstEvent is the estimated time to the first event or the answer.
 	TimeToFirstEvent time.Duration
-	// RetryAfter is the time after which a retry can succeed, for NoHost, Full and Quiet.
+	// RetryAfter is the time after which a retry can succeed, for NoHost, Full, Quiet and Limited.
 	RetryAfter time.Duration
 }
 
@@ -111,6 +113,10 @@
 	unreachedByDomain map[string]*unreachedHosts
 	coldRates         map[string]float64 // requests per second that a cold target can take, by service
 	quiet             *quiet.Periods     // hosts that asked for no requests; nil if none ever does
+	// limits are those that hosts have named, as of limitsGeneration linked to the targets; nil if
+	// none ever does.
+	limits           *hostlimit.Limits
+	limitsGeneration uint64
 }
 
 // New returns an empty table of one daemon.
@@ -153,6 +159,20 @@
 // SetQuiet sets the periods in which hosts must get no requests.
 func (tbl *Table) SetQuiet(periods *quiet.Periods) { tbl.quiet = periods }
 
+// SetLimits sets the limits that hosts have named.
+func (tbl *Table) SetLimits(l *hostlimit.Limits) { tbl.limits = l }
+
+// linkLimits links targets to the limits that their hosts have named.
+func (tbl *Table) linkLimits() {
+	if tbl.limits == nil || tbl.limitsGeneration == tbl.limits.Generation() {
+		return
+	}
+	tbl.limitsGeneration = tbl.limits.Generation()
+	for id, t := range tbl.targets {
+		t.limit = tbl.limits.Host(id, t.Host.Incarnation)
+	}
+}
+
 // SetDaemons sets the daemons among which the rates of cold targets are divided.
 func (tbl *Table) SetDaemons(names []string) { tbl.daemons = names }
 
@@ -168,6 +188,7 @@
 			leaving[h.Member.Group] = true
 		}
 	}
+	tbl.limitsGeneration = 0 // links are made anew
 	before := tbl.targets
 	tbl.targets = make(map[string]*Target, len(hosts))
 	tbl.pools = make(map[poolKey][]*Target)
@@ -218,19 +239,50 @@
 // Choose picks the target of a request that is about to be sent.
 func (tbl *Table) Choose(now time.Duration, a Request) Choice {
 	c := tbl.Peek(now, a)
-	if t := c.Target; t != nil && now < t.coldUntil {
-		t.coldLimiter.take(now, ownColdRate(tbl.daemons, tbl.self, t.hash, tbl.coldRates[a.Service]))
+	if t := c.Target; t != nil {
+		if rate, limited := tbl.ownRate(now, t, a.Service); limited {
+			t.spacer.take(now, rate)
+		}
+		if t.limit != nil {
+			t.limit.RecordSent(now)
+		}
 	}
 	return c
 }
 
+// engineRequestShare is the share of an engine's limit that requests get; report requests get the rest.
+const engineRequestShare = 1 - hostlimit.ReportShare
+
+// ownRate returns the rate of requests per second that this daemon may send to a target, if that is
+// limited: the least of what a cold target and one that names a limit can take.
+func (tbl *Table) ownRate(now time.Duration, t *Target, service string) (perSecond float64, limited bool) {
+	if now < t.coldUntil {
+		perSecond, limited = ownColdRate(tbl.daemons, tbl.self, t.hash, tbl.coldRates[service]), true
+	}
+	if t.limit == nil {
+		return perSecond, limited
+	}
+	part, named := tbl.limits.Part(now, t.limit, service)
+	if !named {
+		return perSecond, limited
+	}
+	if t.engine != nil {
+		part *= engineRequestShare
+	}
+	if limited {
+		part = min(part, perSecond)
+	}
+	return part, true
+}
+
 // Peek returns the target at which the request is expected to begin first, without counting the
 // request. A suspect target is returned only if there is no other, and none is full.
 func (tbl *Table) Peek(now time.Duration, a Request) Choice {
 	pool := tbl.pools[poolKey{a.Service, a.Model}]
 	var best, suspect *Target
-	var bestCost, suspectCost, shortestQuiet time.Duration
-	full, meanLoad := false, meanOthersLoad(pool)
+	var bestCost, suspectCost, shortestQuiet, shortestWait time.Duration
+	full, limited, meanLoad := false, false, meanOthersLoad(pool)
+	tbl.linkLimits()
 	for _, t := range pool {
 		t.meanOthersLoad = meanLoad
 		if slices.Contains(a.AvoidHosts, t.Host.ID) {
@@ -242,11 +294,14 @@
 			}
 			continue
 		}
-		if t.estimatedLoad(now) >= t.capacity() {
-			full = true
+		if rate, isLimited := tbl.ownRate(now, t, a.Service); isLimited && (rate <= 0 || now < t.spacer.nextAt) {
+			full, limited = full || now < t.coldUntil, limited || now >= t.coldUntil
+			if wait := t.spacer.nextAt - now; rate > 0 && (shortestWait == 0 || wait < shortestWait) {
+				shortestWait = wait
+			}
 			continue
 		}
-		if now < t.coldUntil && (ownColdRate(tbl.daemons, tbl.self, t.hash, tbl.coldRates[a.Service]) <= 0 || now < t.coldLimiter.nextAt) {
+		if t.estimatedLoad(now) >= t.capacity() {
 			full = true
 			continue
 		}
@@ -261,11 +316,11 @@
 			best, bestCost = t, cost
 		}
 	}
-	if best == nil && !full {
+	if best == nil && !full && !limited {
 		best = suspect
 	}
 	if best == nil {
-		return refuse(full, shortestQuiet, a)
+		return refuse(full, limited, shortestQuiet, shortestWait, a)
 	}
 	first := best.TimeToFirstEvent(now, a.PromptTokens)
 	if first > a.TimeLeft {
@@ -284,11 +339,14 @@
 }
 
 // refuse returns the refusal of a request. shortestQuiet is the least time for which a target
-// asked for no requests; zero if none did.
-func refuse(full bool, shortestQuiet time.Duration, a Request) Choice {
+// asked for no requests; zero if none did. shortestWait is the time until this daemon may send the next
+// request to a target with a limit; zero if it may send none.
+func refuse(full, limited bool, shortestQuiet, shortestWait time.Duration, a Request) Choice {
 	switch {
 	case full:
 		return Choice{Reason: Full, RetryAfter: retryAfter(a)}
+	case limited:
+		return Choice{Reason: Limited, RetryAfter: max(shortestWait, retryAfter(a))}
 	case shortestQuiet > 0:
 		return Choice{Reason: Quiet, RetryAfter: shortestQuiet}
 	}
--- a/internal/core/place/place_test.go
+++ b/internal/core/place/place_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/hostlimit"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/rendezvous"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/site"
 )
@@ -172,7 +173,7 @@
 		sent := make([]int, 3000) // by millisecond
 		for _, d := range names {
 			own := ownColdRate(names, d, rendezvous.Hash("target"), rate)
-			var limiter coldLimiter
+			var limiter spacer
 			for ms := range sent {
 				if limiter.take(time.Duration(ms)*time.Millisecond, own) {
 					sent[ms]++
@@ -260,3 +261,80 @@
 	b.AnswerBegan(unreachedHostMaxAge, "h1", 0, site.Load{})
 	require.Equal(t, "unreachable", b.Target(chosen(unreachedHostMaxAge)).Host.Domain)
 }
+
+// limitedTable has plain hosts that name a limit, at one of some daemons.
+func limitedTable(limit float64, daemons, hosts int) *Table {
+	limits := hostlimit.New("d0")
+	var names []string
+	for i := range daemons {
+		names = append(names, fmt.Sprintf("d%d", i))
+	}
+	limits.SetDaemons(names)
+	var all []*site.Host
+	for i := range hosts {
+		h := plain(fmt.Sprintf("h%03d", i))
+		limits.Record(0, hostlimit.Statement{Host: h.ID, Incarnation: h.Incarnation, PerSecond: limit, AsOf: 1}, true)
+		all = append(all, h)
+	}
+	b := newTable()
+	b.SetLimits(limits)
+	b.Update(0, &site.Config{Services: map[string]*site.Service{"plain": {Name: "plain"}}}, all, nil)
+	return b
+}
+
+// TestTargetsThatNameALimitGetNoMore sends all that one of two daemons may, and then lets the limit of one
+// target end.
+func TestTargetsThatNameALimitGetNoMore(t *testing.T) {
+	b := limitedTable(10, 2, 2)
+	a := Request{Service: "plain", TimeLeft: time.Second}
+	sent := make(map[string]int)
+	second := func(from time.Duration) {
+		clear(sent)
+		for ms := range 1000 {
+			a.Spread = uint64(ms)
+			if c := b.Choose(from+time.Duration(ms)*time.Millisecond, a); c.Target != nil {
+				sent[c.Target.Host.ID]++
+			} else {
+				require.Equal(t, Limited, c.Reason)
+				require.Positive(t, c.RetryAfter)
+			}
+		}
+	}
+	second(time.Second)
+	require.Equal(t, map[string]int{"h000": 5, "h001": 5}, sent)
+	b.limits.Record(2*time.Second, hostlimit.Statement{Host: "h000", Incarnation: 0, AsOf: 2 * time.Second}, true)
+	second(10 * time.Second)
+	require.Greater(t, sent["h000"], 100)
+	require.Equal(t, 5, sent["h001"])
+}
+
+// TestLeastOfTwoLimitsCounts lets a cold target name a limit.
+func TestLeastOfTwoLimitsCounts(t *testing.T) {
+	for _, limit := range []float64{4, 1000} {
+		b := limitedTable(limit, 1, 1)
+		cold := plain("h000")
+		cold.ColdLeft = time.Minute
+		b.SetDaemons([]string{b.self})
+		b.Update(0, &site.Config{Services: map[string]*site.Service{"plain": {Name: "plain", ColdRequestsPerSecond: 20}}}, []*site.Host{cold}, nil)
+		sent := 0
+		for ms := range 1000 {
+			if b.Choose(time.Duration(ms)*time.Millisecond, Request{Service: "plain", TimeLeft: time.Second}).Target != nil {
+				sent++
+			}
+		}
+		require.InDelta(t, min(limit, 20), sent, 1)
+	}
+}
+
+// BenchmarkPeekLimited chooses among 730 targets, all or none of which name a limit, at one of 340 daemons.
+func BenchmarkPeekLimited(b *testing.B) {
+	for _, limit := range []float64{0, 5} {
+		b.Run(fmt.Sprint(limit), func(b *testing.B) {
+			tbl := limitedTable(limit, 340, 730)
+			a := Request{Service: "plain", TimeLeft: time.Second}
+			for i := 0; b.Loop(); i++ {
+				tbl.Choose(time.Duration(i)*time.Millisecond, a)
+			}
+		})
+	}
+}
--- a/internal/core/place/target.go
+++ b/internal/core/place/target.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/hostlimit"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/rendezvous"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/site"
 )
@@ -16,8 +17,9 @@
 	model  *site.Model  // nil if engine is
 	hash   uint64       // of the host ID
 
-	coldUntil   time.Duration // until then requests go through coldLimiter
-	coldLimiter coldLimiter
+	coldUntil time.Duration   // until then it is cold, and its rate is limited
+	limit     *hostlimit.Host // what the host has named; nil if it has named none
+	spacer    spacer          // of requests while the rate is limited
 
 	inFlight          int           // this daemon's requests at the target
 	promptTokensAhead int           // prompt tokens of those that have not begun to answer
@@ -109,13 +111,13 @@
 
 func (t *Target) clearSuspicion() { t.suspectUntil, t.suspicions = 0, 0 }
 
-// coldLimiter limits the rate of requests to a cold target.
-type coldLimiter struct {
+// spacer spaces requests to a target whose rate is limited.
+type spacer struct {
 	nextAt time.Duration // when the next request may be sent
 }
 
 // take reports whether a request may be sent now, at a rate per second, and if so counts it.
-func (l *coldLimiter) take(now time.Duration, rate float64) bool {
+func (l *spacer) take(now time.Duration, rate float64) bool {
 	if rate <= 0 || now < l.nextAt {
 		return false
 	}
--- a/internal/core/step/gateway.go
+++ b/internal/core/step/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/hostlimit"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/quarantine"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/site"
 )
@@ -172,6 +173,16 @@
 // EvidenceReceived is the evidence that another daemon has shared. Its times are this daemon's.
 type EvidenceReceived struct{ Evidence quarantine.Evidence }
 
+// ShareLimits tells other daemons of the limits that hosts have named, and of this daemon's demand.
+// LimitsReceived is what they get.
+type ShareLimits struct {
+	Addresses []string
+	Message   hostlimit.Message
+}
+
+// LimitsReceived is what another daemon has told of limits. Its times are this daemon's.
+type LimitsReceived struct{ Message hostlimit.Message }
+
 // StoreVerdict stores a verdict, so that daemons that start later know it. VerdictAnswered is the
 // reply.
 type StoreVerdict struct {
@@ -349,6 +360,7 @@
 func (HostSuspected) event()      {}
 func (HostProbed) event()         {}
 func (EvidenceReceived) event()   {}
+func (LimitsReceived) event()     {}
 func (VerdictAnswered) event()    {}
 func (SiteVerdicts) event()       {}
 func (HostNotice) event()         {}
@@ -360,6 +372,7 @@
 func (Forward) effect()        {}
 func (ProbeHost) effect()      {}
 func (ShareEvidence) effect()  {}
+func (ShareLimits) effect()    {}
 func (StoreVerdict) effect()   {}
 func (RemoveVerdict) effect()  {}
 func (NotifySuspect) effect()  {}
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -12,7 +12,7 @@
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
 )
 
-// maxParallelShares bounds the daemons to which evidence is sent at once.
+// maxParallelShares bounds the daemons to which a message is sent at once.
 const maxParallelShares = 16
 
 // probeHost opens a connection to a host and closes it again. It shows whether a process listens
@@ -37,16 +37,32 @@
 // shareEvidence sends evidence to other daemons. One that can't be reached learns of it from what
 // the platform holds.
 func (d *Daemon) shareEvidence(ctx context.Context, e step.ShareEvidence) {
+	forEachAddress(e.Addresses, func(address string) {
+		if err := d.notifier.SendEvidence(ctx, address, e.Evidence); err != nil {
+			d.log.Debug("evidence not sent to a daemon", "address", address, "error", err)
+		}
+	})
+}
+
+// shareLimits tells other daemons of limits.
+func (d *Daemon) shareLimits(ctx context.Context, e step.ShareLimits) {
+	forEachAddress(e.Addresses, func(address string) {
+		if err := d.notifier.SendLimits(ctx, address, e.Message); err != nil {
+			d.log.Debug("limits not sent to a daemon", "address", address, "error", err)
+		}
+	})
+}
+
+// forEachAddress calls do for each address, for some of them at once.
+func forEachAddress(addresses []string, do func(address string)) {
 	var wait sync.WaitGroup
 	defer wait.Wait()
 	slots := make(chan struct{}, maxParallelShares)
-	for _, address := range e.Addresses {
+	for _, address := range addresses {
 		slots <- struct{}{}
 		wait.Go(func() {
 			defer func() { <-slots }()
-			if err := d.notifier.SendEvidence(ctx, address, e.Evidence); err != nil {
-				d.log.Debug("evidence not sent to a daemon", "address", address, "error", err)
-			}
+			do(address)
 		})
 	}
 }
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -30,6 +30,7 @@
 	"github.com/rhubarbswitch/rhubarbswitch/internal/api/health"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/config"
 	core "github.com/rhubarbswitch/rhubarbswitch/internal/core/gateway"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/hostlimit"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/quarantine"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/site"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
@@ -167,12 +168,13 @@
 }
 
 // peerHandler serves the requests of other daemons: queries for changes in the store,
-// notifications of suspected engines, and evidence on crashes.
+// notifications of suspected engines, evidence on crashes, and limits of hosts.
 func (d *Daemon) peerHandler() http.Handler {
 	mux := chi.NewRouter()
 	mux.Handle(relay.PathPrefix+"*", d.platform.ChangesHandler())
 	mux.Handle(relay.SuspectPath, relay.SuspectHandler(func(host string) { d.Post(step.HostSuspected{Host: host}) }))
 	mux.Handle(relay.EvidencePath, relay.EvidenceHandler(d.clock, func(e quarantine.Evidence) { d.Post(step.EvidenceReceived{Evidence: e}) }))
+	mux.Handle(relay.LimitsPath, relay.LimitsHandler(d.clock, func(m hostlimit.Message) { d.Post(step.LimitsReceived{Message: m}) }))
 	return mux
 }
 
@@ -292,6 +294,8 @@
 		d.background.Go(func() { d.Post(d.probeHost(ctx, e)) })
 	case step.ShareEvidence:
 		d.background.Go(func() { d.shareEvidence(ctx, e) })
+	case step.ShareLimits:
+		d.background.Go(func() { d.shareLimits(ctx, e) })
 	case step.SetReady:
 		d.ready.Store(e.Ready)
 		loop.SetReady(e.Ready)
--- /dev/null
+++ b/internal/relay/limits.go
@@ -0,0 +1,72 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/hostlimit"
+)
+
+// SendLimits sends a message about limits to the daemon at an address, host:port. It is sent once: the
+// next message follows soon.
+func (t *Notifier) SendLimits(ctx context.Context, address string, m hostlimit.Message) error {
+	body, err := json.Marshal(encodeLimits(t.clock(), m))
+	if err != nil {
+		return errors.Wrap(err, "encode the limits")
+	}
+	return t.post(ctx, address, LimitsPath, "application/json", body)
+}
+
+// LimitsHandler returns the handler of messages about limits. It calls report with each, in times of
+// the given clock.
+func LimitsHandler(clock func() time.Duration, report func(hostlimit.Message)) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var m limitsMessage
+		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxLimitsBytes)).Decode(&m); err != nil {
+			http.Error(w, "send limits as JSON: "+strings.ToValidUTF8(err.Error(), "?"), http.StatusBadRequest)
+			return
+		}
+		report(m.decode(clock()))
+		w.WriteHeader(http.StatusNoContent)
+	})
+}
+
+// limitsMessage is a message with ages instead of times, as daemons have different clocks.
+type limitsMessage struct {
+	Daemon     string             `json:"daemon"`
+	Demand     map[string]float64 `json:"demand,omitempty"`
+	Statements []limitStatement   `json:"statements,omitempty"`
+}
+
+type limitStatement struct {
+	Host        string  `json:"host"`
+	Incarnation int64   `json:"incarnation"`
+	InReport    bool    `json:"inReport,omitempty"`
+	PerSecond   float64 `json:"perSecond,omitempty"`
+	AgeMicros   int64   `json:"ageMicros"`
+}
+
+func encodeLimits(now time.Duration, m hostlimit.Message) limitsMessage {
+	encoded := limitsMessage{Daemon: m.Daemon, Demand: m.Demand}
+	for _, s := range m.Statements {
+		encoded.Statements = append(encoded.Statements, limitStatement{s.Host, s.Incarnation, s.InReport, s.PerSecond, (now - s.AsOf).Microseconds()})
+	}
+	return encoded
+}
+
+func (m limitsMessage) decode(now time.Duration) hostlimit.Message {
+	decoded := hostlimit.Message{Daemon: m.Daemon, Demand: m.Demand}
+	for service, perSecond := range m.Demand {
+		decoded.Demand[service] = max(0, perSecond)
+	}
+	for _, s := range m.Statements {
+		asOf := now - time.Duration(max(0, s.AgeMicros))*time.Microsecond
+		decoded.Statements = append(decoded.Statements, hostlimit.Statement{Host: s.Host, Incarnation: s.Incarnation, InReport: s.InReport, PerSecond: max(0, s.PerSecond), AsOf: asOf})
+	}
+	return decoded
+}
--- a/internal/relay/notify.go
+++ b/internal/relay/notify.go
@@ -22,6 +22,8 @@
 	SuspectPath = "/suspects"
 	// EvidencePath is the HTTP path on which a daemon gets evidence on crashes.
 	EvidencePath = "/evidence"
+	// LimitsPath is the HTTP path on which a daemon gets limits of hosts and the demand of another one.
+	LimitsPath = "/limits"
 	// hostParam is the form parameter with the engine's host.
 	hostParam = "host"
 	// maxHostBytes bounds the name of the host; a longer one is refused.
@@ -29,6 +31,8 @@
 	// maxEvidenceBytes bounds the evidence of one message. A crash has at most 64 suspects of
 	// some 30 bytes each.
 	maxEvidenceBytes = 256 << 10
+	// maxLimitsBytes bounds a message about limits.
+	maxLimitsBytes = 256 << 10
 	// notifyTimeout bounds a notification. A suspicion that is later is useless, because the
 	// next report of the engine's group is due soon after.
 	notifyTimeout = 500 * time.Millisecond
