gateway: two daemons repeat each limit in force; the soak has servers that name limits

A daemon that starts while a host is in need learnt of its limit only from its own answers, or when another daemon had news of it: other daemons tell what they hear once. Now the two daemons that rank first for a host repeat its limit with every message.

--- a/internal/core/hostlimit/parts.go
+++ b/internal/core/hostlimit/parts.go
@@ -27,6 +27,9 @@
 	maxMessageRate     = 50
 	// urgentDelay is the shortest interval if a limit has begun, changed or ended.
 	urgentDelay = 250 * time.Millisecond
+	// tellers is the number of daemons that repeat each limit in force with every message, for those that
+	// have started since.
+	tellers = 2
 	// silentIntervals is after how many intervals without a message a daemon counts as without demand.
 	silentIntervals = 10
 	// After unheardAfter, or the time between two requests at the limit if that is longer, without news of
@@ -148,17 +151,21 @@
 	if len(l.candidates) == 0 {
 		return // no other daemon is known
 	}
-	if h.first == nil || h.rankedFor != l.daemonsVersion {
-		h.first, h.rank = l.rank(h.id)
-		h.rankedFor = l.daemonsVersion
-	}
-	if h.rank >= n {
+	if l.rankFor(h); h.rank >= n {
 		h.part.hasPart, h.part.perSecond = false, 0
 		return
 	}
 	h.part.perSecond = limit * l.share(now, service, h.first[:n])
 }
 
+// rankFor computes the daemons that are responsible for a host, unless they are known.
+func (l *Limits) rankFor(h *Host) {
+	if h.first == nil || h.rankedFor != l.daemonsVersion {
+		h.first, h.rank = l.rank(h.id)
+		h.rankedFor = l.daemonsVersion
+	}
+}
+
 // rank returns the first maxParts daemons in the order in which they are responsible for a host, and
 // this daemon's place among all.
 func (l *Limits) rank(host string) (first []string, own int) {
@@ -245,8 +252,7 @@
 	}
 	for id, h := range l.hosts {
 		if h.ended && now-h.endedAt >= rampTime {
-			delete(l.hosts, id)
-			l.generation++
+			l.Forget(id)
 		}
 	}
 	if len(l.hosts) == 0 {
@@ -264,11 +270,19 @@
 	for service, meter := range l.demand {
 		m.Demand[service] = meter.perSecond(now)
 	}
-	for _, id := range slices.Sorted(maps.Keys(l.news)) {
-		if len(m.Statements) == maxStatements {
-			break
+	for _, id := range slices.Sorted(maps.Keys(l.hosts)) {
+		h := l.hosts[id]
+		s, isNew := l.news[id]
+		if !isNew && h.ended || len(m.Statements) == maxStatements {
+			continue
+		}
+		if !isNew {
+			if l.rankFor(h); h.rank >= tellers {
+				continue
+			}
+			s = Statement{Host: id, Incarnation: h.incarnation, InReport: h.inReports, PerSecond: h.limit, AsOf: h.asOf}
 		}
-		m.Statements = append(m.Statements, l.news[id])
+		m.Statements = append(m.Statements, s)
 		delete(l.news, id)
 	}
 	l.told, l.toldAt, l.urgent = m.Demand, now, false
@@ -286,6 +300,7 @@
 func (l *Limits) Forget(host string) {
 	if l.hosts[host] != nil {
 		delete(l.hosts, host)
+		delete(l.news, host)
 		l.generation++
 	}
 }
--- a/internal/stub/site/server.go
+++ b/internal/stub/site/server.go
@@ -66,6 +66,8 @@
 	faults       Faults
 	leaving      bool          // says in all answers that it leaves, until it starts again
 	quiet        time.Duration // if positive, turns requests away and asks for no others for this long
+	limits       []Limit       // limits that the server has named; the last one may be in force
+	reportsLimit bool          // names its limit in reports as well
 	streams      int           // streams that the server is sending as a head
 	memberLostAt time.Time     // since when the head has lacked a member, or zero
 }
@@ -117,6 +119,7 @@
 	defer v.mu.Unlock()
 	v.local, v.address, v.born = local, address, born
 	v.running, v.listed, v.state, v.writes, v.highestEpoch, v.leaving = true, true, "ready", 0, 0, false
+	v.endLimit()
 	v.register()
 	return nil
 }
@@ -224,6 +227,40 @@
 	v.quiet = d
 }
 
+// SetLimit makes the server name a limit in requests per second in its answers, in those to report
+// requests only if inReports is set. It ends with the next start, or with 0.
+func (v *Server) SetLimit(perSecond float64, inReports bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.endLimit()
+	if perSecond > 0 {
+		v.reportsLimit = inReports
+		v.limits = append(v.limits, Limit{Server: v.ID, Born: v.born, PerSecond: perSecond, From: time.Now()})
+	}
+}
+
+// Limits returns the limits that the server has named.
+func (v *Server) Limits() []Limit {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return slices.Clone(v.limits)
+}
+
+// limit returns the limit in force, or zero. The caller holds mu.
+func (v *Server) limit() float64 {
+	if n := len(v.limits); n > 0 && v.limits[n-1].To.IsZero() {
+		return v.limits[n-1].PerSecond
+	}
+	return 0
+}
+
+// endLimit ends the limit in force. The caller holds mu.
+func (v *Server) endLimit() {
+	if v.limit() > 0 {
+		v.limits[len(v.limits)-1].To = time.Now()
+	}
+}
+
 // Member returns a copy of the server's membership, or nil.
 func (v *Server) Member() *Membership {
 	v.mu.Lock()
@@ -251,6 +288,12 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.addNotice(w.Header())
+	arrival := Arrival{Server: v.ID, Born: v.born, At: time.Now(), Report: true, Limit: v.limit()}
+	if !v.reportsLimit {
+		w.Header().Del(limitHeader)
+		arrival.Limit = 0
+	}
+	v.site.recordArrival(arrival)
 	serve.Reply(w, http.StatusOK, map[string]any{
 		"stage": "mixed", "models": v.models(), "domain": v.Domain, "staged": v.staged, "group": v.member, "busy": false,
 		"seq": v.acceptedOrders, "queued": 0, "running": 0, "born": v.born, "pace": 1.0,
@@ -381,8 +424,13 @@
 	if v.leaving {
 		h.Set("Server-Leaving", "1")
 	}
+	if limit := v.limit(); limit > 0 {
+		h.Set(limitHeader, strconv.FormatFloat(limit, 'f', -1, 64))
+	}
 }
 
+const limitHeader = "Server-Limit"
+
 // handleRequest runs a request, or answers that it does not run it: for another server, or for
 // a group that this server does not serve.
 func (v *Server) handleRequest(w http.ResponseWriter, r *http.Request) {
@@ -394,7 +442,7 @@
 	open := v.Domain == "" || v.member != nil && v.member.State == stateOpen && v.model == r.Header.Get("X-Model")
 	faults, m := v.faults, v.member
 	v.addNotice(h)
-	arrival := Arrival{Request: id, Server: v.ID, Born: v.born, At: time.Now(), Leaving: v.leaving, Quiet: v.quiet}
+	arrival := Arrival{Request: id, Server: v.ID, Born: v.born, At: time.Now(), Leaving: v.leaving, Quiet: v.quiet, Limit: v.limit()}
 	v.mu.Unlock()
 	v.site.recordArrival(arrival)
 	if arrival.Quiet > 0 {
--- a/internal/stub/site/site.go
+++ b/internal/stub/site/site.go
@@ -86,6 +86,18 @@
 	// for no further requests; zero if it does not.
 	Leaving bool
 	Quiet   time.Duration
+	// Limit is the limit that the answer names, in requests per second; zero if it names none.
+	Limit float64
+	// Report is set for a report request, which belongs to no caller.
+	Report bool
+}
+
+// Limit is a time in which a server names a limit.
+type Limit struct {
+	Server    string
+	Born      int64 // of the server
+	PerSecond float64
+	From, To  time.Time // To is zero while it lasts
 }
 
 // New starts a site with an empty store and no servers.
@@ -314,6 +326,18 @@
 	return slices.Clone(s.arrivals)
 }
 
+// Limits returns all limits that servers have named so far.
+func (s *Site) Limits() []Limit {
+	s.mu.Lock()
+	servers := slices.Collect(maps.Values(s.servers))
+	s.mu.Unlock()
+	var limits []Limit
+	for _, v := range servers {
+		limits = append(limits, v.Limits()...)
+	}
+	return limits
+}
+
 // checkEpoch checks that a formation never has two lists of members.
 func (s *Site) checkEpoch(o order) {
 	f, members := Membership{Name: o.Group, Epoch: o.Epoch}, fmt.Sprint(o.Members)
--- a/internal/stub/soak/soak.go
+++ b/internal/stub/soak/soak.go
@@ -220,6 +220,7 @@
 func (r *run) check() {
 	r.checker.checkRuns(r.site.Runs(), r.site.Violations())
 	r.checker.checkNotices(r.site.Arrivals())
+	r.checker.checkLimits(r.site.Limits(), r.site.Arrivals())
 	r.checker.checkCrashers(r.site.Crashes(), r.site.Arrivals())
 }
 
