gateway: limits of hosts outlive their entries in the store

After an outage of the store in which entries lapsed, servers with a limit of 1 a second got up to 25 requests in 4 s: their entries were gone for half a second, and with them the limits; daemons that had not seen the new entry yet also dropped what the others told them.

A limit belongs to an incarnation and is kept whether the entry is there or not, until two minutes have passed without news, and what is told of a host counts before its entry comes. TestLimitsAreToldToOtherDaemons asks for both and failed before.

--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -317,7 +317,6 @@
 	delete(s.missing, id)
 	delete(s.suspicionSentAt, id)
 	delete(s.invalidLimits, id)
-	s.limits.Forget(id)
 }
 
 func (s *State) onPlatform(now time.Duration, e step.PlatformState, out *step.Out) {
--- a/internal/core/gateway/limits.go
+++ b/internal/core/gateway/limits.go
@@ -63,9 +63,7 @@
 // onLimits applies what another daemon has told.
 func (s *State) onLimits(now time.Duration, m hostlimit.Message, out *step.Out) {
 	for _, l := range m.Statements {
-		if s.hosts[l.Host] != nil {
-			s.applyLimit(now, l, limitFromDaemon, out)
-		}
+		s.applyLimit(now, l, limitFromDaemon, out) // the host's entry may come later
 	}
 	s.limits.RecordMessage(now, m)
 }
--- a/internal/core/gateway/limits_test.go
+++ b/internal/core/gateway/limits_test.go
@@ -61,9 +61,15 @@
 	require.Len(t, told, 1)
 	require.Equal(t, []string{"d1:1", "d2:1"}, told[0].Addresses)
 	require.Equal(t, []hostlimit.Statement{{Host: f.Host, Incarnation: 1, PerSecond: 4, AsOf: x.now}}, told[0].Message.Statements)
+	x.setHosts(plainHost("other"))
+	x.setHosts(plainHost(f.Host))
+	require.Equal(t, 1, x.s.LimitedHosts(), "its entry was gone for a while")
 	ended := hostlimit.Statement{Host: f.Host, Incarnation: 1, AsOf: x.now + 1}
-	x.reduce(step.LimitsReceived{Message: hostlimit.Message{Daemon: "d1", Statements: []hostlimit.Statement{ended, {Host: "unknown", PerSecond: 1, AsOf: 1}}}})
-	require.Zero(t, x.s.LimitedHosts())
+	x.reduce(step.LimitsReceived{Message: hostlimit.Message{Daemon: "d1", Statements: []hostlimit.Statement{ended, {Host: "later", Incarnation: 1, PerSecond: 1, AsOf: 1}}}})
+	require.Equal(t, 1, x.s.LimitedHosts(), "the entry of a host may come after its limit")
+	x.now += 2 * time.Minute
+	x.reduce(step.Tick{})
+	require.Zero(t, x.s.LimitedHosts(), "no news of it")
 }
 
 // TestInvalidLimitsAreLoggedOnce lets a host name a limit that can't be read with each answer.
--- a/internal/core/hostlimit/parts.go
+++ b/internal/core/hostlimit/parts.go
@@ -41,6 +41,11 @@
 	// have waited for the host.
 	rampDoubling = 500 * time.Millisecond
 	rampTime     = 3 * time.Second
+	// maxAge is how long a limit is kept without news of its host. A host whose entry is gone may come
+	// back with its limit.
+	maxAge = 2 * time.Minute
+	// maxHosts bounds the hosts of which limits are kept.
+	maxHosts = 4096
 	// partMaxAge is how long a computed part is valid: demand and time change it slowly.
 	partMaxAge = 100 * time.Millisecond
 	// maxStatements bounds the statements of one message.
@@ -251,8 +256,10 @@
 		return Message{}, false
 	}
 	for id, h := range l.hosts {
-		if h.ended && now-h.endedAt >= rampTime {
-			l.Forget(id)
+		if h.ended && now-h.endedAt >= rampTime || now-h.asOf >= maxAge {
+			delete(l.hosts, id)
+			delete(l.news, id)
+			l.generation++
 		}
 	}
 	if len(l.hosts) == 0 {
@@ -295,12 +302,3 @@
 		l.peers[m.Daemon] = peerDemand{heardAt: now, byService: m.Demand}
 	}
 }
-
-// Forget forgets a host that is gone.
-func (l *Limits) Forget(host string) {
-	if l.hosts[host] != nil {
-		delete(l.hosts, host)
-		delete(l.news, host)
-		l.generation++
-	}
-}
--- a/internal/core/hostlimit/statement.go
+++ b/internal/core/hostlimit/statement.go
@@ -144,7 +144,7 @@
 		h = nil
 	}
 	switch {
-	case h == nil && s.PerSecond > 0:
+	case h == nil && s.PerSecond > 0 && len(l.hosts) < maxHosts:
 		l.hosts[s.Host] = &Host{id: s.Host, incarnation: s.Incarnation, limit: s.PerSecond, reported: s.PerSecond, asOf: s.AsOf, inReports: s.InReport}
 		return Began, 0, true
 	case h == nil, h.incarnation > s.Incarnation:
