--- a/internal/core/hostlimit/parts.go
+++ b/internal/core/hostlimit/parts.go
@@ -24,7 +24,7 @@
 	// minMessageInterval is the interval between two messages to all other daemons while any limit is in
 	// force, and maxMessageRate bounds the messages of a daemon in a second.
 	minMessageInterval = time.Second
-	maxMessageRate     = 50
+	maxMessageRate     = 30
 	// urgentDelay is the shortest interval if a limit has begun, changed or ended.
 	urgentDelay = 250 * time.Millisecond
 	// tellers is the number of daemons that repeat each limit in force with every message, for those that
--- a/internal/relay/limits_test.go
+++ b/internal/relay/limits_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"encoding/json"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -34,3 +35,22 @@
 	}
 	require.Len(t, received, 1)
 }
+
+// BenchmarkSendLimits sends what one of 340 daemons tells while 730 hosts name limits.
+func BenchmarkSendLimits(b *testing.B) {
+	clock := func() time.Duration { return time.Minute }
+	server := httptest.NewServer(LimitsHandler(clock, func(hostlimit.Message) {}))
+	defer server.Close()
+	notifier := NewNotifier(clock)
+	defer notifier.Close()
+	m := hostlimit.Message{Daemon: "edge-erongo-a-1", Demand: map[string]float64{"cubo10a": 2.94117}}
+	for range 5 {
+		m.Statements = append(m.Statements, hostlimit.Statement{Host: "i-0123456789", Incarnation: 1772927805729, PerSecond: 4.8, AsOf: time.Second})
+	}
+	body, err := json.Marshal(encodeLimits(clock(), m))
+	require.NoError(b, err)
+	for b.Loop() {
+		require.NoError(b, notifier.SendLimits(b.Context(), strings.TrimPrefix(server.URL, "http://"), m))
+	}
+	b.ReportMetric(float64(len(body)), "bytes/message")
+}
