--- a/internal/core/quarantine/decision.go
+++ b/internal/core/quarantine/decision.go
@@ -91,7 +91,7 @@
 	case v.Provisional && trials == 0:
 		due = v.since
 	case v.Provisional:
-		due = lastTrialAt + delayAfter(trials, t.set.TrialDelay)
+		due = lastTrialAt + delayAfter(2*trials-1, t.set.TrialDelay) // few: each may crash a host
 	case trials > 0:
 		due = lastTrialAt + delayAfter(trials, t.set.NextTrialDelay) + joint
 	case containsAll(fingerprints, v.Rivals):
@@ -234,6 +234,7 @@
 	own.Rivals, own.SoleSuspects, own.Hosts, own.Level, own.ttl = v.Rivals, v.SoleSuspects, v.Hosts, v.Level, t.ttl(v.Level)
 	own.trials, own.lastTrialAt = adoptedTrials, now
 	if own.Provisional = v.Provisional; v.Provisional {
+		own.trials = adoptedProvisionalTrials
 		t.newProvisional = append(t.newProvisional, own)
 		return nil
 	}
--- a/internal/core/quarantine/verdict.go
+++ b/internal/core/quarantine/verdict.go
@@ -14,9 +14,10 @@
 	maxStrayCrashes = 1
 	// trialDelayFactor is by how much the delay between trials grows with each.
 	trialDelayFactor = 10
-	// adoptedTrials is the number of trials that count as done for a verdict of another daemon, and
-	// returnedTrials for one that comes back after it has expired.
-	adoptedTrials, returnedTrials = 1, 2
+	// adoptedTrials is the number of trials that count as done for a verdict of another daemon,
+	// adoptedProvisionalTrials if it is provisional, and returnedTrials for one that comes back after it
+	// has expired.
+	adoptedTrials, adoptedProvisionalTrials, returnedTrials = 1, 2, 2
 )
 
 // Verdict is the decision to refuse requests with a fingerprint.
