Last reading: no work for each answer, tick and event that nobody needs

Lint; unit tests of relay, gateway, hostlimit, quarantine, place, sessions and the reducer under race; test/process TestGateway*, crash, endless and prompt part tests: passed.

--- a/internal/core/gateway/calls.go
+++ b/internal/core/gateway/calls.go
@@ -347,7 +347,6 @@
 
 // conclude goes on with a request after the end of its attempt: it is answered, or sent again.
 func (s *State) conclude(now time.Duration, c *call, e step.ForwardEnded, out *step.Out) {
-	c.hasFailureAnswer = e.Ending == step.EndedError
 	if e.Ending == step.EndedComplete {
 		// A failure answer shows nothing: a host may fail before it runs the request.
 		s.recordSuccess(now, cmp.Or(c.firstEventAt, now), c, out)
@@ -371,6 +370,7 @@
 // retryOrEnd sends a request to another target after a failed attempt, or ends it.
 func (s *State) retryOrEnd(now time.Duration, c *call, e step.ForwardEnded, out *step.Out) {
 	answer := failureAnswer(c, e)
+	c.hasFailureAnswer = e.Ending == step.EndedError
 	moving := c.moving
 	c.failedHosts = append(c.failedHosts, c.host)
 	notRun := e.Ending == step.EndedUnsent || e.Ending == step.EndedRefused
--- a/internal/core/gateway/crashes.go
+++ b/internal/core/gateway/crashes.go
@@ -307,7 +307,7 @@
 		s.crashes.successes[f] = unsharedSuccess{at: at, dueAt: now + delay}
 	}
 	if len(cleared) > 0 {
-		out.Log(event.SuspicionCleared, event.F("request", c.req.CallerID), event.F("host", c.host), event.F("failed", c.hasFailureAnswer && c.firstEventAt == 0),
+		out.Log(event.SuspicionCleared, event.F("request", c.req.CallerID), event.F("host", c.host),
 			event.F("fingerprints", names(cleared)), event.F("ageMillis", (now-at).Milliseconds()))
 	}
 	s.applyVerdicts(now, ended, true, out)
--- a/internal/core/gateway/limits.go
+++ b/internal/core/gateway/limits.go
@@ -42,12 +42,14 @@
 
 func (s *State) applyLimit(now time.Duration, l hostlimit.Statement, from limitSource, out *step.Out) {
 	change, before := s.limits.Record(now, l, from != limitFromDaemon)
+	if change == hostlimit.Unchanged {
+		return
+	}
 	fields := []event.Field{event.F("host", l.Host), event.F("perSecond", l.PerSecond), event.F("before", before), event.F("source", from), event.F("ageMillis", (now - l.AsOf).Milliseconds())}
-	switch change {
-	case hostlimit.Began, hostlimit.Altered:
-		out.Log(event.HostLimited, fields...)
-	case hostlimit.Ended:
+	if change == hostlimit.Ended {
 		out.Log(event.HostLimitEnded, fields...)
+	} else {
+		out.Log(event.HostLimited, fields...)
 	}
 }
 
@@ -71,7 +73,10 @@
 // limitTick tells the other daemons what is due.
 func (s *State) limitTick(now time.Duration, out *step.Out) {
 	m, due := s.limits.Tick(now)
-	if addresses := s.otherDaemons(); due && len(addresses) > 0 {
+	if !due {
+		return
+	}
+	if addresses := s.otherDaemons(); len(addresses) > 0 {
 		out.Add(step.ShareLimits{Addresses: addresses, Message: m})
 	}
 }
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -232,10 +232,12 @@
 			}
 		}
 		d.isLeaseHolder.Store(d.state.HoldsControl())
-		condemnedFingerprints.Set(float64(d.state.CondemnedFingerprints()))
-		provisionalFingerprints.Set(float64(d.state.ProvisionalFingerprints()))
-		limitedHosts.Set(float64(d.state.LimitedHosts()))
-		if _, ok := e.(step.SiteConfig); ok {
+		switch e.(type) {
+		case step.Tick: // counting takes too long for each event
+			condemnedFingerprints.Set(float64(d.state.CondemnedFingerprints()))
+			provisionalFingerprints.Set(float64(d.state.ProvisionalFingerprints()))
+			limitedHosts.Set(float64(d.state.LimitedHosts()))
+		case step.SiteConfig:
 			d.config.Store(d.state.Config())
 		}
 	}
--- a/internal/relay/limits.go
+++ b/internal/relay/limits.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -25,15 +24,7 @@
 // LimitsHandler returns the handler of messages about limits. It calls report with each, in times of
 // the given clock.
 func LimitsHandler(clock func() time.Duration, report func(hostlimit.Message)) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		var m limitsMessage
-		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxLimitsBytes)).Decode(&m); err != nil {
-			http.Error(w, "send limits as JSON: "+strings.ToValidUTF8(err.Error(), "?"), http.StatusBadRequest)
-			return
-		}
-		report(m.decode(clock()))
-		w.WriteHeader(http.StatusNoContent)
-	})
+	return messageHandler("limits", maxLimitsBytes, func(m limitsMessage) { report(m.decode(clock())) })
 }
 
 // limitsMessage is a message with ages instead of times, as daemons have different clocks.
--- a/internal/relay/notify.go
+++ b/internal/relay/notify.go
@@ -119,13 +119,19 @@
 // EvidenceHandler returns the handler of evidence. It calls report with each, in times of the
 // given clock.
 func EvidenceHandler(clock func() time.Duration, report func(quarantine.Evidence)) http.Handler {
+	return messageHandler("evidence", maxEvidenceBytes, func(m evidenceMessage) { report(m.decode(clock())) })
+}
+
+// messageHandler returns the handler of messages of one kind, of so many bytes at most. It calls take
+// with each.
+func messageHandler[M any](kind string, maxBytes int64, take func(M)) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		var m evidenceMessage
-		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxEvidenceBytes)).Decode(&m); err != nil {
-			http.Error(w, "send evidence as JSON: "+strings.ToValidUTF8(err.Error(), "?"), http.StatusBadRequest)
+		var m M
+		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBytes)).Decode(&m); err != nil {
+			http.Error(w, "send "+kind+" as JSON: "+strings.ToValidUTF8(err.Error(), "?"), http.StatusBadRequest)
 			return
 		}
-		report(m.decode(clock()))
+		take(m)
 		w.WriteHeader(http.StatusNoContent)
 	})
 }
