--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -116,9 +116,10 @@
 	return judgeCold(w, all), nil
 }
 
-// reborn: servers that are partitioned from the store crash and start again under their ids.
+// reborn: two of nine servers that are partitioned from the store crash and start again under their ids.
 func reborn(w *world) (int, error) {
-	all, err := startAll(w, 0, 2)
+	const downtime = 300 * time.Millisecond
+	all, err := startAll(w, 0, 3)
 	if err != nil {
 		return cantRun, err
 	}
@@ -130,21 +131,26 @@
 	}
 	time.Sleep(4 * time.Second)
 	if w.trouble {
-		s := all[1][0]
-		s.mu.Lock()
-		s.listed, s.crashAt = false, crashAt
-		s.mu.Unlock()
-		w.say("server %s is partitioned from the store", s.id)
 		cutAt := time.Now()
-		time.AfterFunc(3*heartbeat, func() {
-			w.store.Remove("servers", s.id)
-			w.say("the entry of %s is removed after three intervals of silence", s.id)
-		})
+		for _, s := range all[1][:2] {
+			s.mu.Lock()
+			s.listed, s.crashAt = false, crashAt
+			s.mu.Unlock()
+			w.say("server %s is partitioned from the store", s.id)
+			time.AfterFunc(3*heartbeat, func() {
+				w.store.Remove("servers", s.id)
+				w.say("the entry of %s is removed after three intervals of silence", s.id)
+			})
+		}
 		time.Sleep(200 * time.Millisecond)
-		s.crash()
-		time.Sleep(500 * time.Millisecond)
-		if err := s.start(coldDuration); err != nil {
-			return cantRun, err
+		for _, s := range all[1][:2] {
+			s.crash()
+		}
+		time.Sleep(downtime)
+		for _, s := range all[1][:2] {
+			if err := s.start(coldDuration); err != nil {
+				return cantRun, err
+			}
 		}
 		time.Sleep(time.Until(cutAt.Add(5 * time.Second)))
 	}
@@ -316,10 +322,12 @@
 // The platform kills a process that exceeds its memory, and does not start it again here.
 func memory(w *world) (int, error) {
 	const (
-		usual = 40 // callers at a time
-		burst = 28 // more of them
+		usual = 44 // callers at a time
+		burst = 31 // more of them
+		// spacing keeps uploads below the 1,000 Mbit/s of the sheet's links.
+		spacing = 40 * time.Millisecond
 	)
-	s, err := w.addServer("i-oda-0", service, zones[0], 1500*time.Millisecond)
+	s, err := w.addServer("i-oda-0", service, zones[0], 3*time.Second)
 	if err != nil {
 		return cantRun, err
 	}
@@ -340,33 +348,35 @@
 	payload := make([]byte, 4<<20)
 	ctx, stopLoad := context.WithCancel(context.Background())
 	defer stopLoad()
+	var mu sync.Mutex
 	var clients []*client
 	var all sync.WaitGroup
-	come := func(n int, until <-chan struct{}) {
+	come := func(n int, until context.Context) {
 		for range n {
+			if !sleepContext(until, spacing) {
+				return
+			}
 			c := newClient(w) // one connection each, which is kept
+			mu.Lock()
 			clients = append(clients, c)
+			mu.Unlock()
 			all.Go(func() {
-				for {
-					select {
-					case <-until:
-						return
-					default:
-					}
-					if c.send(d, "POST", "/orders/2f", 8*time.Second, payload).status == 0 {
-						return
-					}
+				for until.Err() == nil && c.send(d, "POST", "/orders/2f", 8*time.Second, payload).status != 0 {
 				}
 			})
 		}
 	}
-	come(usual, ctx.Done())
+	come(usual, ctx)
 	if w.trouble {
-		time.AfterFunc(5*time.Second, func() {
+		all.Go(func() {
+			if !sleepContext(ctx, 6*time.Second) {
+				return
+			}
 			w.say("%d more callers come for 3 s", burst)
 			over, end := context.WithTimeout(ctx, 3*time.Second)
-			come(burst, over.Done())
-			context.AfterFunc(over, end)
+			defer end()
+			come(burst, over)
+			<-over.Done()
 		})
 	}
 	peak := 0
