--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -118,7 +118,7 @@
 
 // reborn: two of nine servers that are partitioned from the store crash and start again under their ids.
 func reborn(w *world) (int, error) {
-	const downtime = 300 * time.Millisecond
+	const downtime = 100 * time.Millisecond
 	all, err := startAll(w, 0, 3)
 	if err != nil {
 		return cantRun, err
