--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -318,6 +318,98 @@
 	return code, nil
 }
 
+// deadly: a request that crashes each server that begins to run it comes again and again. The daemons are
+// stopped and started in turn meanwhile, twice.
+func deadly(w *world) (int, error) {
+	const (
+		path     = "/orders/deadly"
+		interval = 3600 * time.Millisecond // between two of them
+		downtime = 2 * time.Second
+		restart  = 300 * time.Millisecond // from the end of a process to its next start
+	)
+	all, err := startAll(w, 0, 3)
+	if err != nil {
+		return cantRun, err
+	}
+	for _, here := range all {
+		for _, s := range here {
+			s.deadly, s.downtime = path, downtime
+		}
+	}
+	sound := newClient(w)
+	ctx, stopLoad := context.WithCancel(context.Background())
+	defer stopLoad()
+	for _, d := range w.daemons {
+		sound.load(ctx, d, 5, "POST", "/orders/2f", 2*time.Second, nil)
+	}
+	time.Sleep(2 * time.Second)
+	c := newClient(w)
+	inTouch := make(map[string]bool) // of the machine to which a request was sent
+	next := 0
+	send := func(n int) {
+		for range n {
+			d := w.daemons[next%len(w.daemons)]
+			next++
+			touched := time.Since(d.startedAt) > stability
+			r := c.send(d, "POST", path, 2*time.Second, []byte("the same body"))
+			inTouch[r.id] = touched
+			w.say("%s, sent to %s, in touch %v: status %d", r.id, d.name, touched, r.status)
+			time.Sleep(interval)
+		}
+	}
+	roll := func() error {
+		if !w.trouble {
+			return nil
+		}
+		for _, d := range w.daemons {
+			d.signal(syscall.SIGTERM)
+			<-d.waited
+			time.Sleep(restart)
+			if err := d.start(); err != nil {
+				return err
+			}
+			if err := d.waitReady(); err != nil {
+				return err
+			}
+		}
+		time.Sleep(stability + 500*time.Millisecond) // all are in touch again
+		return nil
+	}
+	send(2)
+	if err := roll(); err != nil {
+		return cantRun, err
+	}
+	send(2)
+	if err := roll(); err != nil {
+		return cantRun, err
+	}
+	send(5)
+	stopLoad()
+	sound.pending.Wait()
+	w.say("answers to sound requests: %v", sound.counts())
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	crashes, later := 0, 0
+	var third time.Time
+	for _, r := range w.runs {
+		if _, isDeadly := inTouch[r.request]; !isDeadly {
+			continue
+		}
+		crashes++
+		switch {
+		case crashes == 3:
+			third = r.at
+		case crashes > 3 && r.at.Sub(third) > stability && inTouch[r.request]:
+			later++
+		}
+	}
+	fmt.Printf("%d servers crashed; %d requests reached servers later than %s after the third, from machines in touch\n", crashes, later, stability)
+	if later > 3 {
+		return broken, nil
+	}
+	return held, nil
+}
+
 // memory: callers send bodies as large as the configuration allows, and then 1.7 times as many come.
 // The platform kills a process that exceeds its memory, and does not start it again here.
 func memory(w *world) (int, error) {
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -19,6 +19,7 @@
 	"reborn":     reborn,
 	"handover":   handover,
 	"stop":       stop,
+	"deadly":     deadly,
 	"memory":     memory,
 }
 
--- a/review/stand/server.go
+++ b/review/stand/server.go
@@ -32,6 +32,9 @@
 	free      chan struct{}
 	arrivals  []arrival
 	crashAt   int // arrivals in one second at which it crashes while it is cold; 0: never
+	// deadly is the path of requests that crash a server that begins to run one. It is back after downtime.
+	deadly   string
+	downtime time.Duration
 }
 
 // arrival is a request that reached a server and was not answered with 421.
@@ -162,6 +165,21 @@
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
+	if s.deadly != "" && r.URL.Path == s.deadly {
+		s.world.mu.Lock()
+		s.world.runs = append(s.world.runs, run{request: id, server: s.id, service: s.service, at: time.Now()})
+		s.world.mu.Unlock()
+		s.world.say("server %s begins to run %s, which crashes it", s.id, id)
+		go func() {
+			s.crash()
+			time.Sleep(s.downtime)
+			if err := s.start(0); err != nil {
+				s.world.say("server %s can't start again: %v", s.id, err)
+			}
+		}()
+		<-r.Context().Done()
+		return
+	}
 	select {
 	case s.free <- struct{}{}:
 	case <-r.Context().Done():
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -108,6 +108,9 @@
 	callers, readiness string
 	links              string
 	storeTurnsAway     atomic.Bool // the store answers it with 503
+	settings           string      // path of the settings file
+	log                *os.File
+	startedAt          time.Time
 	command            *exec.Cmd
 	waited             chan struct{}
 	front              *httptest.Server
@@ -126,7 +129,7 @@
 // startDaemon starts a daemon with the command of the deploy file. It reaches the store at an address
 // of its own, so that the store can turn it away, and servers through proxies of its own.
 func (w *world) startDaemon(name, zone string) (*daemon, error) {
-	d := &daemon{world: w, name: name, zone: zone, waited: make(chan struct{})}
+	d := &daemon{world: w, name: name, zone: zone}
 	var metrics string
 	for _, a := range []*string{&d.callers, &d.readiness, &d.links, &metrics} {
 		var err error
@@ -147,28 +150,38 @@
 	if err := os.WriteFile(path, settings, 0o600); err != nil {
 		return nil, err
 	}
-	log, err := os.Create(filepath.Join(w.temp, name+".log"))
-	if err != nil {
+	d.settings = path
+	if d.log, err = os.Create(filepath.Join(w.temp, name+".log")); err != nil {
 		return nil, err
 	}
-	d.command = exec.Command(w.program, "gateway")
-	d.command.Env = append(os.Environ(), "RHUBARBSWITCH_NODE_FILE="+path)
-	d.command.Stdout, d.command.Stderr = log, log
-	d.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := d.command.Start(); err != nil {
+	if err := d.start(); err != nil {
 		return nil, err
 	}
-	w.note("%s started in %s: callers %s", name, zone, d.callers)
-	go func() {
-		_ = d.command.Wait()
-		d.ended.Store(true)
-		w.note("%s ended: %s", name, d.command.ProcessState)
-		close(d.waited)
-	}()
 	w.daemons = append(w.daemons, d)
 	return d, nil
 }
 
+// start starts the process, again after it has ended. Call it from the main goroutine.
+func (d *daemon) start() error {
+	d.command = exec.Command(d.world.program, "gateway")
+	d.command.Env = append(os.Environ(), "RHUBARBSWITCH_NODE_FILE="+d.settings)
+	d.command.Stdout, d.command.Stderr = d.log, d.log
+	d.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	d.waited, d.startedAt = make(chan struct{}), time.Now()
+	d.ended.Store(false)
+	if err := d.command.Start(); err != nil {
+		return err
+	}
+	d.world.note("%s started in %s: callers %s", d.name, d.zone, d.callers)
+	go func(command *exec.Cmd, waited chan struct{}) {
+		_ = command.Wait()
+		d.ended.Store(true)
+		d.world.note("%s ended: %s", d.name, command.ProcessState)
+		close(waited)
+	}(d.command, d.waited)
+	return nil
+}
+
 func (d *daemon) signal(s syscall.Signal) {
 	d.world.say("%s gets %s", d.name, s)
 	_ = d.command.Process.Signal(s)
