--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -104,7 +104,7 @@
 		for _, s := range all[0] {
 			s.crashAt = crashAt
 			s.becomeCold(coldDuration)
-			time.Sleep(20 * time.Millisecond)
+			time.Sleep(10 * time.Millisecond)
 		}
 		w.store.Remove("evacuations", zones[0])
 		w.say("the evacuation is taken back: acknowledged")
