Requests whose connection is closed without an answer are logged and counted

RS2016 and rhubarbswitch_aborted_requests_total now name the reason: the daemon has ended, the answer is missing, a stream that can't go on, the answer could not be written. Answers are flushed before their handler returns, so that a failed write is seen. No decision changes.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/event"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/loop"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/relay"
 )
@@ -161,7 +162,7 @@
 			select {
 			case effect = <-effects:
 			default:
-				panic(http.ErrAbortHandler)
+				x.abort(abortDaemonEnded)
 			}
 		}
 		switch e := effect.(type) {
@@ -187,6 +188,31 @@
 	}
 }
 
+// abortReason is why a connection is closed without a complete answer to a request.
+type abortReason string
+
+const (
+	abortDaemonEnded  abortReason = "the daemon has ended"
+	abortNoAnswer     abortReason = "the answer to deliver is missing"
+	abortStreamBroken abortReason = "the stream can't go on"
+	abortWriteFailed  abortReason = "the answer could not be written"
+)
+
+// abort closes the connection of a request that gets no complete answer, so that the caller can't mistake
+// what it has for one.
+func (x *exchange) abort(reason abortReason) {
+	x.recordAborted(reason)
+	panic(http.ErrAbortHandler)
+}
+
+func (x *exchange) recordAborted(reason abortReason, fields ...event.Field) {
+	countAborted(reason)
+	x.daemon.logEvent(event.RequestAborted, append([]event.Field{
+		event.F("request", x.callerID), event.F("reason", string(reason)), event.F("events", x.eventsDelivered), event.F("runs", x.runs),
+		event.F("stopping", x.daemon.stopping.Load()), event.F("millis", (x.daemon.clock() - x.arrivedAt).Milliseconds()),
+	}, fields...)...)
+}
+
 // countRequest and countAnswer count a request in the metrics of the daemon that its caller is connected to.
 func (x *exchange) countRequest() {
 	if !x.handedOver {
@@ -207,18 +233,37 @@
 		return
 	}
 	if x.buffered == nil {
-		panic(http.ErrAbortHandler)
+		x.abort(abortNoAnswer)
 	}
 	copyHeader(x.w.Header(), x.buffered.header)
 	x.markTargetsAnswer(x.runs)
-	if x.buffered.status != http.StatusNoContent && x.buffered.status != http.StatusNotModified && x.r.Method != http.MethodHead {
-		x.w.Header().Set("Content-Length", strconv.Itoa(len(x.buffered.body)))
+	body := x.buffered.body
+	if x.buffered.status == http.StatusNoContent || x.buffered.status == http.StatusNotModified || x.r.Method == http.MethodHead {
+		body = nil
+	} else {
+		x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
-	x.w.WriteHeader(x.buffered.status)
-	if _, err := x.w.Write(x.buffered.body); err != nil {
+	x.writeAnswer(x.buffered.status, body)
+	x.hold(nil)
+}
+
+// writeAnswer writes a complete answer whose headers are set, and returns once it has left this process.
+func (x *exchange) writeAnswer(status int, body []byte) {
+	x.w.WriteHeader(status)
+	var err error
+	if len(body) > 0 {
+		_, err = x.w.Write(body)
+	}
+	if err == nil {
+		err = x.control.Flush()
+	}
+	switch {
+	case err == nil:
+	case x.r.Context().Err() != nil:
 		x.daemon.log.Debug("caller disconnected before its answer was written", "request", x.callerID, "error", err)
+	default:
+		x.recordAborted(abortWriteFailed, event.F("error", err))
 	}
-	x.hold(nil)
 }
 
 // sendError sends an error answer of the daemon itself. If a stream has started, it aborts the
@@ -226,7 +271,7 @@
 func (x *exchange) sendError(a step.Answer) {
 	x.hold(nil)
 	if x.streamStarted {
-		panic(http.ErrAbortHandler)
+		x.abort(abortStreamBroken)
 	}
 	h := x.w.Header()
 	x.daemon.platform.ToCaller(h, x.callerID, a.RetryAfter)
@@ -241,6 +286,5 @@
 		x.daemon.log.Error("cannot encode an error answer", "request", x.callerID, "error", err)
 	}
 	h.Set("Content-Length", strconv.Itoa(len(body)))
-	x.w.WriteHeader(a.Status)
-	_, _ = x.w.Write(body) // a write error means that the caller is gone
+	x.writeAnswer(a.Status, body)
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -28,3 +28,8 @@
 func countAttemptEnd(e step.Ending) {
 	metrics.GetOrCreateCounter(`rhubarbswitch_attempts_ended_total{ending="` + e.String() + `"}`).Inc()
 }
+
+// countAborted counts a request whose connection was closed without a complete answer.
+func countAborted(reason abortReason) {
+	metrics.GetOrCreateCounter(`rhubarbswitch_aborted_requests_total{reason="` + string(reason) + `"}`).Inc()
+}
