A stopping daemon answers every request that it has read

Callers saw connections closed without an answer during planned stops. Three ways, one cause: when service ended was decided by what the reducer knew, and connections were closed by what net/http knew; neither knew which requests had been read. - The reducer ended the daemon once it had answered all it knew.

A connection now knows whether a byte of a next request has been read, and is closed as idle only if none has been: a request is either served or was never taken. The reducer no longer exits when it is idle. It returns CloseConnections; the daemon goes on answering (503, not run) until a moment at which no connection is busy, closes listener and connections at that moment, and reports ConnectionsClosed; then it exits, or when its timeout is nearly over. A request whose reducer has ended gets what is certain: 503 if nothing ran, the complete answer if it is there, else 504.

TestStoppingDaemon asked for Exit together with the last decision; that was the fault. It now asks for CloseConnections there, for no exit before the connections are closed, and for Exit then.

--- a/internal/core/gateway/calls.go
+++ b/internal/core/gateway/calls.go
@@ -121,11 +121,9 @@
 			Message: "this daemon knows no configuration yet: come back",
 		}
 	}
-	if s.lifecycle.stopping && (c.req.HandedOver || now-s.lifecycle.stoppingSince > unreadyDelay) {
-		return &step.Answer{
-			Status: 503, Code: step.CodeShuttingDown, RetryAfter: otherDaemonRetryAfter,
-			Message: "this daemon is stopping: send the request again, over another connection",
-		}
+	if s.lifecycle.stopping && (c.req.HandedOver || s.lifecycle.closing || now-s.lifecycle.stoppingSince > unreadyDelay) {
+		a := stoppingAnswer
+		return &a
 	}
 	c.route = s.config.Match(c.req.Host, c.req.Path)
 	if c.route == nil {
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -205,6 +205,8 @@
 		s.onLease(now.Mono, e, out)
 	case step.Stop:
 		s.stop(now.Mono, out)
+	case step.ConnectionsClosed:
+		s.lifecycle.connectionsClosed = true
 	}
 	s.lifecycle.advance(s, now.Mono, out)
 	return out.Effects
--- a/internal/core/gateway/gateway_test.go
+++ b/internal/core/gateway/gateway_test.go
@@ -346,7 +346,21 @@
 	_, effects = x.call("/read/1", "key")
 	require.Equal(t, step.CodeShuttingDown, x.requireAnswer(effects).Code)
 	effects = x.endAttempt(f, step.EndedComplete, 200)
-	require.Equal(t, []step.Effect{step.Deliver{ID: f.ID, Attempt: f.Attempt}, step.Exit{}}, effects)
+	require.Equal(t, []step.Effect{step.Deliver{ID: f.ID, Attempt: f.Attempt}, step.CloseConnections{}}, effects)
+	x.now += time.Second
+	require.Empty(t, x.reduce(step.Tick{}), "a caller may still be reading its answer, or sending a body")
+	require.Contains(t, x.reduce(step.ConnectionsClosed{}), step.Exit{})
+}
+
+// TestDaemonExitsThoughConnectionsStayOpen guards against a stop that outlasts its timeout.
+func TestDaemonExitsThoughConnectionsStayOpen(t *testing.T) {
+	x := startedWithSlack(t)
+	x.s.settings.Limits.ShutdownTimeout = 8 * time.Second
+	_, effects := x.call("/once/1", "key")
+	x.requireForward(effects)
+	x.reduce(step.Stop{})
+	x.now += 8*time.Second - exitReserve
+	require.Contains(t, x.reduce(step.Tick{}), step.Exit{})
 }
 
 // TestHostsMissingAfterStoreOutage checks that hosts missing when the store comes back still
--- a/internal/core/gateway/lifecycle.go
+++ b/internal/core/gateway/lifecycle.go
@@ -11,17 +11,21 @@
 	// unreadyDelay is how long after this daemon has become unready a load balancer may still
 	// send new callers. A stopping daemon admits requests until then.
 	unreadyDelay = 2500 * time.Millisecond
-	// shutdownReserve is the last part of the shutdown timeout, kept to end the requests in
-	// flight.
-	shutdownReserve = 500 * time.Millisecond
+	// finalAnswerReserve is the last part of the shutdown timeout. At its start the requests in flight
+	// get their final answers.
+	finalAnswerReserve = 600 * time.Millisecond
+	// exitReserve is the last part of that, kept for the process to exit.
+	exitReserve = 300 * time.Millisecond
 )
 
 // lifecycle is the state of the daemon between its start and its exit.
 type lifecycle struct {
-	reportedReady bool // the readiness last reported
-	stopping      bool
-	stoppingSince time.Duration // valid if stopping
-	exited        bool
+	reportedReady     bool // the readiness last reported
+	stopping          bool
+	stoppingSince     time.Duration // valid if stopping
+	closing           bool          // no request is admitted any more, and connections close once their requests are answered
+	connectionsClosed bool
+	exited            bool
 }
 
 func (s *State) stop(now time.Duration, out *step.Out) {
@@ -35,8 +39,8 @@
 }
 
 // advance reports a change of readiness, and lets a stopping daemon exit. Such a daemon serves
-// open connections until no request is in flight, unreadyDelay is over and the lease is
-// released, or until its shutdown timeout is nearly over.
+// open connections until no request is in flight, unreadyDelay is over and the lease is released, or until its
+// shutdown timeout is nearly over. Then it exits once its connections are closed.
 func (l *lifecycle) advance(s *State, now time.Duration, out *step.Out) {
 	ready := s.config != nil && s.hostsKnown && !l.stopping
 	if ready != l.reportedReady {
@@ -46,10 +50,21 @@
 	if !l.stopping || l.exited {
 		return
 	}
-	idle := len(s.calls) == 0 && now-l.stoppingSince >= unreadyDelay && s.lease.Released()
-	if idle || now-l.stoppingSince >= s.settings.Limits.ShutdownTimeout-shutdownReserve {
+	elapsed, timeout := now-l.stoppingSince, s.settings.Limits.ShutdownTimeout
+	idle := len(s.calls) == 0 && elapsed >= unreadyDelay && s.lease.Released()
+	if !l.closing && (idle || elapsed >= timeout-finalAnswerReserve) {
+		l.closing = true
+		out.Add(step.CloseConnections{})
+	}
+	if l.closing && l.connectionsClosed && len(s.calls) == 0 || elapsed >= timeout-exitReserve {
 		l.exited = true
 		out.Log(event.DaemonStopped, event.F("requests", len(s.calls)))
 		out.Add(step.Exit{})
 	}
 }
+
+// stoppingAnswer refuses a request that has not run.
+var stoppingAnswer = step.Answer{
+	Status: 503, Code: step.CodeShuttingDown, RetryAfter: otherDaemonRetryAfter,
+	Message: "this daemon is stopping: send the request again, over another connection",
+}
--- a/internal/core/step/effect.go
+++ b/internal/core/step/effect.go
@@ -179,6 +179,11 @@
 // SetConfig reports to the loop that the configuration in force has changed.
 type SetConfig struct{ Revision object.Version }
 
+// CloseConnections ends the service of callers and of other daemons: once all requests that have been read
+// are answered, all connections are closed. ConnectionsClosed follows. Requests that are read until then
+// still get an answer.
+type CloseConnections struct{}
+
 // Exit ends the daemon. Every request has been answered. Claims, groups and usage have been
 // returned, or the wait for that has timed out.
 type Exit struct{}
@@ -189,19 +194,20 @@
 	Fields []event.Field
 }
 
-func (Dispatch) effect()     {}
-func (Answer) effect()       {}
-func (Deliver) effect()      {}
-func (Cancel) effect()       {}
-func (GetObject) effect()    {}
-func (PutObject) effect()    {}
-func (DeleteObject) effect() {}
-func (Probe) effect()        {}
-func (SendOrder) effect()    {}
-func (SendPeer) effect()     {}
-func (SetPeers) effect()     {}
-func (SetWake) effect()      {}
-func (SetReady) effect()     {}
-func (SetConfig) effect()    {}
-func (Exit) effect()         {}
-func (Log) effect()          {}
+func (Dispatch) effect()         {}
+func (Answer) effect()           {}
+func (Deliver) effect()          {}
+func (Cancel) effect()           {}
+func (GetObject) effect()        {}
+func (PutObject) effect()        {}
+func (DeleteObject) effect()     {}
+func (Probe) effect()            {}
+func (SendOrder) effect()        {}
+func (SendPeer) effect()         {}
+func (SetPeers) effect()         {}
+func (SetWake) effect()          {}
+func (SetReady) effect()         {}
+func (SetConfig) effect()        {}
+func (Exit) effect()             {}
+func (CloseConnections) effect() {}
+func (Log) effect()              {}
--- a/internal/core/step/event.go
+++ b/internal/core/step/event.go
@@ -245,19 +245,23 @@
 // Stop requests a graceful stop.
 type Stop struct{}
 
-func (Tick) event()          {}
-func (Wake) event()          {}
-func (Request) event()       {}
-func (CallerGone) event()    {}
-func (AttemptEnded) event()  {}
-func (PlatformReply) event() {}
-func (ConfigBatch) event()   {}
-func (PlatformState) event() {}
-func (ObjectRead) event()    {}
-func (HostList) event()      {}
-func (HostReport) event()    {}
-func (OrderReply) event()    {}
-func (PeerUp) event()        {}
-func (PeerDown) event()      {}
-func (PeerMessage) event()   {}
-func (Stop) event()          {}
+// ConnectionsClosed reports that CloseConnections is done.
+type ConnectionsClosed struct{}
+
+func (Tick) event()              {}
+func (Wake) event()              {}
+func (Request) event()           {}
+func (CallerGone) event()        {}
+func (AttemptEnded) event()      {}
+func (PlatformReply) event()     {}
+func (ConfigBatch) event()       {}
+func (PlatformState) event()     {}
+func (ObjectRead) event()        {}
+func (HostList) event()          {}
+func (HostReport) event()        {}
+func (OrderReply) event()        {}
+func (PeerUp) event()            {}
+func (PeerDown) event()          {}
+func (PeerMessage) event()       {}
+func (Stop) event()              {}
+func (ConnectionsClosed) event() {}
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -61,10 +61,9 @@
 	// heapGrowthPercent is how far, in percent, the heap may grow between two garbage
 	// collections (GOGC).
 	heapGrowthPercent = 50
-	// finalWriteTimeout bounds the writing of answers that the reducer had decided before the
-	// daemon ended; the setting ShutdownTimeout bounds the time before. Connections that are
-	// still open after it are closed.
-	finalWriteTimeout = 300 * time.Millisecond
+	// finalWriteTimeout bounds the writing of answers once the reducer has ended; the setting
+	// ShutdownTimeout bounds the time before. Connections that are still open after it are closed.
+	finalWriteTimeout = 200 * time.Millisecond
 	// maxHeaderBytes bounds the header of a caller's request and of a target's answer, and
 	// headerTimeout the reading of a header on every listener. Both are fixed: the header limits
 	// of the configuration are not applied.
@@ -87,15 +86,18 @@
 	lastRequestNumber atomic.Uint64 // its base-36 form is the request's ID
 
 	// config, ready and isLeaseHolder copy the reducer's state for other goroutines.
-	config        atomic.Pointer[site.Config] // the configuration in force; nil before the first
-	ready         atomic.Bool
-	stopping      atomic.Bool
-	isLeaseHolder atomic.Bool // this daemon orders the groups of engines
-	targets       *targets
-	notifier      *relay.Notifier
-	buffers       *bufferBudget
-	idleConns     idleConns
-	background    sync.WaitGroup
+	config         atomic.Pointer[site.Config] // the configuration in force; nil before the first
+	ready          atomic.Bool
+	stopping       atomic.Bool
+	isLeaseHolder  atomic.Bool // this daemon orders the groups of engines
+	targets        *targets
+	notifier       *relay.Notifier
+	buffers        *bufferBudget
+	background     sync.WaitGroup
+	callers, links listeningServer // links has no listener if the settings name no address
+	// draining is cancelled once the connections are to be closed.
+	draining      context.Context
+	startDraining context.CancelFunc
 }
 
 // New returns a daemon that serves once Run is called. The clock is monotonic and must also
@@ -110,6 +112,7 @@
 		events: make(chan step.Event, eventQueueSize), reducerDone: make(chan struct{}),
 		targets: newTargets(clock), notifier: relay.NewNotifier(clock), buffers: newBufferBudget(set.MemoryMiB),
 	}
+	d.draining, d.startDraining = context.WithCancel(context.Background())
 	d.state = core.New(core.Settings{
 		Daemon: set.Daemon, Incarnation: d.incarnation, DataCentre: set.DataCentre, Cores: set.Cores,
 		Limits: step.GatewaySettings{
@@ -125,47 +128,44 @@
 	debug.SetMemoryLimit(int64(heapLimitShare * float64(d.settings.MemoryMiB) * (1 << 20)))
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	callers, err := net.Listen("tcp", d.settings.Callers)
-	if err != nil {
+	errorLog := slog.NewLogLogger(d.log.Handler(), slog.LevelDebug)
+	if err := d.callers.listen(d.settings.Callers, http.HandlerFunc(d.serveCaller), errorLog); err != nil {
 		return errors.Wrap(err, "callers")
 	}
 	d.logEvent(event.DaemonStarted, event.F("daemon", d.settings.Daemon), event.F("run", d.incarnation), event.F("callers", d.settings.Callers), event.F("platform", d.settings.Platform))
-	callerServer := &http.Server{
-		Handler: http.HandlerFunc(d.serveCaller), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: d.idleConns.trackState, ErrorLog: slog.NewLogLogger(d.log.Handler(), slog.LevelDebug),
-	}
 	healthRouter := chi.NewRouter()
 	health.Register(healthRouter, d.readiness)
 	healthRouter.Handle("/*", http.HandlerFunc(d.serveReadiness))
-	var linkServer http.Server
-	servers := []*http.Server{callerServer, {Addr: d.settings.Readiness, Handler: healthRouter, ReadHeaderTimeout: headerTimeout}}
+	healthServers := []*http.Server{{Addr: d.settings.Readiness, Handler: healthRouter, ReadHeaderTimeout: headerTimeout}}
 	if d.settings.Metrics != "" {
-		servers = append(servers, &http.Server{Addr: d.settings.Metrics, Handler: healthRouter, ReadHeaderTimeout: headerTimeout})
+		healthServers = append(healthServers, &http.Server{Addr: d.settings.Metrics, Handler: healthRouter, ReadHeaderTimeout: headerTimeout})
 	}
+	var g errgroup.Group
+	g.Go(d.callers.serve)
 	if d.settings.Links != "" {
-		linkServer = http.Server{Addr: d.settings.Links, Handler: d.peerHandler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: callerServer.ErrorLog}
-		servers = append(servers, &linkServer)
+		if err := d.links.listen(d.settings.Links, d.peerHandler(), errorLog); err != nil {
+			d.log.Error("cannot listen for other daemons", "error", err)
+			g.Go(func() error { return errors.Wrap(err, "links") })
+		} else {
+			g.Go(d.links.serve)
+		}
 	}
-	var g errgroup.Group
-	g.Go(func() error { return ignoreServerClosed(callerServer.Serve(callers)) })
-	for _, s := range servers[1:] {
+	for _, s := range healthServers {
 		g.Go(func() error { return ignoreServerClosed(s.ListenAndServe()) })
 	}
 	g.Go(func() error {
 		d.platform.Follow(ctx, Subscriber{Post: d.Post, NeedsPromptHosts: d.isLeaseHolder.Load})
 		return nil
 	})
-	g.Go(func() error { d.idleConns.closeIdle(ctx, d.idleTimeout); return nil })
+	g.Go(func() error { d.callers.conns.closeExpired(ctx, d.idleTimeout); return nil })
 	d.runReducer(ctx)
 	cancel()
-	shutdownCtx, cancelShutdown := context.WithTimeout(context.Background(), finalWriteTimeout)
-	defer cancelShutdown()
-	var answers sync.WaitGroup // lets answers finish that are being written
-	for _, s := range []*http.Server{callerServer, &linkServer} {
-		answers.Go(func() { _ = s.Shutdown(shutdownCtx) })
-	}
-	answers.Wait()
-	for _, s := range servers {
+	finalCtx, cancelFinal := context.WithTimeout(context.Background(), finalWriteTimeout)
+	defer cancelFinal()
+	d.closeConnections(finalCtx)
+	d.callers.close()
+	d.links.close()
+	for _, s := range healthServers {
 		_ = s.Close()
 	}
 	d.targets.close()
@@ -173,21 +173,42 @@
 	return g.Wait()
 }
 
+// closeConnections closes the connections of callers and of other daemons once the requests that have been
+// read are answered, or leaves those that are not when the context ends.
+func (d *Daemon) closeConnections(ctx context.Context) {
+	d.startDraining()
+	var drained sync.WaitGroup
+	for _, s := range []*listeningServer{&d.callers, &d.links} {
+		drained.Go(func() { s.drain(ctx) })
+	}
+	drained.Wait()
+}
+
 // peerHandler serves the requests of other daemons: queries for changes in the store,
 // notifications of suspected engines, evidence on crashes, limits of hosts, and callers' requests that
 // they hand over, whatever the path.
 func (d *Daemon) peerHandler() http.Handler {
 	mux := chi.NewRouter()
-	mux.Handle(relay.PathPrefix+"*", d.platform.ChangesHandler())
+	mux.Handle(relay.PathPrefix+"*", d.untilDraining(d.platform.ChangesHandler()))
 	mux.Handle(relay.SuspectPath, relay.SuspectHandler(func(host string) { d.Post(step.HostSuspected{Host: host}) }))
 	mux.Handle(relay.EvidencePath, relay.EvidenceHandler(d.clock, func(e quarantine.Evidence) { d.Post(step.EvidenceReceived{Evidence: e}) }))
 	mux.Handle(relay.LimitsPath, relay.LimitsHandler(d.clock, func(m hostlimit.Message) { d.Post(step.LimitsReceived{Message: m}) }))
 	return d.handoverHandler(mux)
 }
 
-// ignoreServerClosed drops the error with which a server returns after Close or Shutdown.
+// untilDraining ends requests that may wait for long once the connections are to be closed.
+func (d *Daemon) untilDraining(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithCancel(r.Context())
+		defer cancel()
+		defer context.AfterFunc(d.draining, cancel)()
+		next.ServeHTTP(w, r.WithContext(ctx))
+	})
+}
+
+// ignoreServerClosed drops the error with which a server returns once it or its listener is closed.
 func ignoreServerClosed(err error) error {
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 	return err
@@ -314,6 +335,11 @@
 		}
 	case step.Log:
 		d.logEvent(e.ID, e.Fields...)
+	case step.CloseConnections:
+		d.background.Go(func() {
+			d.closeConnections(ctx)
+			d.Post(step.ConnectionsClosed{})
+		})
 	case step.Exit:
 		return true
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -14,6 +14,7 @@
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/event"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/loop"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/object"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/relay"
 )
 
@@ -25,8 +26,11 @@
 	// if that is shorter. A body that is late is answered with 408.
 	bodyTimeout = 10 * time.Second
 	// writeGrace is how long after a request's deadline its answer may still be written to the
-	// caller.
+	// caller, and the least time that any answer has.
 	writeGrace = time.Second
+	// exitRetryAfter is the delay after which a caller should retry a request that this daemon can't
+	// take since it exits. Any other daemon takes it at once.
+	exitRetryAfter = 10 * time.Millisecond
 )
 
 // serveCaller handles one request of a caller, from its body to the end of its answer.
@@ -39,11 +43,12 @@
 	callHeader := d.platform.ReadCall(r.Header)
 	x := &exchange{
 		daemon: d, w: w, r: r, control: http.NewResponseController(w), callerID: callHeader.ID, handedOver: origin.HandedOver,
-		id: step.RequestID(strconv.FormatUint(d.lastRequestNumber.Add(1), 36)),
+		id: step.RequestID(strconv.FormatUint(d.lastRequestNumber.Add(1), 36)), ended: make(chan step.ForwardEnded, 1),
 	}
-	if d.stopping.Load() {
-		w.Header().Set("Connection", "close")
+	if closedAsIdle(r) {
+		panic(http.ErrAbortHandler) // its caller may have sent it elsewhere
 	}
+	x.closeIfStopping()
 	if !x.readBody(callHeader.TimeLeft) {
 		return
 	}
@@ -79,6 +84,11 @@
 	handedOver    bool   // another daemon has handed the request over
 	runs          int    // ended attempts that may have run
 	answeringHost string // whose answer is being received, or is buffered
+
+	ended      chan step.ForwardEnded // the end of the attempt that is running
+	running    bool                   // an attempt is
+	lastEnding step.Ending            // of the last attempt, valid if runs is above 0
+	deadline   time.Duration          // of the last attempt; zero before
 }
 
 // bufferedAnswer is a target's complete answer that has not been sent to the caller yet. The
@@ -138,7 +148,6 @@
 	defer x.daemon.calls.Remove(x.id)
 	defer x.countRequest()
 	x.daemon.Post(call)
-	ended := make(chan step.ForwardEnded, 1)
 	gone := x.r.Context().Done()
 	ctx, stop := context.WithCancel(context.WithoutCancel(x.r.Context()))
 	defer stop()
@@ -147,10 +156,8 @@
 		var effect step.Effect
 		select {
 		case effect = <-effects:
-		case end := <-ended:
-			if end.Ending != step.EndedUnsent && end.Ending != step.EndedRefused {
-				x.runs++
-			}
+		case end := <-x.ended:
+			x.recordEnd(end)
 			x.daemon.Post(end)
 			continue
 		case <-gone:
@@ -158,42 +165,96 @@
 			x.daemon.Post(step.CallerGone{ID: x.id})
 			continue
 		case <-x.daemon.reducerDone:
-			// Effects that the reducer returned before the daemon ended are still executed.
-			select {
-			case effect = <-effects:
-			default:
-				x.abort(abortDaemonEnded)
-			}
+			stop()
+			x.finishWithoutReducer(effects)
+			return
 		}
 		switch e := effect.(type) {
 		case step.Forward:
 			attemptCtx, stopAttempt := context.WithCancel(ctx)
 			cancel = stopAttempt
-			_ = x.control.SetWriteDeadline(time.Now().Add(e.Deadline - x.daemon.clock() + writeGrace))
+			x.deadline = e.Deadline
+			x.running = true
+			x.setWriteDeadline()
 			go func() {
 				defer stopAttempt()
-				ended <- x.runAttempt(attemptCtx, e)
+				x.ended <- x.runAttempt(attemptCtx, e)
 			}()
 		case step.Cancel:
 			cancel()
-		case step.Deliver:
-			x.countAnswer(loop.CodeOK)
-			x.finishAnswer()
-			return
-		case step.Answer:
-			x.countAnswer(string(e.Code))
-			x.sendError(e)
+		case step.Deliver, step.Answer:
+			x.finish(effect)
 			return
 		}
 	}
 }
 
+// recordEnd records the end of an attempt.
+func (x *exchange) recordEnd(end step.ForwardEnded) {
+	x.running, x.lastEnding = false, end.Ending
+	if end.Ending != step.EndedUnsent && end.Ending != step.EndedRefused {
+		x.runs++
+	}
+}
+
+// finish sends the final answer.
+func (x *exchange) finish(effect step.Effect) {
+	if answer, ok := effect.(step.Answer); ok {
+		x.countAnswer(string(answer.Code))
+		x.sendError(answer)
+		return
+	}
+	x.countAnswer(loop.CodeOK)
+	x.finishAnswer()
+}
+
+// finishWithoutReducer sends a final answer after the reducer has ended: the one that it has decided on, what the
+// last attempt has brought, or else what is certain. The attempts are being cancelled.
+func (x *exchange) finishWithoutReducer(effects <-chan step.Effect) {
+	if x.running {
+		x.recordEnd(<-x.ended)
+	}
+	for pending := true; pending; {
+		select {
+		case effect := <-effects:
+			switch effect.(type) {
+			case step.Deliver, step.Answer:
+				x.finish(effect)
+				return
+			}
+		default:
+			pending = false
+		}
+	}
+	switch {
+	case x.lastEnding == step.EndedComplete && x.runs > 0:
+		x.finish(step.Deliver{})
+	case x.runs > 0:
+		x.finish(step.Answer{Status: http.StatusGatewayTimeout, Code: step.CodeShuttingDown, Outcome: object.Unknown, Message: "this daemon is stopping, and the request may have run"})
+	default:
+		x.finish(step.Answer{
+			Status: http.StatusServiceUnavailable, Code: step.CodeShuttingDown, Outcome: object.NotRun, RetryAfter: exitRetryAfter,
+			Message: "this daemon is stopping: send the request again, over another connection",
+		})
+	}
+}
+
+// closeIfStopping has the connection closed after the answer if the daemon is stopping.
+func (x *exchange) closeIfStopping() {
+	if x.daemon.stopping.Load() {
+		x.w.Header().Set("Connection", "close")
+	}
+}
+
+// setWriteDeadline bounds the writing of what follows. The deadline of an earlier write may have passed.
+func (x *exchange) setWriteDeadline() {
+	_ = x.control.SetWriteDeadline(time.Now().Add(max(0, x.deadline-x.daemon.clock()) + writeGrace))
+}
+
 // abortReason is why a connection is closed without a complete answer to a request.
 type abortReason string
 
 const (
-	abortDaemonEnded  abortReason = "the daemon has ended"
-	abortNoAnswer     abortReason = "the answer to deliver is missing"
 	abortStreamBroken abortReason = "the stream can't go on"
 	abortWriteFailed  abortReason = "the answer could not be written"
 )
@@ -233,7 +294,9 @@
 		return
 	}
 	if x.buffered == nil {
-		x.abort(abortNoAnswer)
+		x.daemon.log.Error("the answer to deliver is missing", "request", x.callerID)
+		x.sendError(step.Answer{Status: http.StatusBadGateway, Code: step.CodeTargetFailed, Outcome: object.Unknown, Message: "the answer was lost, and the request may have run"})
+		return
 	}
 	copyHeader(x.w.Header(), x.buffered.header)
 	x.markTargetsAnswer(x.runs)
@@ -249,6 +312,8 @@
 
 // writeAnswer writes a complete answer whose headers are set, and returns once it has left this process.
 func (x *exchange) writeAnswer(status int, body []byte) {
+	x.closeIfStopping()
+	x.setWriteDeadline()
 	x.w.WriteHeader(status)
 	var err error
 	if len(body) > 0 {
--- /dev/null
+++ b/internal/gateway/stop_test.go
@@ -0,0 +1,124 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/site"
+)
+
+func answerOK(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }
+
+// TestRequestReadAfterTheReducerEndedIsRefused guards against connections closed without an answer as a daemon exits.
+func TestRequestReadAfterTheReducerEndedIsRefused(t *testing.T) {
+	d := startDaemon(t, site.Once, time.Second, answerOK)
+	d.Stop()
+	<-d.ended
+	r := httptest.NewRequest(http.MethodPost, "/x", strings.NewReader("body"))
+	r.Host = "app"
+	w := httptest.NewRecorder()
+	require.NotPanics(t, func() { d.serveCaller(w, r) })
+	require.Equal(t, http.StatusServiceUnavailable, w.Code)
+	require.Equal(t, "close", w.Header().Get("Connection"))
+}
+
+// TestStopWaitsForBodiesThatStillArrive guards against a daemon that exits as if a request whose body still arrives did not exist.
+func TestStopWaitsForBodiesThatStillArrive(t *testing.T) {
+	d := startDaemon(t, site.Once, 8*time.Second, answerOK)
+	c := d.dial()
+	require.NoError(t, c.send(head("late-body", 6*time.Second, 8)+"half"))
+	d.Stop()
+	time.Sleep(unreadyWait + 700*time.Millisecond)
+	require.NoError(t, c.send("half"))
+	status, _, err := c.answer()
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	require.False(t, d.arrived("late-body"), "it was refused, so it must not have run")
+	<-d.ended
+}
+
+// unreadyWait is how long a stopping daemon admits requests, at least.
+const unreadyWait = 2500 * time.Millisecond
+
+// TestStopWaitsForAnswersThatAreBeingWritten guards against a stop that cuts a complete answer on its way to a slow caller.
+func TestStopWaitsForAnswersThatAreBeingWritten(t *testing.T) {
+	const answerBytes = 14 << 20
+	d := startDaemon(t, site.Once, 8*time.Second, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, answerBytes)) })
+	c := d.dial()
+	require.NoError(t, c.send(head("slow", 7*time.Second, 0)))
+	time.Sleep(200 * time.Millisecond)
+	d.Stop()
+	time.Sleep(unreadyWait + 1500*time.Millisecond)
+	status, body, err := c.answer()
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status)
+	require.Len(t, body, answerBytes)
+	<-d.ended
+}
+
+// TestRefusalIsWrittenAfterAnEarlierRequestsDeadline guards against a write deadline that outlives its request on a kept connection.
+func TestRefusalIsWrittenAfterAnEarlierRequestsDeadline(t *testing.T) {
+	d := startDaemon(t, site.Once, time.Second, answerOK)
+	c := d.dial()
+	require.NoError(t, c.send(head("first", 200*time.Millisecond, 0)))
+	status, _, err := c.answer()
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status)
+	time.Sleep(200*time.Millisecond + writeGrace + 200*time.Millisecond)
+	require.NoError(t, c.send(strings.Replace(head("second", time.Second, 0), "Host: app", "Host: nobody", 1)))
+	status, _, err = c.answer()
+	require.NoError(t, err)
+	require.Equal(t, http.StatusNotFound, status)
+}
+
+// TestNoRequestIsPassedOnOverAConnectionThatAStopCloses guards against requests that run although the stop has closed their connections.
+func TestNoRequestIsPassedOnOverAConnectionThatAStopCloses(t *testing.T) {
+	const callers, rounds = 40, 3
+	for range rounds {
+		d := startDaemon(t, site.Once, 8*time.Second, answerOK)
+		var lastID atomic.Int64
+		var wg sync.WaitGroup
+		lost := make(chan string, callers)
+		for i := range callers {
+			c := d.dial()
+			wg.Go(func() {
+				for n := 0; ; n++ {
+					id := fmt.Sprint(lastID.Add(1))
+					if c.send(head(id, 5*time.Second, 4)+"body") != nil {
+						return
+					}
+					if _, _, err := c.answer(); err != nil {
+						if d.arrived(id) {
+							lost <- id
+						}
+						return
+					}
+					time.Sleep(time.Duration((i*37+n*101)%130) * time.Millisecond)
+					if (i+n)%3 == 0 {
+						c = d.redial(c)
+					}
+					if c == nil {
+						return
+					}
+				}
+			})
+		}
+		time.Sleep(300 * time.Millisecond)
+		d.Stop()
+		<-d.ended
+		wg.Wait()
+		close(lost)
+		for id := range lost {
+			t.Errorf("request %s has reached its target and got no answer", id)
+		}
+	}
+}
