Requests in flight at the end of the grace get a final answer

Nothing is sent again. Streams that have begun are still cut, as nothing else can tell their callers that they are incomplete.

Failed before: TestRequestsInFlightAtTheEndOfTheGraceAreAnswered (unexpected EOF). Passes now, as does TestRequestsInFlightAreAnsweredBeforeTheDaemonExits at the reducer.

--- a/internal/core/gateway/calls.go
+++ b/internal/core/gateway/calls.go
@@ -384,6 +384,11 @@
 		s.finish(now, c, "whole "+strconv.Itoa(e.Status), out)
 	case c.callerGone:
 		s.endGone(now, c, out)
+	case s.lifecycle.closing && e.Ending == step.EndedError:
+		out.Add(step.Deliver{ID: c.req.ID, Attempt: c.attempt})
+		s.finish(now, c, "target failed", out)
+	case s.lifecycle.closing:
+		s.endStopping(now, c, out)
 	default:
 		s.retryOrEnd(now, c, e, out)
 	}
--- a/internal/core/gateway/gateway_test.go
+++ b/internal/core/gateway/gateway_test.go
@@ -352,6 +352,38 @@
 	require.Contains(t, x.reduce(step.ConnectionsClosed{}), step.Exit{})
 }
 
+// TestRequestsInFlightAreAnsweredBeforeTheDaemonExits guards against requests that a stop leaves without a final answer.
+func TestRequestsInFlightAreAnsweredBeforeTheDaemonExits(t *testing.T) {
+	x := startedWithSlack(t)
+	x.s.settings.Limits.ShutdownTimeout = 8 * time.Second
+	x.s.lease.Release()
+	var sent []step.Forward
+	for _, path := range []string{"/read/1", "/once/1", "/read/1", "/read/1"} {
+		_, effects := x.call(path, "key")
+		sent = append(sent, x.requireForward(effects))
+	}
+	x.reduce(step.Stop{})
+	x.now += 8*time.Second - finalAnswerReserve - time.Millisecond
+	require.Empty(t, x.reduce(step.Tick{}))
+	x.now += time.Millisecond
+	effects := x.reduce(step.Tick{})
+	require.Contains(t, effects, step.CloseConnections{})
+	for _, f := range sent {
+		require.Contains(t, effects, step.Cancel{ID: f.ID, Attempt: f.Attempt})
+	}
+	for i, c := range []struct {
+		ending step.Ending
+		status int
+	}{{step.EndedCancelled, 504}, {step.EndedCancelled, 504}, {step.EndedUnsent, 503}, {step.EndedRefused, 503}} {
+		answer := x.requireAnswer(x.endAttempt(sent[i], c.ending, 0))
+		require.Equal(t, c.status, answer.Status, "an attempt that ends as %s", c.ending)
+		require.Equal(t, step.CodeShuttingDown, answer.Code)
+	}
+	_, effects = x.call("/read/1", "key")
+	require.Equal(t, 503, x.requireAnswer(effects).Status)
+	require.Contains(t, x.reduce(step.ConnectionsClosed{}), step.Exit{})
+}
+
 // TestDaemonExitsThoughConnectionsStayOpen guards against a stop that outlasts its timeout.
 func TestDaemonExitsThoughConnectionsStayOpen(t *testing.T) {
 	x := startedWithSlack(t)
--- a/internal/core/gateway/lifecycle.go
+++ b/internal/core/gateway/lifecycle.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
@@ -40,7 +42,7 @@
 
 // advance reports a change of readiness, and lets a stopping daemon exit. Such a daemon serves
 // open connections until no request is in flight, unreadyDelay is over and the lease is released, or until its
-// shutdown timeout is nearly over. Then it exits once its connections are closed.
+// shutdown timeout is nearly over. Then it ends what is in flight, and exits once its connections are closed.
 func (l *lifecycle) advance(s *State, now time.Duration, out *step.Out) {
 	ready := s.config != nil && s.hostsKnown && !l.stopping
 	if ready != l.reportedReady {
@@ -55,6 +57,7 @@
 	if !l.closing && (idle || elapsed >= timeout-finalAnswerReserve) {
 		l.closing = true
 		out.Add(step.CloseConnections{})
+		s.endCalls(now, out)
 	}
 	if l.closing && l.connectionsClosed && len(s.calls) == 0 || elapsed >= timeout-exitReserve {
 		l.exited = true
@@ -63,6 +66,31 @@
 	}
 }
 
+// endCalls ends the requests in flight. Those with an attempt are answered once it has ended.
+func (s *State) endCalls(now time.Duration, out *step.Out) {
+	for _, id := range slices.Sorted(maps.Keys(s.calls)) {
+		c := s.calls[id]
+		switch {
+		case c.interrupted != nil:
+			s.endInterruption(c)
+			s.endStopping(now, c, out)
+		case c.awaitsProbe != nil:
+			s.endStopping(now, c, out)
+		default:
+			out.Add(step.Cancel{ID: id, Attempt: c.attempt})
+		}
+	}
+}
+
+// endStopping answers a request that this daemon can't serve any more, since it exits.
+func (s *State) endStopping(now time.Duration, c *call, out *step.Out) {
+	a := step.Answer{Status: 504, Code: step.CodeShuttingDown, Message: "this daemon is stopping, and the request may have run"}
+	if c.ranAttempts == 0 {
+		a = stoppingAnswer
+	}
+	s.end(now, c, a, "the daemon exits", out)
+}
+
 // stoppingAnswer refuses a request that has not run.
 var stoppingAnswer = step.Answer{
 	Status: 503, Code: step.CodeShuttingDown, RetryAfter: otherDaemonRetryAfter,
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -65,6 +65,25 @@
 	<-d.ended
 }
 
+// TestRequestsInFlightAtTheEndOfTheGraceAreAnswered guards against requests without an answer whose targets outlast a stop.
+func TestRequestsInFlightAtTheEndOfTheGraceAreAnswered(t *testing.T) {
+	for _, kind := range []site.Kind{site.Once, site.Repeatable} {
+		const grace = 3 * time.Second
+		d := startDaemon(t, kind, grace, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+		c := d.dial()
+		require.NoError(t, c.send(head("long", 10*time.Second, 4)+"body"))
+		require.Eventually(t, func() bool { return d.arrived("long") }, time.Second, time.Millisecond)
+		began := time.Now()
+		d.Stop()
+		status, _, err := c.answer()
+		require.NoError(t, err)
+		require.Equal(t, http.StatusGatewayTimeout, status, "it may have run")
+		require.Less(t, time.Since(began), grace)
+		<-d.ended
+		require.Less(t, time.Since(began), grace)
+	}
+}
+
 // TestRefusalIsWrittenAfterAnEarlierRequestsDeadline guards against a write deadline that outlives its request on a kept connection.
 func TestRefusalIsWrittenAfterAnEarlierRequestsDeadline(t *testing.T) {
 	d := startDaemon(t, site.Once, time.Second, answerOK)
