A stopping daemon goes on serving what surely ends before it exits

A request whose deadline lies before the exit can always be served or answered, so it is admitted. Streams are still refused: one that has begun can't be ended well.

Nothing is refused any more between the last answer and the close of the connections: a connection that has a request keeps the daemon from closing.

--- a/internal/core/gateway/calls.go
+++ b/internal/core/gateway/calls.go
@@ -121,7 +121,7 @@
 			Message: "this daemon knows no configuration yet: come back",
 		}
 	}
-	if s.lifecycle.stopping && (c.req.HandedOver || s.lifecycle.closing || now-s.lifecycle.stoppingSince > unreadyDelay) {
+	if s.lifecycle.stopping && (c.req.HandedOver || s.lifecycle.ending) {
 		a := stoppingAnswer
 		return &a
 	}
@@ -143,6 +143,10 @@
 	if c.req.Deadline > 0 {
 		c.deadline = min(c.deadline, c.req.Deadline)
 	}
+	if s.endsAfterExit(now, c) {
+		a := stoppingAnswer
+		return &a
+	}
 	c.service = c.route.PickService(rendezvous.Mix(rendezvous.Hash(string(c.req.ID))))
 	c.maxRuns = c.route.MaxTargets
 	if c.req.HandedOver {
@@ -384,10 +388,10 @@
 		s.finish(now, c, "whole "+strconv.Itoa(e.Status), out)
 	case c.callerGone:
 		s.endGone(now, c, out)
-	case s.lifecycle.closing && e.Ending == step.EndedError:
+	case s.lifecycle.ending && e.Ending == step.EndedError:
 		out.Add(step.Deliver{ID: c.req.ID, Attempt: c.attempt})
 		s.finish(now, c, "target failed", out)
-	case s.lifecycle.closing:
+	case s.lifecycle.ending:
 		s.endStopping(now, c, out)
 	default:
 		s.retryOrEnd(now, c, e, out)
--- a/internal/core/gateway/lifecycle.go
+++ b/internal/core/gateway/lifecycle.go
@@ -5,13 +5,14 @@
 	"slices"
 	"time"
 
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/site"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/event"
 )
 
 const (
 	// unreadyDelay is how long after this daemon has become unready a load balancer may still
-	// send new callers. A stopping daemon admits requests until then.
+	// send new callers. A stopping daemon admits all requests until then.
 	unreadyDelay = 2500 * time.Millisecond
 	// finalAnswerReserve is the last part of the shutdown timeout. At its start the requests in flight
 	// get their final answers.
@@ -25,8 +26,9 @@
 	reportedReady     bool // the readiness last reported
 	stopping          bool
 	stoppingSince     time.Duration // valid if stopping
-	closing           bool          // no request is admitted any more, and connections close once their requests are answered
+	closing           bool          // connections are closed at the first moment without a request
 	connectionsClosed bool
+	ending            bool // the requests in flight are being ended, and no more are admitted
 	exited            bool
 }
 
@@ -42,7 +44,7 @@
 
 // advance reports a change of readiness, and lets a stopping daemon exit. Such a daemon serves
 // open connections until no request is in flight, unreadyDelay is over and the lease is released, or until its
-// shutdown timeout is nearly over. Then it ends what is in flight, and exits once its connections are closed.
+// shutdown timeout is nearly over. It exits once its connections are closed.
 func (l *lifecycle) advance(s *State, now time.Duration, out *step.Out) {
 	ready := s.config != nil && s.hostsKnown && !l.stopping
 	if ready != l.reportedReady {
@@ -54,9 +56,13 @@
 	}
 	elapsed, timeout := now-l.stoppingSince, s.settings.Limits.ShutdownTimeout
 	idle := len(s.calls) == 0 && elapsed >= unreadyDelay && s.lease.Released()
-	if !l.closing && (idle || elapsed >= timeout-finalAnswerReserve) {
+	ending := elapsed >= timeout-finalAnswerReserve
+	if !l.closing && (idle || ending) {
 		l.closing = true
 		out.Add(step.CloseConnections{})
+	}
+	if ending && !l.ending {
+		l.ending = true
 		s.endCalls(now, out)
 	}
 	if l.closing && l.connectionsClosed && len(s.calls) == 0 || elapsed >= timeout-exitReserve {
@@ -91,6 +97,16 @@
 	s.end(now, c, a, "the daemon exits", out)
 }
 
+// endsAfterExit reports whether a request may not end before a stopping daemon exits. That is so for a stream
+// that begins late: it can't be refused once it has begun.
+func (s *State) endsAfterExit(now time.Duration, c *call) bool {
+	l := &s.lifecycle
+	if !l.stopping || now-l.stoppingSince <= unreadyDelay {
+		return false
+	}
+	return c.route.Kind == site.Stream || c.deadline > l.stoppingSince+s.settings.Limits.ShutdownTimeout-finalAnswerReserve
+}
+
 // stoppingAnswer refuses a request that has not run.
 var stoppingAnswer = step.Answer{
 	Status: 503, Code: step.CodeShuttingDown, RetryAfter: otherDaemonRetryAfter,
