Connections are not closed while callers may send their next request

A stop closed connections that callers had just been served on, or had just opened, so requests crossed the close.

Answers announce how long an idle connection may be used (Keep-Alive, two seconds). A stopping daemon keeps one open for longer than that after an answer that did not announce its end (a stream that began before the signal), and a new one for a second. Idle connections between daemons for requests that are handed over end after the same time.

--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -15,13 +15,20 @@
 	idleSweepInterval = time.Second
 	// drainPollInterval is the time between two checks whether all connections are idle.
 	drainPollInterval = 5 * time.Millisecond
+	// keptIdleTime is how long a connection stays open after an answer that did not announce its end: callers
+	// may use it for announcedIdleTime, and their next request takes idleTimeReserve to arrive.
+	keptIdleTime    = announcedIdleTime + idleTimeReserve
+	idleTimeReserve = 200 * time.Millisecond
+	// firstRequestTime is how long a new connection may take to bring its first request.
+	firstRequestTime = time.Second
 )
 
 // The states of a connection.
 const (
-	connIdle   int32 = iota // no byte of a next request has been read
+	connNew    int32 = iota // no byte has been read
+	connIdle                // no byte of a next request has been read
 	connBusy                // a request is being read or answered
-	connClosed              // closed while it was idle
+	connClosed              // closed while it was new or idle
 )
 
 // serverConn is an accepted connection that is closed as idle only if none of its next request has been
@@ -43,16 +50,32 @@
 
 // begin marks the connection as busy. It returns false if the connection has been closed as idle.
 func (c *serverConn) begin() bool {
-	return c.state.CompareAndSwap(connIdle, connBusy) || c.state.Load() == connBusy
+	return c.state.CompareAndSwap(connIdle, connBusy) || c.state.CompareAndSwap(connNew, connBusy) || c.state.Load() == connBusy
 }
 
-// closeIfIdle closes the connection unless a request is being read or answered on it.
-func (c *serverConn) closeIfIdle() {
-	if c.state.CompareAndSwap(connIdle, connClosed) {
+// closeIfIdle closes the connection if it has been idle for longer than a time. A new one stays open for as
+// long as its first request may take to arrive.
+func (c *serverConn) closeIfIdle(after time.Duration) {
+	age := time.Since(c.idleSince)
+	if age >= after && c.state.CompareAndSwap(connIdle, connClosed) || age >= firstRequestTime && c.state.CompareAndSwap(connNew, connClosed) {
 		_ = c.Close() // it is of no more use
 	}
 }
 
+// awaited reports whether the connection must stay open: a request is being read or answered, or one may be
+// on its way.
+func (c *serverConn) awaited() bool {
+	switch c.state.Load() {
+	case connBusy:
+		return true
+	case connNew:
+		return time.Since(c.idleSince) < firstRequestTime
+	case connIdle:
+		return time.Since(c.idleSince) < keptIdleTime
+	}
+	return false
+}
+
 // serverConns are the open connections of one HTTP server. The zero value is ready to use.
 //
 // http.Server.Shutdown and IdleTimeout are not used: they close a connection whose next request has been
@@ -124,48 +147,40 @@
 	}
 }
 
-// closeIdle closes the connections that have been idle for longer than a time, and returns how many are busy.
-func (s *serverConns) closeIdle(after time.Duration) (busy int) {
+// closeIdle closes the connections that have been idle for longer than a time.
+func (s *serverConns) closeIdle(after time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.open {
-		if c.state.Load() == connIdle && time.Since(c.idleSince) >= after {
-			c.closeIfIdle()
-		}
-		if c.state.Load() == connBusy {
-			busy++
-		}
+		c.closeIfIdle(after)
 	}
-	return busy
 }
 
-// busy returns the number of connections on which a request is being read or answered.
-func (s *serverConns) busy() (n int) {
+// awaited returns the number of connections that must stay open.
+func (s *serverConns) awaited() (n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.open {
-		if c.state.Load() == connBusy {
+		if c.awaited() {
 			n++
 		}
 	}
 	return n
 }
 
-// drain waits until a moment at which no connection is busy, and then closes the listener and all
+// drain waits until a moment at which no connection must stay open, and then closes the listener and all
 // connections. Requests that arrive before that moment are still read and answered. It returns early if
 // the context ends.
 func (s *serverConns) drain(ctx context.Context, l net.Listener) {
 	ticks := time.NewTicker(drainPollInterval)
 	defer ticks.Stop()
-	for s.busy() > 0 {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticks.C:
+	for closed := false; s.awaited() > 0 || !closed; {
+		if !closed && s.awaited() == 0 {
+			closed = true
+			_ = l.Close() // what has not been accepted is reset, unread
+			s.closeIdle(0)
+			continue
 		}
-	}
-	_ = l.Close() // what has not been accepted is reset, unread
-	for s.closeIdle(0) > 0 {
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -25,6 +25,9 @@
 	// bodyTimeout bounds the reading of a request's body; the caller's own timeout replaces it
 	// if that is shorter. A body that is late is answered with 408.
 	bodyTimeout = 10 * time.Second
+	// announcedIdleTime is how long callers are told to use an idle connection, so that none is closed as
+	// a caller sends its next request.
+	announcedIdleTime = 2 * time.Second
 	// writeGrace is how long after a request's deadline its answer may still be written to the
 	// caller, and the least time that any answer has.
 	writeGrace = time.Second
@@ -48,7 +51,7 @@
 	if closedAsIdle(r) {
 		panic(http.ErrAbortHandler) // its caller may have sent it elsewhere
 	}
-	x.closeIfStopping()
+	x.setKeepAlive()
 	if !x.readBody(callHeader.TimeLeft) {
 		return
 	}
@@ -239,10 +242,17 @@
 	}
 }
 
-// closeIfStopping has the connection closed after the answer if the daemon is stopping.
-func (x *exchange) closeIfStopping() {
-	if x.daemon.stopping.Load() {
-		x.w.Header().Set("Connection", "close")
+// setKeepAlive tells the caller how long its connection may be used after the answer: for the announced time, or
+// not at all if the daemon is stopping.
+func (x *exchange) setKeepAlive() {
+	h := x.w.Header()
+	h.Del("Keep-Alive")
+	limit := x.daemon.idleTimeout()
+	switch {
+	case x.daemon.stopping.Load():
+		h.Set("Connection", "close")
+	case limit == 0 || limit >= keptIdleTime:
+		h.Set("Keep-Alive", "timeout="+strconv.Itoa(int(announcedIdleTime.Seconds())))
 	}
 }
 
@@ -312,7 +322,7 @@
 
 // writeAnswer writes a complete answer whose headers are set, and returns once it has left this process.
 func (x *exchange) writeAnswer(status int, body []byte) {
-	x.closeIfStopping()
+	x.setKeepAlive()
 	x.setWriteDeadline()
 	x.w.WriteHeader(status)
 	var err error
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -147,3 +147,41 @@
 		}
 	}
 }
+
+// TestIdleConnectionsOutlastTheAnnouncedTime guards against connections that a stop closes as callers send their next requests.
+func TestIdleConnectionsOutlastTheAnnouncedTime(t *testing.T) {
+	proceed := make(chan struct{})
+	d := startDaemon(t, site.Once, 8*time.Second, func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(testID) == "long" {
+			_, _ = io.WriteString(w, "begun")
+			w.(http.Flusher).Flush()
+			<-proceed
+		}
+	})
+	kept := d.dial()
+	require.NoError(t, kept.send(head("kept", 5*time.Second, 0)))
+	resp, err := http.ReadResponse(kept.in, nil)
+	require.NoError(t, err)
+	require.Equal(t, "timeout=2", resp.Header.Get("Keep-Alive"))
+	_ = resp.Body.Close()
+	long := d.dial()
+	require.NoError(t, long.send(head("long", 7*time.Second, 0)))
+	require.Eventually(t, func() bool { return d.arrived("long") }, time.Second, time.Millisecond)
+	d.Stop()
+	fresh := d.dial()
+	time.Sleep(unreadyWait + 500*time.Millisecond)
+	unused := d.dial()
+	close(proceed)
+	status, _, err := long.answer()
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status)
+	// The connection of a new caller is open, and its first request may take as long as the announcement says.
+	time.Sleep(firstRequestTime / 2)
+	require.NoError(t, unused.send(head("unused", 2*time.Second, 0)))
+	status, _, err = unused.answer()
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status)
+	<-d.ended
+	_, err = fresh.in.ReadByte()
+	require.Error(t, err)
+}
--- a/internal/gateway/targets.go
+++ b/internal/gateway/targets.go
@@ -46,6 +46,7 @@
 func newTargets(clock func() time.Duration) *targets {
 	t := &targets{clock: clock, pooled: newTransport(), unpooled: newTransport(), daemons: newTransport(), lastActiveAt: make(map[string]*atomic.Int64)}
 	t.unpooled.DisableKeepAlives = true
+	t.daemons.IdleConnTimeout = announcedIdleTime
 	return t
 }
 
