relay: ages, delays and rates that other daemons state are bounded

An age beyond 292 years overflowed and put a crash or a limit into the future, where it stays in force for as long; rates near the largest float had an infinite sum.

--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -99,7 +99,7 @@
 	if err != nil {
 		return a, false
 	}
-	a.Own.RetryAfter = time.Duration(millis) * time.Millisecond
+	a.Own.RetryAfter = boundedDuration(millis, time.Millisecond)
 	return a, true
 }
 
--- a/internal/relay/limits.go
+++ b/internal/relay/limits.go
@@ -50,14 +50,17 @@
 	return encoded
 }
 
+// maxPerSecond bounds rates that other daemons state, so that sums of them stay finite.
+const maxPerSecond = 1e9
+
 func (m limitsMessage) decode(now time.Duration) hostlimit.Message {
 	decoded := hostlimit.Message{Daemon: m.Daemon, Demand: m.Demand}
 	for service, perSecond := range m.Demand {
-		decoded.Demand[service] = max(0, perSecond)
+		decoded.Demand[service] = min(max(0, perSecond), maxPerSecond)
 	}
 	for _, s := range m.Statements {
-		asOf := now - time.Duration(max(0, s.AgeMicros))*time.Microsecond
-		decoded.Statements = append(decoded.Statements, hostlimit.Statement{Host: s.Host, Incarnation: s.Incarnation, InReport: s.InReport, PerSecond: max(0, s.PerSecond), AsOf: asOf})
+		asOf := now - boundedDuration(s.AgeMicros, time.Microsecond)
+		decoded.Statements = append(decoded.Statements, hostlimit.Statement{Host: s.Host, Incarnation: s.Incarnation, InReport: s.InReport, PerSecond: min(max(0, s.PerSecond), maxPerSecond), AsOf: asOf})
 	}
 	return decoded
 }
--- a/internal/relay/notify.go
+++ b/internal/relay/notify.go
@@ -183,9 +183,17 @@
 	return messages
 }
 
+// maxStatedDuration bounds the ages and delays that other daemons state, so that sums with times do not overflow.
+const maxStatedDuration = 24 * time.Hour
+
+// boundedDuration returns a duration of so many units, from zero to maxStatedDuration.
+func boundedDuration(n int64, unit time.Duration) time.Duration {
+	return time.Duration(min(max(0, n), int64(maxStatedDuration/unit))) * unit
+}
+
 func (m evidenceMessage) decode(now time.Duration) quarantine.Evidence {
 	var e quarantine.Evidence
-	at := func(ageMillis int64) time.Duration { return now - time.Duration(max(0, ageMillis))*time.Millisecond }
+	at := func(ageMillis int64) time.Duration { return now - boundedDuration(ageMillis, time.Millisecond) }
 	decode := func(messages []crashMessage) (crashes []quarantine.Crash) {
 		for _, c := range messages {
 			crashes = append(crashes, quarantine.Crash{Host: c.Host, Incarnation: c.Incarnation, At: at(c.AgeMillis), Begun: c.Begun, Suspects: c.Suspects})
