relay: a batch that is no JSON does not fail the answers with others

A feed encodes all batches after a revision together.

Before: TestBatchesThatAreNoJSONAreNotRelayed failed, expected 410, actual 500. A feed now forgets what is up to such a batch, so that daemons without it are told to ask the store, and relays what comes after it.

--- a/internal/relay/feed.go
+++ b/internal/relay/feed.go
@@ -119,7 +119,7 @@
 }
 
 // Add adds the changes up to a revision. Without changes (nonEmpty unset) it only records that
-// the store has answered.
+// the store has answered. Events that are no JSON can't be relayed.
 func (f *Feed) Add(revision uint64, events json.RawMessage, nonEmpty bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -128,6 +128,12 @@
 	if !nonEmpty {
 		return
 	}
+	if !json.Valid(events) {
+		// One such batch would fail every answer that has it. Daemons without it go to the store.
+		f.oldestRevision, f.batches = f.revision, nil
+		f.wakeWaiters()
+		return
+	}
 	f.batches = append(f.batches, batch{revision: revision, receivedAt: now, events: events})
 	for now-f.batches[0].receivedAt > changeRetention {
 		f.oldestRevision = f.batches[0].revision
--- a/internal/relay/feed_test.go
+++ b/internal/relay/feed_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -143,3 +144,23 @@
 	primary.Add(7, nil, false)
 	require.NoError(t, wait())
 }
+
+// TestBatchesThatAreNoJSONAreNotRelayed guards against one batch that makes every answer fail. Daemons
+// without it must go to the store, and the changes after it are relayed again.
+func TestBatchesThatAreNoJSONAreNotRelayed(t *testing.T) {
+	deep := strings.Repeat("[", 10001) + strings.Repeat("]", 10001)
+	for _, odd := range []string{"", "[", "[\x01]", deep} {
+		f := NewFeed(func() time.Duration { return 0 }, time.Second)
+		f.Restart(0, 10)
+		f.Add(11, batchOf("a"), true)
+		f.Add(12, json.RawMessage(odd), true)
+		f.Add(13, batchOf("b"), true)
+		query := func(after uint64) *httptest.ResponseRecorder {
+			w := httptest.NewRecorder()
+			f.ServeHTTP(w, httptest.NewRequest(http.MethodGet, PathPrefix+"?"+Query(0, after, 0).Encode(), nil))
+			return w
+		}
+		require.Equal(t, http.StatusGone, query(11).Code, "%.20q", odd)
+		require.JSONEq(t, `{"at":13,"batches":[["b"]]}`, query(12).Body.String())
+	}
+}
