platform: one entry that can't be read no longer stops lists, watches and relays

Other operators reported that another writer left one odd entry among those of the servers, and that the machines that read the list stopped following it or ended. It can happen here. A page of a list, the answer to a watch and the batches that a daemon relays were each decoded by one call of encoding/json. It refuses the whole text if one value nests more than 10,000 deep, and if a number or a type in one object's meta is not what is expected. Lists and watches then failed for ever: a daemon that started did not become ready, and one that ran followed neither hosts nor configurations any more. An item without a name at the end of a page made the list begin anew without end, with ever more objects in memory.

Answers are now split by brackets and strings alone, without recursion, and each item and event is read by itself. What can't be read is skipped, counted and logged, once a minute for an entry (RS8008); the revision and the place in the list are kept. An entry whose name is known but whose contents can't be read stays an entry without contents: it names no host any more, and it still takes a data centre out. A list that makes no progress fails, so that hosts behind that place don't count as gone. What is relayed holds only what was readable, in a form that releases before this one decode, and what they relay is read by the same reader. A lease that can't be read is free, and no longer lets all reads of it fail.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -85,6 +85,7 @@
 	StoreRestored          ID = 8005
 	HostsUnreachable       ID = 8006
 	HostsReachable         ID = 8007
+	EntrySkipped           ID = 8008
 )
 
 // catalogue defines each event, in the order of docs/events.md.
@@ -167,5 +168,6 @@
 	{ChangeRelayLost, slog.LevelInfo, "another daemon stopped relaying host changes; the platform is watched directly", "If frequent, check the daemon named."},
 	{HostsUnreachable, slog.LevelWarn, "no host of a service accepts connections from this daemon", "Compare with the other daemons: if they reach the hosts, check the network between this daemon and them; else the hosts."},
 	{HostsReachable, slog.LevelInfo, "hosts of a service accept connections again", ""},
+	{EntrySkipped, slog.LevelWarn, "entry of the store skipped: it can't be used", "Find out who wrote the entry named; one that has no name can't be read at all. The daemon goes on with all others."},
 	{StoreRestored, slog.LevelWarn, "platform came back from an older copy of its data; what is in force stays until something newer is written", "Check that the operators' latest writes are there; see docs/operations/platform-outage.md."},
 }
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -304,10 +304,15 @@
 // Decode decodes the body of a successful answer. Errors: LostError if the body can't be
 // decoded, RejectedError if the status is not 2xx.
 func (a Answer) Decode(into any) error {
+	return a.DecodeWith(func(body []byte) error { return json.Unmarshal(body, into) })
+}
+
+// DecodeWith is Decode with a function that decodes the body.
+func (a Answer) DecodeWith(decode func(body []byte) error) error {
 	if a.Status >= 300 {
 		return &RejectedError{Op: a.Op, Status: a.Status, Message: string(a.Body[:min(len(a.Body), maxRejectionBytes)])}
 	}
-	if err := json.Unmarshal(a.Body, into); err != nil {
+	if err := decode(a.Body); err != nil {
 		return &LostError{Op: a.Op, Err: errors.Wrap(err, "decode answer")}
 	}
 	return nil
--- a/internal/relay/feed.go
+++ b/internal/relay/feed.go
@@ -46,6 +46,12 @@
 	refusedAnswers = metrics.GetOrCreateCounter(`rhubarbswitch_relay_answers_total{result="refused"}`)
 )
 
+// The members of Changes in an answer.
+const (
+	RevisionMember = "at"
+	BatchesMember  = "batches"
+)
+
 // Changes are the changes after a revision, in order. Each batch is a list of events in the
 // platform's format, which this package does not decode.
 type Changes struct {
--- a/internal/stub/site/restore.go
+++ b/internal/stub/site/restore.go
@@ -70,7 +70,7 @@
 		s.remove(w.change.kind, name, true)
 		return
 	}
-	s.put(w.change.kind, Object{Meta: Meta{Name: name}, Spec: w.change.Object.Spec}, true)
+	s.put(w.change.kind, Object{Meta: Meta{Name: name}, Spec: w.change.Object.Spec, raw: w.change.Object.raw}, true)
 }
 
 // setEra sets the era of an answer. The caller holds mu, so that the answer's contents are of
--- a/internal/stub/site/store.go
+++ b/internal/stub/site/store.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -24,6 +26,8 @@
 	Meta   Meta            `json:"meta"`
 	Spec   json.RawMessage `json:"spec"`
 	Status json.RawMessage `json:"status"`
+	// raw is sent instead of all of it if it is set, as it is.
+	raw string
 }
 
 // Meta holds an object's name and the revision of its last change.
@@ -35,13 +39,32 @@
 	Deleting   bool     `json:"deleting"`
 }
 
-// change is one entry of the store's history, in the form of a watch event.
+// encode returns the object as it is sent.
+func (o Object) encode() string {
+	if o.raw != "" {
+		return o.raw
+	}
+	encoded, err := json.Marshal(o)
+	if err != nil {
+		panic(err) // only a mistake in the test gives an object that can't be encoded
+	}
+	return string(encoded)
+}
+
+// reply sends a body that need not be JSON.
+func reply(w http.ResponseWriter, status int, body string) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = io.WriteString(w, body) // fails only if the caller has disconnected
+}
+
+// change is one entry of the store's history.
 type change struct {
 	kind    string
 	at      time.Time
-	foreign bool   // made by an operator or a server, not by a daemon
-	Deleted bool   `json:"deleted"`
-	Object  Object `json:"object"`
+	foreign bool // made by an operator or a server, not by a daemon
+	Deleted bool
+	Object  Object
 }
 
 // Store is the platform's store, with one revision counter over all kinds.
@@ -94,6 +117,15 @@
 	s.put(kind, Object{Meta: Meta{Name: name}, Spec: raw}, true)
 }
 
+// PutRaw writes an object in the role of another writer. It is sent as it is, whether it is JSON or not, but
+// for its first %d, which is replaced by its revision.
+func (s *Store) PutRaw(kind, name, object string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	raw := strings.Replace(object, "%d", strconv.FormatUint(s.rev+1, 10), 1)
+	s.put(kind, Object{Meta: Meta{Name: name}, raw: raw}, true)
+}
+
 // Remove deletes an object.
 func (s *Store) Remove(kind, name string) {
 	s.mu.Lock()
@@ -154,7 +186,7 @@
 		s.objects[kind] = make(map[string]Object)
 	}
 	old, exists := s.objects[kind][o.Meta.Name]
-	if exists && string(old.Spec) == string(o.Spec) {
+	if exists && string(old.Spec) == string(o.Spec) && old.raw == o.raw {
 		return old // a write of the same spec gets no new revision
 	}
 	s.rev++
@@ -210,7 +242,7 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	serve.Reply(w, http.StatusOK, o)
+	reply(w, http.StatusOK, o.encode())
 }
 
 func (s *Store) list(w http.ResponseWriter, r *http.Request, kind string) {
@@ -224,11 +256,11 @@
 		}
 	}
 	slices.Sort(names)
-	items := []Object{}
+	var items []string
 	for _, name := range names[:min(len(names), pageLimit)] {
-		items = append(items, s.objects[kind][name])
+		items = append(items, s.objects[kind][name].encode())
 	}
-	serve.Reply(w, http.StatusOK, map[string]any{"items": items, "morePages": len(names) > pageLimit, "at": s.rev})
+	reply(w, http.StatusOK, fmt.Sprintf(`{"items":[%s],"morePages":%t,"at":%d}`, strings.Join(items, ","), len(names) > pageLimit, s.rev))
 }
 
 func (s *Store) watch(w http.ResponseWriter, r *http.Request, kind string) {
@@ -245,10 +277,10 @@
 	for timedOut := false; ; {
 		s.mu.Lock()
 		s.setEra(w)
-		events, at, changed := []change{}, s.rev, s.changed
+		events, at, changed := []string(nil), s.rev, s.changed
 		for _, c := range s.history {
 			if c.kind == kind && c.Object.Meta.Rev > max(from, s.historyStart) {
-				events = append(events, c)
+				events = append(events, fmt.Sprintf(`{"deleted":%t,"object":%s}`, c.Deleted, c.Object.encode()))
 			}
 		}
 		historyDropped, faultStatus := from < s.historyStart || from > s.rev, s.faults.Status
@@ -261,7 +293,7 @@
 			w.WriteHeader(http.StatusGone)
 			return
 		case len(events) > 0 || timedOut:
-			serve.Reply(w, http.StatusOK, map[string]any{"events": events, "at": at})
+			reply(w, http.StatusOK, fmt.Sprintf(`{"events":[%s],"at":%d}`, strings.Join(events, ","), at))
 			return
 		}
 		select {
