--- a/test/process/gateway_entries_test.go
+++ b/test/process/gateway_entries_test.go
@@ -21,7 +21,7 @@
 	deep := strings.Repeat(`{"a":[`, 20000) + "1" + strings.Repeat("]}", 20000)
 	return map[string]string{
 		"deep": deep, "deep-member": host(`"x":` + deep), "null": "null", "array": "[1]", "no-json": "{\x01 0x7, NaN}", "bytes": "\"\xff\xfe\"",
-		"number": host(`"slots":1e400`), "cold": host(`"coldLeftMs":1e400`),
+		"number": host(`"slots":1e400`), "slots": host(`"slots":9223372036854775807`), "cold": host(`"coldLeftMs":1e400`), "text-born": host(`"born":"1"`),
 		"port": host(`"address":"127.0.0.1:99999"`), "port-0": host(`"address":"127.0.0.1:0"`), "lookup": host(`"address":"host.example:80"`),
 		"path": host(`"address":"127.0.0.1:1/x"`), "group": host(`"group":{"name":"g","epoch":1e400,"rank":0,"state":"open"}`),
 	}
