A server's 408, 429 or 503 without the statement that it has not run no longer reaches callers as a promise

Callers of requests that must not run twice got a server's 503, 429 or 408 although the server had run the request: they read these statuses as the promise that it has not run and never will, and send it again (REFUSED).

Cause: only X-Not-Run and status 421 state that a request has not run, but any other complete answer was passed on with its status.

Before: TestFailureWithoutStatementIsNoRefusal, sent and handed over, "expected: 502, actual: 503" (429, 408).

Now such an answer is withheld by the reducer and the request ends with the daemon's own 502, which bears no stamp of the server. This holds for a taking daemon and for the one that handed over. Requests that may run again are promised nothing; their answers are passed on unchanged.

--- a/internal/core/gateway/calls.go
+++ b/internal/core/gateway/calls.go
@@ -376,12 +376,13 @@
 
 // conclude goes on with a request after the end of its attempt: it is answered, or sent again.
 func (s *State) conclude(now time.Duration, c *call, e step.ForwardEnded, out *step.Out) {
-	if e.Ending == step.EndedComplete {
+	complete := e.Ending == step.EndedComplete && !c.withheld(e)
+	if complete {
 		// A failure answer shows nothing: a host may fail before it runs the request.
 		s.recordSuccess(now, cmp.Or(c.firstEventAt, now), c, out)
 	}
 	switch {
-	case e.Ending == step.EndedComplete:
+	case complete:
 		out.Add(step.Deliver{ID: c.req.ID, Attempt: c.attempt})
 		s.finish(now, c, "whole "+strconv.Itoa(e.Status), out)
 	case c.callerGone:
@@ -399,7 +400,7 @@
 // retryOrEnd sends a request to another target after a failed attempt, or ends it.
 func (s *State) retryOrEnd(now time.Duration, c *call, e step.ForwardEnded, out *step.Out) {
 	answer := failureAnswer(c, e)
-	c.hasFailureAnswer = e.Ending == step.EndedError
+	c.hasFailureAnswer = e.Ending == step.EndedError && !c.withheld(e)
 	moving := c.moving
 	if c.host != "" {
 		c.failedHosts = append(c.failedHosts, c.host)
@@ -429,7 +430,7 @@
 			s.finish(now, c, "target failed", out)
 			return
 		}
-		s.end(now, c, answer, e.Ending.String(), out)
+		s.end(now, c, answer, c.endingReason(e), out)
 		return
 	}
 	out.Log(event.RequestRetried, event.F("request", c.req.CallerID), event.F("attempt", c.attempt), event.F("host", c.host), event.F("daemon", c.daemon),
--- a/internal/core/gateway/handover.go
+++ b/internal/core/gateway/handover.go
@@ -157,7 +157,7 @@
 			s.refusedBy(now, c, handover.Unreachable, out)
 		}
 	}
-	if e.Ending == step.EndedError { // the other daemon has made the retries
+	if e.Ending == step.EndedError && !c.withheld(e) { // the other daemon has made the retries
 		out.Add(step.Deliver{ID: c.req.ID, Attempt: c.attempt})
 		s.finish(now, c, "target failed", out)
 		return
--- a/internal/gateway/refusal_copies_test.go
+++ b/internal/gateway/refusal_copies_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -99,3 +100,40 @@
 		})
 	}
 }
+
+// TestFailureWithoutStatementIsNoRefusal guards against statuses that promise that a request did not run, from a target that ran it.
+func TestFailureWithoutStatementIsNoRefusal(t *testing.T) {
+	for _, status := range []string{"503 Service Unavailable", "429 Too Many Requests", "408 Request Timeout"} {
+		t.Run(status, func(t *testing.T) {
+			eachWay(t, everyKind, func(t *testing.T, handedOver bool, path string) {
+				s := startRawSite(t, handedOver, 3, func(r rawRequest) rawAnswer {
+					return rawAnswer{text: whole(r.id, status, "busy", "Retry-After: 1")}
+				})
+				a := s.send(path, "id")
+				if !runsOnce(path) {
+					require.Equal(t, status[:3], strconv.Itoa(a.status), "what may run again is promised nothing: passed on unchanged")
+					require.Equal(t, "stamp", a.header.Get("X-Server-Stamp"))
+					require.Equal(t, "busy", a.body)
+					return
+				}
+				require.Equal(t, http.StatusBadGateway, a.status)
+				require.Empty(t, a.header.Get("X-Server-Stamp"))
+				require.Empty(t, a.header.Get("Retry-After"))
+				require.Len(t, s.requestsWith("id"), 1)
+			})
+		})
+	}
+}
+
+// TestPromiseOfATakingDaemonsTargetIsNotPassedOn guards against a daemon of an earlier release that passes such an answer on.
+func TestPromiseOfATakingDaemonsTargetIsNotPassedOn(t *testing.T) {
+	for _, path := range []string{"/once/1", "/feed/1"} {
+		s := startRawTakingDaemon(t, func(r rawRequest) rawAnswer {
+			return rawAnswer{text: whole(r.id, "503 Service Unavailable", "busy", "Rhubarbswitch-Handover-Runs: 1", "Rhubarbswitch-Handover-Host: host-0")}
+		})
+		a := s.send(path, "id")
+		require.Equal(t, http.StatusBadGateway, a.status)
+		require.Empty(t, a.header.Get("X-Server-Stamp"))
+		require.Len(t, s.requestsWith("id"), 1)
+	}
+}
