X-Not-Run together with a success no longer counts as a refusal

An answer with X-Not-Run and status 200 was taken as a refusal: a request that must not run twice went to a second server, or its caller was told that it has not run, while the status says that it has.

Before: TestRefusalThatIsASuccessIsNoRefusal, sent and handed over, "expected: 502, actual: 503".

The two statements contradict each other, so the answer counts as broken: the request may have run.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -109,6 +109,8 @@
 	switch {
 	case !header.MatchesRequest:
 		return step.EndedWrongAttempt
+	case header.Contradictory:
+		return step.EndedBroken
 	case header.NotRun:
 		a.result.Load = header.Load
 		if resp.StatusCode != http.StatusMisdirectedRequest {
--- a/internal/gateway/platform.go
+++ b/internal/gateway/platform.go
@@ -83,7 +83,9 @@
 	MatchesRequest bool
 	// NotRun is set if the target states that it did not run the request and will not.
 	NotRun bool
-	Load   site.Load // the target's load; zero if it states none
+	// Contradictory is set if the target states that, with a status that says the opposite.
+	Contradictory bool
+	Load          site.Load // the target's load; zero if it states none
 	// Notice is what the target states about its availability.
 	Notice site.Notice
 	// Limit is valid if the answer is the target's own.
--- a/internal/gateway/refusal_copies_test.go
+++ b/internal/gateway/refusal_copies_test.go
@@ -137,3 +137,22 @@
 		require.Len(t, s.requestsWith("id"), 1)
 	}
 }
+
+// TestRefusalThatIsASuccessIsNoRefusal guards against answers that state both that a request ran and that it did not.
+func TestRefusalThatIsASuccessIsNoRefusal(t *testing.T) {
+	for _, status := range []string{"200 OK", "204 No Content", "302 Found"} {
+		t.Run(status, func(t *testing.T) {
+			eachWay(t, everyKind, func(t *testing.T, handedOver bool, path string) {
+				s := startRawSite(t, handedOver, 3, func(r rawRequest) rawAnswer {
+					return rawAnswer{text: whole(r.id, status, "", "X-Not-Run: 1", "Content-Type: text/event-stream")}
+				})
+				a := s.send(path, "id")
+				require.Equal(t, http.StatusBadGateway, a.status)
+				require.Empty(t, a.header.Get("X-Server-Stamp"))
+				if runsOnce(path) {
+					require.Len(t, s.requestsWith("id"), 1)
+				}
+			})
+		})
+	}
+}
