A daemon that takes a request and answers it with a failure stays in use for hand-overs

Callers of a daemon that is cut off were refused with 503 no_target for a while after one request had failed at a target of the taking daemon.

Cause: an answer of the taking daemon itself, such as 502, ended the attempt as broken without a target's answer having begun, which counted as an unreachable daemon.

Before: TestFailureAtATargetLeavesTheTakingDaemonInUse, "expected: ran next, actual: no_target ... not_run".

A daemon that has answered, whatever it says of the request, has taken it; only one that has not answered counts as unreachable. The same request isn't handed over to it once more: it would reach the same targets again, where it could meet copies of answers to its first attempts.

The tests' addresses are drawn below the ephemeral range: ports of targets that can't be reached were taken by other sockets.

--- a/internal/core/gateway/calls.go
+++ b/internal/core/gateway/calls.go
@@ -70,6 +70,7 @@
 	host             string
 	daemon           string
 	triedDaemons     []string      // that did not take the request
+	failedDaemons    []string      // that took the request and answered that it failed
 	demanded         bool          // counted as this daemon's demand
 	counted          bool          // for the retry budget of this daemon, or of the one that handed it over
 	address          string        // of the host
--- a/internal/core/gateway/handover.go
+++ b/internal/core/gateway/handover.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/handover"
@@ -36,7 +37,7 @@
 func (s *State) handoverRequest(c *call) handover.Request {
 	return handover.Request{
 		Spread: rendezvous.Mix(rendezvous.Hash(string(c.req.ID)) ^ rendezvous.Hash(s.settings.Daemon)),
-		Tried:  c.triedDaemons, Holder: s.lease.Current().Holder,
+		Tried:  slices.Concat(c.triedDaemons, c.failedDaemons), Holder: s.lease.Current().Holder,
 	}
 }
 
@@ -149,11 +150,16 @@
 		}
 	default:
 		runs := c.maxRuns - c.ranAttempts // all that it was allowed, unless it has said how many
-		if e.Handover != nil && e.Handover.Answer != nil {
+		tookIt := e.Handover != nil && e.Handover.Answer != nil
+		if tookIt {
 			runs = e.Handover.Runs
 		}
 		c.ranAttempts += max(1, runs)
-		if !c.answerBegan && e.Ending == step.EndedBroken {
+		switch {
+		case tookIt:
+			s.peers.Took(now, c.daemon)
+			c.failedDaemons = append(c.failedDaemons, c.daemon) // it has made the attempts that it could
+		case !c.answerBegan && e.Ending == step.EndedBroken:
 			s.refusedBy(now, c, handover.Unreachable, out)
 		}
 	}
--- a/internal/gateway/rawtarget_test.go
+++ b/internal/gateway/rawtarget_test.go
@@ -8,8 +8,11 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -51,7 +54,7 @@
 func startRawTargets(t *testing.T, n int, answer func(r rawRequest) rawAnswer) *rawTargets {
 	s := &rawTargets{t: t, answer: answer}
 	for i := range n {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		listener, err := net.Listen("tcp", freeAddress(t))
 		require.NoError(t, err)
 		t.Cleanup(func() { _ = listener.Close() })
 		name := fmt.Sprintf("host-%d", i)
@@ -196,7 +199,7 @@
 func (s *rawSite) startCutOff(taking step.Peer) {
 	var hosts []site.Host
 	for i := range 3 {
-		hosts = append(hosts, site.Host{ID: fmt.Sprintf("host-%d", i), Service: "plain", Address: freeAddress(s.t), DataCentre: "dc", Slots: 64, Incarnation: 1})
+		hosts = append(hosts, site.Host{ID: fmt.Sprintf("host-%d", i), Service: "plain", Address: refusingAddress(s.t), DataCentre: "dc", Slots: 64, Incarnation: 1})
 	}
 	s.callers = s.startDaemon(step.Peer{Daemon: "cut-off", Address: freeAddress(s.t), DataCentre: "dc"}, taking, hosts)
 }
@@ -248,11 +251,39 @@
 	return set.Callers
 }
 
+// freeAddress draws from portCount ports, of which firstPort is the lowest. They are below the ephemeral range, so
+// that no outgoing connection takes one before a daemon listens there, and above those of test/process.
+const (
+	firstPort = 30000
+	portCount = 2700
+)
+
+var drawnPorts atomic.Int64
+
+// freeAddress returns a loopback address at which nothing listens, another one each time.
 func freeAddress(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	for range portCount {
+		port := firstPort + (os.Getpid()*97+int(drawnPorts.Add(1)))%portCount
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
+		require.NoError(t, listener.Close())
+		return listener.Addr().String()
+	}
+	require.Fail(t, "no port is free")
+	return ""
+}
+
+// refusingAddress returns an address that refuses connections until the test ends.
+func refusingAddress(t *testing.T) string {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	require.NoError(t, syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	bound, err := syscall.Getsockname(fd)
 	require.NoError(t, err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	return fmt.Sprintf("127.0.0.1:%d", bound.(*syscall.SockaddrInet4).Port)
 }
 
 // callerAnswer is what a caller got. Status is zero if its connection ended without an answer.
--- a/internal/gateway/refusal_copies_test.go
+++ b/internal/gateway/refusal_copies_test.go
@@ -156,3 +156,24 @@
 		})
 	}
 }
+
+// TestFailureAtATargetLeavesTheTakingDaemonInUse guards against refusals by a daemon that no longer hands over because one request failed.
+func TestFailureAtATargetLeavesTheTakingDaemonInUse(t *testing.T) {
+	for _, path := range everyKind {
+		s := startRawSite(t, true, 2, func(r rawRequest) rawAnswer {
+			if r.id == "fails" {
+				return rawAnswer{close: true}
+			}
+			return rawAnswer{text: whole(r.id, "200 OK", "ran "+r.id)}
+		})
+		require.Equal(t, http.StatusBadGateway, s.send(path, "fails").status)
+		reached := make(map[string]int)
+		for _, r := range s.requestsWith("fails") {
+			reached[r.target]++
+		}
+		for target, n := range reached {
+			require.Equal(t, 1, n, "%s: the same daemon is not asked twice", target)
+		}
+		require.Equal(t, "ran next", s.send(path, "next").body)
+	}
+}
