A connection that brought another request's answer carries no further request

After a target had written a refusal without a body once more, each later request on that connection got the answer to the one before it, and failed or was sent again.

Cause: net/http puts a connection back into the pool as soon as it has read the head of an answer without a body, before its ID is checked. The answer that is still due then comes first for the next request.

Before: TestCopyDoesNotShiftLaterAnswers, without a body, "expected: ran after-1, actual: target_failed".

The attempt now closes its connection when the answer has another ID or contradicts itself.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -78,7 +79,8 @@
 	ended      atomic.Bool
 	maybeSent  atomic.Bool // a connection was available, so the target may have received bytes
 	newConn    atomic.Bool // that connection was opened for this attempt
-	started    bool        // an event of this attempt's stream has been delivered
+	conn       atomic.Pointer[net.Conn]
+	started    bool // an event of this attempt's stream has been delivered
 }
 
 // run sends the request and processes the answer. It returns how the attempt ended.
@@ -108,8 +110,10 @@
 	}
 	switch {
 	case !header.MatchesRequest:
+		a.closeConnection()
 		return step.EndedWrongAttempt
 	case header.Contradictory:
+		a.closeConnection()
 		return step.EndedBroken
 	case header.NotRun:
 		a.result.Load = header.Load
@@ -126,6 +130,14 @@
 	return a.receiveAnswer(resp)
 }
 
+// closeConnection closes the connection of an attempt whose answer may still come, so that the next request
+// on it can't get that answer. One without a body has already gone back to the pool.
+func (a *attempt) closeConnection() {
+	if conn := a.conn.Load(); conn != nil {
+		_ = (*conn).Close()
+	}
+}
+
 // receiveAnswer relays a target's stream, or buffers its answer.
 func (a *attempt) receiveAnswer(resp *http.Response) step.Ending {
 	if a.forward.Stream && resp.StatusCode == http.StatusOK && strings.HasPrefix(resp.Header.Get("Content-Type"), eventStreamType) {
@@ -169,6 +181,7 @@
 		out.Body, out.ContentLength = io.NopCloser(bytes.NewReader(a.exchange.body)), int64(len(a.exchange.body))
 	}
 	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+		a.conn.Store(&i.Conn)
 		a.newConn.Store(!i.Reused)
 		a.maybeSent.Store(true)
 	}}
--- a/internal/gateway/refusal_copies_test.go
+++ b/internal/gateway/refusal_copies_test.go
@@ -177,3 +177,35 @@
 		require.Equal(t, "ran next", s.send(path, "next").body)
 	}
 }
+
+// TestCopyDoesNotShiftLaterAnswers guards against a connection on which each request gets the answer to the one before it.
+func TestCopyDoesNotShiftLaterAnswers(t *testing.T) {
+	for name, copied := range map[string]string{
+		"without a body": whole("earlier", "503 Service Unavailable", "", "X-Not-Run: 1"),
+		"with a body":    refusal("earlier"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			eachWay(t, []string{"/read/1", "/chat/1"}, func(t *testing.T, handedOver bool, path string) {
+				late := make(map[int]string) // the answer that a connection is late with; one request runs at a time
+				s := startRawSite(t, handedOver, 1, func(r rawRequest) rawAnswer {
+					answer := whole(r.id, "200 OK", "ran "+r.id)
+					if earlier, isLate := late[r.conn]; isLate {
+						late[r.conn] = answer
+						return rawAnswer{text: earlier}
+					}
+					if r.id == "copied" && r.number == 1 {
+						late[r.conn] = answer
+						return rawAnswer{text: copied}
+					}
+					return rawAnswer{text: answer}
+				})
+				require.Equal(t, "ran before", s.send(path, "before").body)
+				require.Equal(t, http.StatusBadGateway, s.send(path, "copied").status)
+				for _, id := range []string{"after-1", "after-2", "after-3", "after-4"} {
+					require.Equal(t, "ran "+id, s.send(path, id).body)
+					require.Len(t, s.requestsWith(id), 1, "no attempt gets another request's answer")
+				}
+			})
+		})
+	}
+}
