Requests without an ID share no connection to targets or daemons

A request whose caller sent no ID could be answered with an earlier answer that its target wrote once more on a kept connection, a refusal or another caller's answer.

Cause: the ID tells a copy from the answer that is due, and all requests without one have the same.

Before: TestRequestsWithoutAnIDShareNoConnection, sent and handed over, "expected: answer 1, actual: answer 2": the second request on a connection.

They are now sent over connections of their own, like requests that must not run twice.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -87,7 +87,7 @@
 func (a *attempt) run() step.Ending {
 	a.startStallTimer(a.forward.FirstByteTimeout)
 	began := a.exchange.daemon.clock()
-	resp, err := a.exchange.daemon.targets.transport(a.forward).RoundTrip(a.request())
+	resp, err := a.exchange.daemon.targets.transport(a.forward, a.exchange.callerID).RoundTrip(a.request())
 	if err != nil {
 		return a.classifyError(err)
 	}
--- a/internal/gateway/refusal_copies_test.go
+++ b/internal/gateway/refusal_copies_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
@@ -209,3 +210,17 @@
 		})
 	}
 }
+
+// TestRequestsWithoutAnIDShareNoConnection guards against answers that can't be told from those to an earlier request.
+func TestRequestsWithoutAnIDShareNoConnection(t *testing.T) {
+	eachWay(t, everyKind, func(t *testing.T, handedOver bool, path string) {
+		used := make(map[int]int) // requests by connection
+		s := startRawSite(t, handedOver, 1, func(r rawRequest) rawAnswer {
+			used[r.conn]++
+			return rawAnswer{text: strings.Replace(whole("", "200 OK", fmt.Sprintf("answer %d", used[r.conn])), "X-Request-Id: \r\n", "", 1)}
+		})
+		for range 4 {
+			require.Equal(t, "answer 1", s.send(path, "").body)
+		}
+	})
+}
--- a/internal/gateway/targets.go
+++ b/internal/gateway/targets.go
@@ -77,10 +77,11 @@
 	}
 }
 
-// transport returns the transport for an attempt: a pooled one if the request may run again.
-func (t *targets) transport(f step.Forward) *http.Transport {
+// transport returns the transport for an attempt: a pooled one if the request may run again, and has an ID
+// by which its answer can be told from an earlier one on the same connection.
+func (t *targets) transport(f step.Forward, callerID string) *http.Transport {
 	switch {
-	case !f.MayRepeat:
+	case !f.MayRepeat || callerID == "":
 		return t.unpooled
 	case f.Daemon != "":
 		return t.daemons
--- a/internal/gateway/targets_test.go
+++ b/internal/gateway/targets_test.go
@@ -36,7 +36,7 @@
 		}()
 		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+listener.Addr().String(), nil)
 		require.NoError(t, err)
-		resp, err := targets.transport(step.Forward{MayRepeat: mayRepeat}).RoundTrip(req)
+		resp, err := targets.transport(step.Forward{MayRepeat: mayRepeat}, "id").RoundTrip(req)
 		if err == nil {
 			_ = resp.Body.Close()
 		}
