A taking daemon's refusal counts only with the request's ID

The answer of the daemon itself that takes a request was accepted without a check of its ID: a refusal of an earlier request, written again on the connection between the daemons, told the caller that a request had not run that the other daemon may have sent on.

Before: TestRefusalOfATakingDaemonNeedsTheRequestsID, "expected: 502, actual: 503".

Its answers, its own and its targets', are now checked alike, before anything else that they say. One with another ID shows nothing: the request may have run as often as it might.

--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -38,7 +38,11 @@
 // shows that the request has not run there; no other answer of its own does.
 func (a *attempt) receiveHandover(resp *http.Response) step.Ending {
 	answer, ok := relay.ReadHandoverAnswer(resp.StatusCode, resp.Header)
+	header := a.exchange.daemon.platform.FromTarget(resp.StatusCode, resp.Header, a.exchange.callerID)
 	switch {
+	case ok && !header.MatchesRequest:
+		a.closeConnection()
+		return step.EndedWrongAttempt
 	case !ok && resp.StatusCode == http.StatusNotFound:
 		answer.Own = step.Answer{Status: http.StatusServiceUnavailable, Code: step.CodeNoPlatform} // a release that takes no requests
 		answer.Own.Outcome = object.NotRun
@@ -59,14 +63,10 @@
 		}
 		return step.EndedBroken
 	}
-	header := a.exchange.daemon.platform.FromTarget(resp.StatusCode, resp.Header, a.exchange.callerID)
 	if header.Notice.Leaving {
 		// Its pause concerns the daemon that has asked the host; that it leaves concerns all.
 		a.exchange.daemon.Post(step.HostNotice{Host: answer.Host, Notice: site.Notice{Leaving: true}})
 	}
-	if !header.MatchesRequest {
-		return step.EndedWrongAttempt
-	}
 	a.exchange.daemon.Post(step.AnswerBegan{ID: a.forward.ID, Attempt: a.forward.Attempt})
 	return a.receiveAnswer(resp)
 }
--- a/internal/gateway/refusal_copies_test.go
+++ b/internal/gateway/refusal_copies_test.go
@@ -224,3 +224,24 @@
 		}
 	})
 }
+
+// TestRefusalOfATakingDaemonNeedsTheRequestsID guards against a daemon's refusal of an earlier request on the same connection.
+func TestRefusalOfATakingDaemonNeedsTheRequestsID(t *testing.T) {
+	for _, path := range everyKind {
+		for _, echoed := range []string{"id", "another", ""} {
+			s := startRawTakingDaemon(t, func(rawRequest) rawAnswer {
+				return rawAnswer{text: whole(echoed, "503 Service Unavailable", "", "Rhubarbswitch-Handover-Runs: 0", "Rhubarbswitch-Handover-Code: overloaded",
+					"Rhubarbswitch-Handover-Outcome: not_run", "Rhubarbswitch-Handover-Retry-After-Ms: 100")}
+			})
+			a := s.send(path, "id")
+			if echoed == "id" {
+				require.Equal(t, http.StatusServiceUnavailable, a.status)
+				continue
+			}
+			require.Equal(t, http.StatusBadGateway, a.status)
+			if runsOnce(path) {
+				require.Len(t, s.requestsWith("id"), 1)
+			}
+		}
+	}
+}
