--- a/internal/gateway/refusal_copies_test.go
+++ b/internal/gateway/refusal_copies_test.go
@@ -245,3 +245,22 @@
 		}
 	}
 }
+
+// TestImpossibleStatusIsNoAnswer guards against statuses that end no request, and with which none can be answered.
+func TestImpossibleStatusIsNoAnswer(t *testing.T) {
+	for _, status := range []string{"000 None", "001 One", "099 Low", "100 Continue", "101 Switching Protocols", "103 Early Hints", "199 Odd"} {
+		t.Run(status, func(t *testing.T) {
+			eachWay(t, everyKind, func(t *testing.T, handedOver bool, path string) {
+				s := startRawSite(t, handedOver, 3, func(r rawRequest) rawAnswer {
+					return rawAnswer{text: whole(r.id, status, "body", "Connection: Upgrade", "Upgrade: x"), close: true}
+				})
+				a := s.send(path, "id")
+				require.Equal(t, http.StatusBadGateway, a.status)
+				require.Empty(t, a.header.Get("X-Server-Stamp"))
+				if runsOnce(path) {
+					require.Len(t, s.requestsWith("id"), 1)
+				}
+			})
+		})
+	}
+}
