Tests: the next target's error never reaches a stream that has begun

On the code as it is this can't happen with the answers of these tests, which pass without a change: errors and successes of other types, another request's answer, bytes that are no answer, streams with an error status, a piece that is missing. They are given by the second and by all targets, to streams that may be resumed and that may not, sent, handed over, and handed over in the middle by a daemon that is cut off.

--- a/internal/gateway/rawtarget_test.go
+++ b/internal/gateway/rawtarget_test.go
@@ -49,6 +49,15 @@
 	requests []rawRequest
 	conns    int
 	hosts    []site.Host
+	// listeners are those of the hosts.
+	listeners []net.Listener
+}
+
+// refuseConnections makes all targets refuse connections from now on. Those that are open live on.
+func (s *rawTargets) refuseConnections() {
+	for _, l := range s.listeners {
+		_ = l.Close()
+	}
 }
 
 func startRawTargets(t *testing.T, n int, answer func(r rawRequest) rawAnswer) *rawTargets {
@@ -57,6 +66,7 @@
 		listener, err := net.Listen("tcp", freeAddress(t))
 		require.NoError(t, err)
 		t.Cleanup(func() { _ = listener.Close() })
+		s.listeners = append(s.listeners, listener)
 		name := fmt.Sprintf("host-%d", i)
 		s.hosts = append(s.hosts, site.Host{ID: name, Service: "plain", Address: listener.Addr().String(), DataCentre: "dc", Slots: 64, Incarnation: 1})
 		go s.accept(name, listener)
--- /dev/null
+++ b/internal/gateway/stream_errors_test.go
@@ -0,0 +1,117 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
+)
+
+// eventsBeforeBreak is how many events of a stream arrive before it breaks off, of lastEvent.
+const (
+	eventsBeforeBreak = 3
+	lastEvent         = 6
+)
+
+// notTheRest are answers to the attempt that is to go on with a stream after event 3, and that do not.
+var notTheRest = map[string]func(id string) rawAnswer{
+	"error": func(id string) rawAnswer {
+		return rawAnswer{text: whole(id, "500 Internal Server Error", "error text")}
+	},
+	"unavailable": func(id string) rawAnswer { return rawAnswer{text: whole(id, "503 Service Unavailable", "error text")} },
+	"not found":   func(id string) rawAnswer { return rawAnswer{text: whole(id, "404 Not Found", "error text")} },
+	"success of another type": func(id string) rawAnswer {
+		return rawAnswer{text: whole(id, "200 OK", "error text", "Content-Type: application/json")}
+	},
+	"another request's answer": func(string) rawAnswer { return rawAnswer{text: chunked("another", events(4, lastEvent))} },
+	"bytes that are no answer": func(string) rawAnswer { return rawAnswer{text: "error text\r\n\r\n", close: true} },
+	"nothing":                  func(string) rawAnswer { return rawAnswer{close: true} },
+	"stream that is an error": func(id string) rawAnswer {
+		return rawAnswer{text: whole(id, "500 Internal Server Error", events(4, lastEvent), "Content-Type: text/event-stream")}
+	},
+	"empty stream, unframed": func(id string) rawAnswer { return rawAnswer{text: streamHead(id) + "\r\n", close: true} },
+	"gap":                    func(id string) rawAnswer { return rawAnswer{text: chunked(id, events(5, lastEvent))} },
+}
+
+// restAfter returns the events that follow the last one that a request names.
+func restAfter(r rawRequest) string {
+	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	return chunked(r.id, events(last+1, lastEvent))
+}
+
+// TestErrorNeverReachesAStreamThatHasBegun guards against an error of the next target in the middle of a stream, and one that ends it as if it were complete.
+func TestErrorNeverReachesAStreamThatHasBegun(t *testing.T) {
+	for name, next := range notTheRest {
+		for _, recovers := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, recovers %t", name, recovers), func(t *testing.T) {
+				eachWay(t, []string{"/chat/1", "/feed/1"}, func(t *testing.T, handedOver bool, path string) {
+					s := startRawSite(t, handedOver, 3, func(r rawRequest) rawAnswer {
+						switch {
+						case r.number == 1:
+							return rawAnswer{text: cutStream(r.id, events(1, eventsBeforeBreak)), close: true}
+						case r.number == 2 || !recovers:
+							return next(r.id)
+						}
+						return rawAnswer{text: restAfter(r)}
+					})
+					a := s.send(path, "id")
+					require.Equal(t, http.StatusOK, a.status)
+					if path == "/feed/1" {
+						require.Len(t, s.requestsWith("id"), 1)
+					}
+					if path == "/chat/1" && recovers {
+						require.Equal(t, events(1, lastEvent), a.body)
+						require.True(t, a.complete)
+						return
+					}
+					require.Equal(t, events(1, eventsBeforeBreak), a.body)
+					require.False(t, a.complete, "it looks complete")
+				})
+			})
+		}
+	}
+}
+
+// TestErrorOfATakingDaemonNeverReachesAStreamThatHasBegun guards against the same where a daemon that was cut off meanwhile hands the rest over.
+func TestErrorOfATakingDaemonNeverReachesAStreamThatHasBegun(t *testing.T) {
+	const targets, own = "Rhubarbswitch-Handover-Runs: 1\r\nRhubarbswitch-Handover-Host: host-0\r\n",
+		"Rhubarbswitch-Handover-Runs: 1\r\nRhubarbswitch-Handover-Code: target_failed\r\nRhubarbswitch-Handover-Outcome: unknown\r\nRhubarbswitch-Handover-Retry-After-Ms: 0\r\n"
+	answers := map[string]func(id string) rawAnswer{
+		"own error": func(id string) rawAnswer {
+			return rawAnswer{text: strings.Replace(whole(id, "502 Bad Gateway", "error text"), "\r\n", "\r\n"+own, 1)}
+		},
+		"own refusal": func(id string) rawAnswer {
+			return rawAnswer{text: strings.Replace(whole(id, "503 Service Unavailable", "error text"), "\r\n", "\r\n"+strings.Replace(own, "unknown", "not_run", 1), 1)}
+		},
+	}
+	for name, next := range notTheRest {
+		answers[name] = func(id string) rawAnswer {
+			a := next(id)
+			a.text = strings.Replace(a.text, "\r\n", "\r\n"+targets, 1)
+			return a
+		}
+	}
+	for name, next := range answers {
+		t.Run(name, func(t *testing.T) {
+			var hosts *rawTargets
+			hosts = startRawTargets(t, 3, func(r rawRequest) rawAnswer {
+				hosts.refuseConnections()
+				return rawAnswer{text: cutStream(r.id, events(1, eventsBeforeBreak)), close: true}
+			})
+			taking := startRawTargets(t, 1, func(r rawRequest) rawAnswer { return next(r.id) })
+			s := newRawSite(hosts)
+			s.callers = s.startDaemon(step.Peer{Daemon: "cut-off", Address: freeAddress(t), DataCentre: "dc"},
+				step.Peer{Daemon: "taking", Address: taking.hosts[0].Address, DataCentre: "dc"}, hosts.hosts)
+			a := s.send("/chat/1", "id")
+			require.NotEmpty(t, taking.requestsWith("id"))
+			require.Equal(t, "3", taking.requestsWith("id")[0].Header.Get("Last-Event-Id"))
+			require.Equal(t, events(1, eventsBeforeBreak), a.body)
+			require.False(t, a.complete, "it looks complete")
+		})
+	}
+}
