A stream that goes on at the next target ends only after a further event

A stream broke off after its third event; the next server answered 200 with an empty stream, or with events that the caller had, and the caller's stream ended as if it were complete (ORDER).

Cause: an empty answer whose framing says that it is complete counted as the end of any stream.

Before: TestErrorNeverReachesAStreamThatHasBegun and TestErrorOfATakingDaemonNeverReachesAStreamThatHasBegun, empty stream, only comments, only earlier events: "it looks complete".

An attempt that is to go on with a stream and brings no further event is broken: nothing shows that the caller has the last event. Another target is tried, else the connection is closed. The price: a stream that broke off between its last event and its end is tried again or closed. Comments of such an attempt are dropped.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -70,6 +70,7 @@
 	maybeSent  atomic.Bool // a connection was available, so the target may have received bytes
 	newConn    atomic.Bool // that connection was opened for this attempt
 	conn       atomic.Pointer[net.Conn]
+	resumes    bool // the attempt goes on with a stream after the event that the caller has
 	started    bool // an event of this attempt's stream has been delivered
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -27,6 +27,7 @@
 // because a target may stop in the middle of one.
 func (a *attempt) relayStream(resp *http.Response) step.Ending {
 	a.startStallTimer(a.forward.EventGapTimeout)
+	a.resumes = a.exchange.lastEventID != ""
 	in := bufio.NewReader(resp.Body)
 	held := &buffer{budget: a.exchange.daemon.buffers}
 	defer held.release()
@@ -68,11 +69,12 @@
 }
 
 // endStream ends a stream whose last event is complete. A stream without any event is complete
-// only if its framing says so: a target that has crashed ends its connection too.
+// only if its framing says so: a target that has crashed ends its connection too. One that was to go on and
+// brought no further event is not: nothing shows that the caller has the last one.
 func (a *attempt) endStream(resp *http.Response) step.Ending {
 	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 	switch {
-	case !a.started && !framed:
+	case !a.started && (!framed || a.resumes):
 		return step.EndedBroken
 	case !a.exchange.streamStarted:
 		a.exchange.hold(&bufferedAnswer{status: resp.StatusCode, header: resp.Header, held: &buffer{budget: a.exchange.daemon.buffers}})
@@ -84,6 +86,9 @@
 // already has and fails with errEventOrder if one is missing before it.
 func (a *attempt) deliverEvent(resp *http.Response, event []byte) error {
 	x := a.exchange
+	if a.resumes && isComment(event) {
+		return nil
+	}
 	if id := eventID(event); id != "" {
 		number, err := strconv.ParseInt(id, 10, 64)
 		lastNumber, errLast := strconv.ParseInt(x.lastEventID, 10, 64)
@@ -112,6 +117,16 @@
 	return x.control.Flush()
 }
 
+// isComment reports whether an event consists of comments alone, which callers ignore.
+func isComment(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
 // eventID returns the value of an event's id field, or "" if it has none.
 func eventID(event []byte) string {
 	for line := range bytes.Lines(event) {
--- a/internal/gateway/stream_errors_test.go
+++ b/internal/gateway/stream_errors_test.go
@@ -34,8 +34,12 @@
 	"stream that is an error": func(id string) rawAnswer {
 		return rawAnswer{text: whole(id, "500 Internal Server Error", events(4, lastEvent), "Content-Type: text/event-stream")}
 	},
-	"empty stream, unframed": func(id string) rawAnswer { return rawAnswer{text: streamHead(id) + "\r\n", close: true} },
-	"gap":                    func(id string) rawAnswer { return rawAnswer{text: chunked(id, events(5, lastEvent))} },
+	"empty stream, unframed":     func(id string) rawAnswer { return rawAnswer{text: streamHead(id) + "\r\n", close: true} },
+	"empty stream":               func(id string) rawAnswer { return rawAnswer{text: chunked(id, "")} },
+	"empty stream with a length": func(id string) rawAnswer { return rawAnswer{text: streamHead(id) + "Content-Length: 0\r\n\r\n"} },
+	"only comments":              func(id string) rawAnswer { return rawAnswer{text: chunked(id, ": comment\n\n")} },
+	"only earlier events":        func(id string) rawAnswer { return rawAnswer{text: chunked(id, events(1, eventsBeforeBreak))} },
+	"gap":                        func(id string) rawAnswer { return rawAnswer{text: chunked(id, events(5, lastEvent))} },
 }
 
 // restAfter returns the events that follow the last one that a request names.
