Only the next events of a stream that has begun reach its caller

A stream had begun and broke off; the next server answered 200 with a stream whose events were an error, or whose body began with the head of one.

Cause: an event without an id, or with one that is no number, was passed on wherever it came, and so was an event of type error.

Before: TestErrorNeverReachesAStreamThatHasBegun and TestErrorOfATakingDaemonNeverReachesAStreamThatHasBegun, event without an id, error event, id that is no number, head in the body and others; TestEventThatIsNotOfTheStreamEndsItsAttempt.

Once a stream's events have had numbers, an event without one is not of that stream, comments aside; in an attempt that goes on with a stream an error event is not either, and nowhere is a line that begins an HTTP answer. The attempt then counts as broken. Streams of one target without ids, with other ids, with comments or with an error event of their own are passed on as before (TestStreamsOfOneTargetArePassedOn).

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -21,7 +21,7 @@
 	lastEventHeader = "Last-Event-Id"
 )
 
-var errEventOrder = errors.New("target skipped an event of the stream: answer treated as broken")
+var errEventOrder = errors.New("target sent something else than the next event of the stream: answer treated as broken")
 
 // relayStream relays events to the caller. It holds each event back until it is complete,
 // because a target may stop in the middle of one.
@@ -82,23 +82,16 @@
 	return step.EndedComplete
 }
 
-// deliverEvent writes one complete event to the caller. It skips an event that the caller
-// already has and fails with errEventOrder if one is missing before it.
+// deliverEvent writes one complete event to the caller, unless the caller already has it. It fails with
+// errEventOrder if the event is not the next one of the stream.
 func (a *attempt) deliverEvent(resp *http.Response, event []byte) error {
 	x := a.exchange
-	if a.resumes && isComment(event) {
-		return nil
+	next, err := a.isNext(event)
+	if err != nil || !next {
+		return err
 	}
-	if id := eventID(event); id != "" {
-		number, err := strconv.ParseInt(id, 10, 64)
-		lastNumber, errLast := strconv.ParseInt(x.lastEventID, 10, 64)
-		if err == nil && errLast == nil && number != lastNumber+1 {
-			if number <= lastNumber {
-				return nil
-			}
-			return errEventOrder
-		}
-		x.lastEventID = id
+	if number, ok := eventNumber(event); ok {
+		x.lastEventID = strconv.FormatInt(number, 10)
 	}
 	if !x.streamStarted {
 		copyHeader(x.w.Header(), resp.Header)
@@ -117,6 +110,40 @@
 	return x.control.Flush()
 }
 
+// isNext reports whether an event is to be passed on to the caller, who has the events up to lastEventID. It
+// fails if the event is not of this stream or not the next one: a target may send an error where the events
+// of a stream are due. A stream has no order before the first event with a number.
+func (a *attempt) isNext(event []byte) (bool, error) {
+	last, err := strconv.ParseInt(a.exchange.lastEventID, 10, 64)
+	ordered := err == nil
+	number, numbered := eventNumber(event)
+	switch {
+	case hasHead(event):
+		return false, errEventOrder
+	case isComment(event):
+		return !a.resumes, nil
+	case !ordered:
+		return true, nil
+	case !numbered || a.resumes && isError(event):
+		return false, errEventOrder
+	case number <= last:
+		return false, nil
+	case number > last+1:
+		return false, errEventOrder
+	}
+	return true, nil
+}
+
+// hasHead reports whether an event has the first line of an HTTP answer.
+func hasHead(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if bytes.HasPrefix(line, []byte("HTTP/1.")) {
+			return true
+		}
+	}
+	return false
+}
+
 // isComment reports whether an event consists of comments alone, which callers ignore.
 func isComment(event []byte) bool {
 	for line := range bytes.Lines(event) {
@@ -127,10 +154,19 @@
 	return true
 }
 
-// eventID returns the value of an event's id field, or "" if it has none.
-func eventID(event []byte) string {
+// isError reports whether an event says that the stream failed.
+func isError(event []byte) bool { return field(event, "event") == "error" }
+
+// eventNumber returns an event's id as a number. ok is false if it has none.
+func eventNumber(event []byte) (number int64, ok bool) {
+	number, err := strconv.ParseInt(field(event, "id"), 10, 64)
+	return number, err == nil
+}
+
+// field returns the value of an event's field, or "" if it has none.
+func field(event []byte, name string) string {
 	for line := range bytes.Lines(event) {
-		if rest, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+		if rest, ok := bytes.CutPrefix(line, []byte(name+":")); ok {
 			return string(bytes.TrimSpace(rest))
 		}
 	}
--- a/internal/gateway/stream_errors_test.go
+++ b/internal/gateway/stream_errors_test.go
@@ -39,7 +39,22 @@
 	"empty stream with a length": func(id string) rawAnswer { return rawAnswer{text: streamHead(id) + "Content-Length: 0\r\n\r\n"} },
 	"only comments":              func(id string) rawAnswer { return rawAnswer{text: chunked(id, ": comment\n\n")} },
 	"only earlier events":        func(id string) rawAnswer { return rawAnswer{text: chunked(id, events(1, eventsBeforeBreak))} },
-	"gap":                        func(id string) rawAnswer { return rawAnswer{text: chunked(id, events(5, lastEvent))} },
+	"event without an id":        func(id string) rawAnswer { return rawAnswer{text: chunked(id, "data: error text\n\n")} },
+	"error event without an id":  func(id string) rawAnswer { return rawAnswer{text: chunked(id, "event: error\ndata: error text\n\n")} },
+	"error event": func(id string) rawAnswer {
+		return rawAnswer{text: chunked(id, "id: 4\nevent: error\ndata: error text\n\n")}
+	},
+	"id that is no number": func(id string) rawAnswer { return rawAnswer{text: chunked(id, "id: four\ndata: error text\n\n")} },
+	"earlier events, then error": func(id string) rawAnswer {
+		return rawAnswer{text: chunked(id, events(1, eventsBeforeBreak)+"data: error text\n\n")}
+	},
+	"head in the body": func(id string) rawAnswer {
+		return rawAnswer{text: chunked(id, whole(id, "500 Internal Server Error", "error text\n\n"))}
+	},
+	"head in an unframed body": func(id string) rawAnswer {
+		return rawAnswer{text: streamHead(id) + "\r\n" + whole(id, "500 Internal Server Error", "error text\n\n"), close: true}
+	},
+	"gap": func(id string) rawAnswer { return rawAnswer{text: chunked(id, events(5, lastEvent))} },
 }
 
 // restAfter returns the events that follow the last one that a request names.
@@ -119,3 +134,58 @@
 		})
 	}
 }
+
+// streamRoutes are the paths of streams, resumable and not.
+var streamRoutes = []string{"/chat/1", "/feed/1"}
+
+// TestEventThatIsNotOfTheStreamEndsItsAttempt guards against events that a target mixes with those of a stream.
+func TestEventThatIsNotOfTheStreamEndsItsAttempt(t *testing.T) {
+	for name, stray := range map[string]string{
+		"no id":             "data: error text\n\n",
+		"unreadable id":     "id: x\ndata: error text\n\n",
+		"head":              whole("id", "500 Internal Server Error", "error text\n\n"),
+		"head with LF only": "HTTP/1.1 500 Internal Server Error\nid: 4\n\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			eachWay(t, streamRoutes, func(t *testing.T, handedOver bool, path string) {
+				s := startRawSite(t, handedOver, 2, func(r rawRequest) rawAnswer {
+					if r.number == 1 {
+						return rawAnswer{text: chunked(r.id, events(1, eventsBeforeBreak)+stray)}
+					}
+					return rawAnswer{text: restAfter(r)}
+				})
+				a := s.send(path, "id")
+				if runsOnce(path) {
+					require.Equal(t, events(1, eventsBeforeBreak), a.body)
+					require.False(t, a.complete)
+					return
+				}
+				require.Equal(t, events(1, lastEvent), a.body)
+				require.True(t, a.complete)
+			})
+		})
+	}
+}
+
+// TestStreamsOfOneTargetArePassedOn guards against checks of events that break streams which are as their target sends them.
+func TestStreamsOfOneTargetArePassedOn(t *testing.T) {
+	for name, body := range map[string]string{
+		"without ids":       "data: a\n\ndata: b\n\n",
+		"unreadable ids":    "id: a\ndata: a\n\nid: b\ndata: b\n\n",
+		"comments":          ": start\n\n" + events(1, 2) + ": comment\n\n" + events(3, 4),
+		"error at its end":  events(1, 2) + "id: 3\nevent: error\ndata: error text\n\n",
+		"ids after a while": "data: a\n\n" + events(1, 3),
+		"first id is late":  events(7, 9),
+		"version":           "x-weight-versions: 2\nid: 1\ndata: a\n\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			eachWay(t, streamRoutes, func(t *testing.T, handedOver bool, path string) {
+				s := startRawSite(t, handedOver, 2, func(r rawRequest) rawAnswer { return rawAnswer{text: chunked(r.id, body)} })
+				a := s.send(path, "id")
+				require.Equal(t, body, a.body)
+				require.True(t, a.complete)
+				require.Len(t, s.requestsWith("id"), 1)
+			})
+		})
+	}
+}
