A stream whose events have no numbers is never begun again at another target

A resumable stream whose events have no ids, or ids that are no numbers, broke off or stalled; the next target began it anew, and callers got pieces twice (ORDER).

Cause: without a number there is no Last-Event-Id to send, and nothing by which the events that the caller has could be told from others.

The attempt now says that its stream can't be resumed: the reducer neither moves nor repeats it, and the connection is closed where the stream broke off. A stream of which the caller has only comments still starts again.

--- a/internal/core/gateway/calls.go
+++ b/internal/core/gateway/calls.go
@@ -411,7 +411,7 @@
 	// A move has spent its retry when it was decided, and an unsent attempt has reached no
 	// target.
 	exempt := moving || e.Ending == step.EndedUnsent || notRun && c.daemon != ""
-	mayRetry = mayRetry && now < c.deadline && !c.attemptsSpent()
+	mayRetry = mayRetry && !e.Unresumable && now < c.deadline && !c.attemptsSpent()
 	elsewhere := s.pathDoubtful(c)
 	if decision := s.quarantineDecision(now, c, false); decision.RetryAfter > 0 {
 		s.endQuarantined(now, c, decision, answer, out)
--- a/internal/core/gateway/stall.go
+++ b/internal/core/gateway/stall.go
@@ -25,6 +25,9 @@
 	s.reportSuspicion(now, c.host, out)
 	s.paths.Doubt(c.service)
 	s.probePaths(now, out)
+	if e.Unresumable {
+		return
+	}
 	if s.paths.Probing(now, c.service) && !s.paths.ReachedSince(c.service, now-recentAnswer) {
 		// Another target may be out of reach as well; moveStalled follows.
 		s.stalled[c.req.ID] = e
--- a/internal/core/step/gateway.go
+++ b/internal/core/step/gateway.go
@@ -90,12 +90,16 @@
 	// TargetSilence is the time since any request of this daemon last received data from the
 	// target.
 	TargetSilence time.Duration
+	// Unresumable is set if the attempt's stream has begun and no other target can go on with it.
+	Unresumable bool
 }
 
 // ForwardEnded reports the end of an attempt of a Call. Delivered counts events, not tokens.
 type ForwardEnded struct {
 	AttemptEnded
-	Load site.Load // Slots is zero if the target did not report its load
+	// Unresumable is set if a stream has begun and no target can go on with it: its last event has no number.
+	Unresumable bool
+	Load        site.Load // Slots is zero if the target did not report its load
 	// Limit is what the target stated as it refused to run the request; nil if the answer was none of
 	// its own. An answer that began states it in AnswerBegan.
 	Limit *site.LimitStatement
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -50,7 +50,7 @@
 	} else {
 		countHandover(a.result)
 	}
-	a.result.Delivered = x.eventsDelivered
+	a.result.Delivered, a.result.Unresumable = x.eventsDelivered, x.unnumbered.Load()
 	a.stopStallTimer()
 	return a.result
 }
@@ -212,7 +212,7 @@
 		return
 	}
 	targetIdleTime := a.exchange.daemon.clock() - time.Duration(a.targetActiveAt.Load())
-	a.exchange.daemon.Post(step.AnswerStalled{ID: a.forward.ID, Attempt: a.forward.Attempt, TargetSilence: targetIdleTime})
+	a.exchange.daemon.Post(step.AnswerStalled{ID: a.forward.ID, Attempt: a.forward.Attempt, TargetSilence: targetIdleTime, Unresumable: a.exchange.unnumbered.Load()})
 	if t := a.stallTimer.Load(); t != nil {
 		t.Reset(stallReportInterval)
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -73,7 +74,8 @@
 
 	streamStarted   bool            // the header of a stream has been sent to the caller
 	eventsDelivered int             // events of a stream written to the caller
-	lastEventID     string          // of the last event written, for a resumed stream
+	lastEventID     string          // of the last event written that has a number, for a resumed stream
+	unnumbered      atomic.Bool     // the last event written has none, so no other target can go on with the stream
 	buffered        *bufferedAnswer // nil before a complete answer has arrived
 
 	handedOver    bool   // another daemon has handed the request over
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -90,8 +90,12 @@
 	if err != nil || !next {
 		return err
 	}
-	if number, ok := eventNumber(event); ok {
-		x.lastEventID = strconv.FormatInt(number, 10)
+	if !isComment(event) {
+		number, numbered := eventNumber(event)
+		if numbered {
+			x.lastEventID = strconv.FormatInt(number, 10)
+		}
+		x.unnumbered.Store(!numbered)
 	}
 	if !x.streamStarted {
 		copyHeader(x.w.Header(), resp.Header)
--- a/internal/gateway/stream_errors_test.go
+++ b/internal/gateway/stream_errors_test.go
@@ -189,3 +189,44 @@
 		})
 	}
 }
+
+// TestStreamWithoutNumbersIsNotRepeated guards against pieces that come twice because no number says where the next target is to go on.
+func TestStreamWithoutNumbersIsNotRepeated(t *testing.T) {
+	for name, begun := range map[string]string{
+		"without ids":    "data: a\n\ndata: b\n\n",
+		"unreadable ids": "id: a\ndata: a\n\nid: b\ndata: b\n\n",
+		"after comments": ": start\n\ndata: a\n\n",
+	} {
+		for _, stalls := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, stalls %t", name, stalls), func(t *testing.T) {
+				eachWay(t, streamRoutes, func(t *testing.T, handedOver bool, path string) {
+					s := startRawSite(t, handedOver, 3, func(r rawRequest) rawAnswer {
+						if r.number == 1 {
+							return rawAnswer{text: cutStream(r.id, begun), close: !stalls}
+						}
+						return rawAnswer{text: chunked(r.id, begun)}
+					})
+					a := s.send(path, "id", "X-Deadline-Ms", "600")
+					require.Equal(t, begun, a.body)
+					require.False(t, a.complete)
+					require.Len(t, s.requestsWith("id"), 1)
+				})
+			})
+		}
+	}
+}
+
+// TestStreamOfCommentsStartsAgain: a caller that has only comments has no part of the stream yet.
+func TestStreamOfCommentsStartsAgain(t *testing.T) {
+	eachWay(t, []string{"/chat/1"}, func(t *testing.T, handedOver bool, path string) {
+		s := startRawSite(t, handedOver, 2, func(r rawRequest) rawAnswer {
+			if r.number == 1 {
+				return rawAnswer{text: cutStream(r.id, ": comment\n\n"), close: true}
+			}
+			return rawAnswer{text: restAfter(r)}
+		})
+		a := s.send(path, "id")
+		require.Equal(t, ": comment\n\n"+events(1, lastEvent), a.body)
+		require.True(t, a.complete)
+	})
+}
