Numbers of events have to rise; one by one only where a stream goes on at another target

Streams whose numbers rise by more than one were broken off at their second event, although they need only increase. Where numbers did not rise, pieces of two runs that a target joined were passed on as one stream, without those whose numbers had come before (ORDER).

Cause: one rule, each number is the one before it plus one, and smaller ones are skipped, served for the events of one target and for the place where a second one goes on.

Before: TestIncreasingNumbersNeedNotBeConsecutive, TestNumberThatDoesNotRiseEndsItsAttempt and TestMissingPieceOfAResumedStreamEndsItsAttempt/repeated fail, sent and handed over.

Within a first attempt a gap is passed on, and a number that does not rise breaks the attempt. An attempt that goes on skips only what comes before its first new event, and then needs consecutive numbers. After a gap nothing shows which event is next, so that stream isn't resumed. Ruled out: a gap in a first attempt as a missing piece; only the target knows its numbers.

--- a/internal/core/step/gateway.go
+++ b/internal/core/step/gateway.go
@@ -97,7 +97,8 @@
 // ForwardEnded reports the end of an attempt of a Call. Delivered counts events, not tokens.
 type ForwardEnded struct {
 	AttemptEnded
-	// Unresumable is set if a stream has begun and no target can go on with it: its last event has no number.
+	// Unresumable is set if a stream has begun and no target can go on with it: its last event does not
+	// show which one is next.
 	Unresumable bool
 	Load        site.Load // Slots is zero if the target did not report its load
 	// Limit is what the target stated as it refused to run the request; nil if the answer was none of
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -50,7 +50,7 @@
 	} else {
 		countHandover(a.result)
 	}
-	a.result.Delivered, a.result.Unresumable = x.eventsDelivered, x.unnumbered.Load()
+	a.result.Delivered, a.result.Unresumable = x.eventsDelivered, x.unresumable.Load()
 	a.stopStallTimer()
 	return a.result
 }
@@ -212,7 +212,7 @@
 		return
 	}
 	targetIdleTime := a.exchange.daemon.clock() - time.Duration(a.targetActiveAt.Load())
-	a.exchange.daemon.Post(step.AnswerStalled{ID: a.forward.ID, Attempt: a.forward.Attempt, TargetSilence: targetIdleTime, Unresumable: a.exchange.unnumbered.Load()})
+	a.exchange.daemon.Post(step.AnswerStalled{ID: a.forward.ID, Attempt: a.forward.Attempt, TargetSilence: targetIdleTime, Unresumable: a.exchange.unresumable.Load()})
 	if t := a.stallTimer.Load(); t != nil {
 		t.Reset(stallReportInterval)
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -75,7 +75,7 @@
 	streamStarted   bool            // the header of a stream has been sent to the caller
 	eventsDelivered int             // events of a stream written to the caller
 	lastEventID     string          // of the last event written that has a number, for a resumed stream
-	unnumbered      atomic.Bool     // the last event written has none, so no other target can go on with the stream
+	unresumable     atomic.Bool     // the last event written does not show which one is next
 	buffered        *bufferedAnswer // nil before a complete answer has arrived
 
 	handedOver    bool   // another daemon has handed the request over
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -92,10 +92,11 @@
 	}
 	if !isComment(event) {
 		number, numbered := eventNumber(event)
+		last, err := strconv.ParseInt(x.lastEventID, 10, 64)
+		x.unresumable.Store(!numbered || err == nil && number != last+1)
 		if numbered {
 			x.lastEventID = strconv.FormatInt(number, 10)
 		}
-		x.unnumbered.Store(!numbered)
 	}
 	if !x.streamStarted {
 		copyHeader(x.w.Header(), resp.Header)
@@ -116,7 +117,8 @@
 
 // isNext reports whether an event is to be passed on to the caller, who has the events up to lastEventID. It
 // fails if the event is not of this stream or not the next one: a target may send an error where the events
-// of a stream are due. A stream has no order before the first event with a number.
+// of a stream are due. A stream has no order before the first event with a number. A target's numbers only have
+// to rise, so a gap between two of them is no missing piece; in an attempt that goes on with a stream it may be.
 func (a *attempt) isNext(event []byte) (bool, error) {
 	last, err := strconv.ParseInt(a.exchange.lastEventID, 10, 64)
 	ordered := err == nil
@@ -130,9 +132,9 @@
 		return true, nil
 	case !numbered || a.resumes && isError(event):
 		return false, errEventOrder
-	case number <= last:
+	case number <= last && a.resumes && !a.started:
 		return false, nil
-	case number > last+1:
+	case number <= last || a.resumes && number != last+1:
 		return false, errEventOrder
 	}
 	return true, nil
--- a/internal/gateway/stream_errors_test.go
+++ b/internal/gateway/stream_errors_test.go
@@ -230,3 +230,73 @@
 		require.True(t, a.complete)
 	})
 }
+
+// TestIncreasingNumbersNeedNotBeConsecutive: a target chooses its own numbers, as long as they rise.
+func TestIncreasingNumbersNeedNotBeConsecutive(t *testing.T) {
+	const body = "id: 10\ndata: a\n\nid: 20\ndata: b\n\nid: 25\ndata: c\n\n"
+	eachWay(t, streamRoutes, func(t *testing.T, handedOver bool, path string) {
+		s := startRawSite(t, handedOver, 2, func(r rawRequest) rawAnswer { return rawAnswer{text: chunked(r.id, body)} })
+		a := s.send(path, "id")
+		require.Equal(t, body, a.body)
+		require.True(t, a.complete)
+		require.Len(t, s.requestsWith("id"), 1)
+	})
+}
+
+// TestStreamWithGapsIsNotResumed guards against runs whose first event can't be known to be the next one.
+func TestStreamWithGapsIsNotResumed(t *testing.T) {
+	const begun = "id: 10\ndata: a\n\nid: 20\ndata: b\n\n"
+	eachWay(t, streamRoutes, func(t *testing.T, handedOver bool, path string) {
+		s := startRawSite(t, handedOver, 3, func(r rawRequest) rawAnswer { return rawAnswer{text: cutStream(r.id, begun), close: true} })
+		a := s.send(path, "id")
+		require.Equal(t, begun, a.body)
+		require.False(t, a.complete)
+		require.Len(t, s.requestsWith("id"), 1)
+	})
+}
+
+// TestNumberThatDoesNotRiseEndsItsAttempt guards against pieces of two runs that a target joins.
+func TestNumberThatDoesNotRiseEndsItsAttempt(t *testing.T) {
+	eachWay(t, streamRoutes, func(t *testing.T, handedOver bool, path string) {
+		s := startRawSite(t, handedOver, 2, func(r rawRequest) rawAnswer {
+			if r.number == 1 {
+				return rawAnswer{text: chunked(r.id, events(1, eventsBeforeBreak)+events(2, lastEvent))}
+			}
+			return rawAnswer{text: restAfter(r)}
+		})
+		a := s.send(path, "id")
+		if runsOnce(path) {
+			require.Equal(t, events(1, eventsBeforeBreak), a.body)
+			require.False(t, a.complete)
+			return
+		}
+		require.Equal(t, events(1, lastEvent), a.body)
+		require.True(t, a.complete)
+	})
+}
+
+// TestMissingPieceOfAResumedStreamEndsItsAttempt guards against a gap between or within the pieces of two runs.
+func TestMissingPieceOfAResumedStreamEndsItsAttempt(t *testing.T) {
+	for name, rest := range map[string]string{
+		"gap":      events(4, 4) + events(6, lastEvent),
+		"repeated": events(4, 5) + events(5, lastEvent),
+	} {
+		t.Run(name, func(t *testing.T) {
+			eachWay(t, []string{"/chat/1"}, func(t *testing.T, handedOver bool, path string) {
+				s := startRawSite(t, handedOver, 3, func(r rawRequest) rawAnswer {
+					switch r.number {
+					case 1:
+						return rawAnswer{text: cutStream(r.id, events(1, eventsBeforeBreak)), close: true}
+					case 2:
+						return rawAnswer{text: chunked(r.id, rest)}
+					}
+					return rawAnswer{text: restAfter(r)}
+				})
+				a := s.send(path, "id")
+				require.Equal(t, events(1, lastEvent), a.body)
+				require.True(t, a.complete)
+				require.Len(t, s.requestsWith("id"), 3)
+			})
+		})
+	}
+}
