A stream with a Content-Encoding is not its target's own

Streams that came with a Content-Encoding were passed on as a success (MIXED), also as the rest of a stream that had begun without one.

Cause: only answers that are buffered were checked for it.

Before: TestEncodedStreamIsNotItsTargetsOwn, sent and handed over, to both kinds of streams.

The check now stands before the choice of how an answer is received.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -134,6 +134,9 @@
 
 // receiveAnswer relays a target's stream, or buffers its answer.
 func (a *attempt) receiveAnswer(resp *http.Response) step.Ending {
+	if resp.StatusCode < http.StatusMultipleChoices && resp.Header.Get("Content-Encoding") != "" {
+		return step.EndedBroken // callers request no encoding: the body is not the target's own
+	}
 	if a.forward.Stream && resp.StatusCode == http.StatusOK && strings.HasPrefix(resp.Header.Get("Content-Type"), eventStreamType) {
 		return a.relayStream(resp)
 	}
@@ -241,9 +244,9 @@
 		held.release()
 		return a.classifyError(err)
 	}
-	if len(body) > maxAnswerBytes || resp.StatusCode < 300 && resp.Header.Get("Content-Encoding") != "" {
+	if len(body) > maxAnswerBytes {
 		held.release()
-		return step.EndedBroken // callers request no encoding: the body is not the target's own
+		return step.EndedBroken
 	}
 	a.exchange.hold(&bufferedAnswer{status: resp.StatusCode, header: resp.Header, body: body, held: held})
 	if resp.StatusCode >= http.StatusInternalServerError {
--- a/internal/gateway/stream_errors_test.go
+++ b/internal/gateway/stream_errors_test.go
@@ -54,6 +54,9 @@
 	"head in an unframed body": func(id string) rawAnswer {
 		return rawAnswer{text: streamHead(id) + "\r\n" + whole(id, "500 Internal Server Error", "error text\n\n"), close: true}
 	},
+	"encoded": func(id string) rawAnswer {
+		return rawAnswer{text: strings.Replace(chunked(id, events(4, lastEvent)), "\r\n\r\n", "\r\nContent-Encoding: x\r\n\r\n", 1)}
+	},
 	"gap": func(id string) rawAnswer { return rawAnswer{text: chunked(id, events(5, lastEvent))} },
 }
 
@@ -300,3 +303,24 @@
 		})
 	}
 }
+
+// TestEncodedStreamIsNotItsTargetsOwn guards against a body that the target did not send as the caller asked for it.
+func TestEncodedStreamIsNotItsTargetsOwn(t *testing.T) {
+	eachWay(t, streamRoutes, func(t *testing.T, handedOver bool, path string) {
+		s := startRawSite(t, handedOver, 2, func(r rawRequest) rawAnswer {
+			text := restAfter(r)
+			if r.number == 1 {
+				text = strings.Replace(text, "\r\n\r\n", "\r\nContent-Encoding: x\r\n\r\n", 1)
+			}
+			return rawAnswer{text: text}
+		})
+		a := s.send(path, "id")
+		if runsOnce(path) {
+			require.Equal(t, http.StatusBadGateway, a.status)
+			require.Len(t, s.requestsWith("id"), 1)
+			return
+		}
+		require.Equal(t, events(1, lastEvent), a.body)
+		require.Empty(t, a.header.Get("Content-Encoding"))
+	})
+}
