--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -1,14 +1,13 @@
 package gateway
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -23,8 +22,6 @@
 	// maxAnswerBytes bounds an answer that is buffered until it is complete; a larger one
 	// counts as broken.
 	maxAnswerBytes = 16 << 20
-	// maxEventBytes bounds one event of a stream; a stream with a larger one counts as broken.
-	maxEventBytes = 1 << 20
 	// A refusal's body is read so that its connection can be reused, if it has no more than
 	// maxRefusalBytes and arrives within refusalTimeout.
 	maxRefusalBytes = 4 << 10
@@ -32,14 +29,8 @@
 	// stallReportInterval is the time between two reports to the reducer of the same attempt
 	// that still receives nothing.
 	stallReportInterval = 100 * time.Millisecond
-	// eventStreamType is the content type of a stream of server-sent events, and
-	// lastEventHeader the header that names the last event that a caller has received.
-	eventStreamType = "text/event-stream"
-	lastEventHeader = "Last-Event-Id"
 )
 
-var errEventOrder = errors.New("target skipped an event of the stream: answer treated as broken")
-
 // runAttempt sends the request to a target and relays a stream's events as they arrive. Any
 // other answer is buffered for the reducer to decide on.
 func (x *exchange) runAttempt(ctx context.Context, f step.Forward) step.ForwardEnded {
@@ -59,7 +50,7 @@
 	} else {
 		countHandover(a.result)
 	}
-	a.result.Delivered = x.eventsDelivered
+	a.result.Delivered, a.result.Unresumable = x.eventsDelivered, x.unresumable.Load()
 	a.stopStallTimer()
 	return a.result
 }
@@ -78,14 +69,16 @@
 	ended      atomic.Bool
 	maybeSent  atomic.Bool // a connection was available, so the target may have received bytes
 	newConn    atomic.Bool // that connection was opened for this attempt
-	started    bool        // an event of this attempt's stream has been delivered
+	conn       atomic.Pointer[net.Conn]
+	resumes    bool // the attempt goes on with a stream after the event that the caller has
+	started    bool // an event of this attempt's stream has been delivered
 }
 
 // run sends the request and processes the answer. It returns how the attempt ended.
 func (a *attempt) run() step.Ending {
 	a.startStallTimer(a.forward.FirstByteTimeout)
 	began := a.exchange.daemon.clock()
-	resp, err := a.exchange.daemon.targets.transport(a.forward).RoundTrip(a.request())
+	resp, err := a.exchange.daemon.targets.transport(a.forward, a.exchange.callerID).RoundTrip(a.request())
 	if err != nil {
 		return a.classifyError(err)
 	}
@@ -98,6 +91,9 @@
 	if t := a.stallTimer.Load(); t != nil {
 		t.Stop()
 	}
+	if resp.StatusCode < http.StatusOK {
+		return step.EndedBroken // ends no request, and net/http can't send it as the answer to one
+	}
 	a.result.Status = resp.StatusCode
 	if a.forward.Daemon != "" {
 		return a.receiveHandover(resp)
@@ -108,7 +104,11 @@
 	}
 	switch {
 	case !header.MatchesRequest:
+		a.closeConnection()
 		return step.EndedWrongAttempt
+	case header.Contradictory:
+		a.closeConnection()
+		return step.EndedBroken
 	case header.NotRun:
 		a.result.Load = header.Load
 		if resp.StatusCode != http.StatusMisdirectedRequest {
@@ -124,8 +124,19 @@
 	return a.receiveAnswer(resp)
 }
 
+// closeConnection closes the connection of an attempt whose answer may still come, so that the next request
+// on it can't get that answer. One without a body has already gone back to the pool.
+func (a *attempt) closeConnection() {
+	if conn := a.conn.Load(); conn != nil {
+		_ = (*conn).Close()
+	}
+}
+
 // receiveAnswer relays a target's stream, or buffers its answer.
 func (a *attempt) receiveAnswer(resp *http.Response) step.Ending {
+	if resp.StatusCode < http.StatusMultipleChoices && resp.Header.Get("Content-Encoding") != "" {
+		return step.EndedBroken // callers request no encoding: the body is not the target's own
+	}
 	if a.forward.Stream && resp.StatusCode == http.StatusOK && strings.HasPrefix(resp.Header.Get("Content-Type"), eventStreamType) {
 		return a.relayStream(resp)
 	}
@@ -167,6 +178,7 @@
 		out.Body, out.ContentLength = io.NopCloser(bytes.NewReader(a.exchange.body)), int64(len(a.exchange.body))
 	}
 	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+		a.conn.Store(&i.Conn)
 		a.newConn.Store(!i.Reused)
 		a.maybeSent.Store(true)
 	}}
@@ -203,7 +215,7 @@
 		return
 	}
 	targetIdleTime := a.exchange.daemon.clock() - time.Duration(a.targetActiveAt.Load())
-	a.exchange.daemon.Post(step.AnswerStalled{ID: a.forward.ID, Attempt: a.forward.Attempt, TargetSilence: targetIdleTime})
+	a.exchange.daemon.Post(step.AnswerStalled{ID: a.forward.ID, Attempt: a.forward.Attempt, TargetSilence: targetIdleTime, Unresumable: a.exchange.unresumable.Load()})
 	if t := a.stallTimer.Load(); t != nil {
 		t.Reset(stallReportInterval)
 	}
@@ -232,9 +244,9 @@
 		held.release()
 		return a.classifyError(err)
 	}
-	if len(body) > maxAnswerBytes || resp.StatusCode < 300 && resp.Header.Get("Content-Encoding") != "" {
+	if len(body) > maxAnswerBytes {
 		held.release()
-		return step.EndedBroken // callers request no encoding: the body is not the target's own
+		return step.EndedBroken
 	}
 	a.exchange.hold(&bufferedAnswer{status: resp.StatusCode, header: resp.Header, body: body, held: held})
 	if resp.StatusCode >= http.StatusInternalServerError {
@@ -242,102 +254,3 @@
 	}
 	return step.EndedComplete
 }
-
-// relayStream relays events to the caller. It holds each event back until it is complete,
-// because a target may stop in the middle of one.
-func (a *attempt) relayStream(resp *http.Response) step.Ending {
-	a.startStallTimer(a.forward.EventGapTimeout)
-	in := bufio.NewReader(resp.Body)
-	held := &buffer{budget: a.exchange.daemon.buffers}
-	defer held.release()
-	var pending []byte
-	lineBegan := 0 // index in pending
-	for {
-		piece, err := in.ReadSlice('\n')
-		pending = append(pending, piece...)
-		if len(pending) > maxEventBytes {
-			return step.EndedBroken
-		}
-		if err := held.grow(len(pending)); err != nil {
-			return a.classifyError(err)
-		}
-		switch {
-		case errors.Is(err, bufio.ErrBufferFull):
-			continue // the line is longer than the reader's buffer
-		case err == io.EOF && len(bytes.TrimSpace(pending)) == 0:
-			return a.endStream(resp)
-		case err != nil:
-			return a.classifyError(err)
-		}
-		line := pending[lineBegan:]
-		lineBegan = len(pending)
-		if len(bytes.TrimRight(line, "\r\n")) > 0 {
-			continue
-		}
-		a.targetActiveAt.Store(int64(a.exchange.daemon.clock()))
-		a.startStallTimer(a.forward.EventGapTimeout)
-		if err := a.deliverEvent(resp, pending); err != nil {
-			if errors.Is(err, errEventOrder) {
-				return step.EndedBroken
-			}
-			a.exchange.daemon.Post(step.CallerGone{ID: a.forward.ID})
-			return step.EndedCancelled
-		}
-		pending, lineBegan = pending[:0], 0
-	}
-}
-
-// endStream ends a stream whose last event is complete. A stream without any event is complete
-// only if its framing says so: a target that has crashed ends its connection too.
-func (a *attempt) endStream(resp *http.Response) step.Ending {
-	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	switch {
-	case !a.started && !framed:
-		return step.EndedBroken
-	case !a.exchange.streamStarted:
-		a.exchange.hold(&bufferedAnswer{status: resp.StatusCode, header: resp.Header, held: &buffer{budget: a.exchange.daemon.buffers}})
-	}
-	return step.EndedComplete
-}
-
-// deliverEvent writes one complete event to the caller. It skips an event that the caller
-// already has and fails with errEventOrder if one is missing before it.
-func (a *attempt) deliverEvent(resp *http.Response, event []byte) error {
-	x := a.exchange
-	if id := eventID(event); id != "" {
-		number, err := strconv.ParseInt(id, 10, 64)
-		lastNumber, errLast := strconv.ParseInt(x.lastEventID, 10, 64)
-		if err == nil && errLast == nil && number != lastNumber+1 {
-			if number <= lastNumber {
-				return nil
-			}
-			return errEventOrder
-		}
-		x.lastEventID = id
-	}
-	if !x.streamStarted {
-		copyHeader(x.w.Header(), resp.Header)
-		x.markTargetsAnswer(x.runs + 1)
-		x.w.WriteHeader(resp.StatusCode)
-		x.streamStarted = true
-	}
-	if _, err := x.w.Write(event); err != nil {
-		return err
-	}
-	x.eventsDelivered++
-	if !a.started {
-		a.started = true
-		x.daemon.Post(step.StreamStarted{ID: a.forward.ID, Attempt: a.forward.Attempt})
-	}
-	return x.control.Flush()
-}
-
-// eventID returns the value of an event's id field, or "" if it has none.
-func eventID(event []byte) string {
-	for line := range bytes.Lines(event) {
-		if rest, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			return string(bytes.TrimSpace(rest))
-		}
-	}
-	return ""
-}
