A stopping daemon withholds what a target's status would promise

At the end of the grace a target's 408, 429 or 503 without the statement that it has not run was delivered as it was; the request gets 504 instead, as it gets 502 at other times. After the reducer has ended only a success is delivered.

--- a/internal/core/gateway/calls.go
+++ b/internal/core/gateway/calls.go
@@ -390,7 +390,7 @@
 		s.finish(now, c, "whole "+strconv.Itoa(e.Status), out)
 	case c.callerGone:
 		s.endGone(now, c, out)
-	case s.lifecycle.ending && e.Ending == step.EndedError:
+	case s.lifecycle.ending && e.Ending == step.EndedError && !c.withheld(e):
 		out.Add(step.Deliver{ID: c.req.ID, Attempt: c.attempt})
 		s.finish(now, c, "target failed", out)
 	case s.lifecycle.ending:
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -232,7 +232,7 @@
 		}
 	}
 	switch {
-	case x.lastEnding == step.EndedComplete && x.runs > 0:
+	case x.lastEnding == step.EndedComplete && (x.streamStarted || x.buffered != nil && x.buffered.status < http.StatusBadRequest):
 		x.finish(step.Deliver{})
 	case x.runs > 0:
 		x.finish(step.Answer{Status: http.StatusGatewayTimeout, Code: step.CodeShuttingDown, Outcome: object.Unknown, Message: "this daemon is stopping, and the request may have run"})
