Connections whose body came too late are closed after the 408

Callers that stopped in the middle of a body got 408 with Connection: close, but the connection stayed open until they closed it themselves: the read deadline was taken away before the answer, and the HTTP server then waits, without one, for the rest of a body that is shorter than 256 KiB or chunked. Each held a connection and its goroutine.

The rest of a refused body is now read and dropped for 0.5 s. That also keeps the answer from being lost: a connection that is closed with unread bytes is reset.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -27,6 +27,8 @@
 	// writeGrace is how long after a request's deadline its answer may still be written to the
 	// caller.
 	writeGrace = time.Second
+	// discardTimeout bounds the reading of a refused body; the connection is closed after it.
+	discardTimeout = 500 * time.Millisecond
 )
 
 // serveCaller handles one request of a caller, from its body to the end of its answer.
@@ -128,9 +130,17 @@
 	}
 	x.w.Header().Set("Connection", "close")
 	x.sendError(a)
+	x.discardBody()
 	return false
 }
 
+// discardBody reads the rest of a body after its refusal: a connection that is closed with unread bytes is
+// reset, and the caller may lose the answer.
+func (x *exchange) discardBody() {
+	_ = x.control.SetReadDeadline(time.Now().Add(discardTimeout))
+	_, _ = io.Copy(io.Discard, x.r.Body) // an error means that the caller has left, or sends too long
+}
+
 // serve posts the request to the reducer and executes the effects for it. It returns once the
 // last attempt has ended, because attempts write to the caller.
 func (x *exchange) serve(call step.Call) {
