Bodies of all requests share a budget of memory

A body that finds no room is refused at once: 503, Retry-After, Connection: close, RS2017, rhubarbswitch_bodies_refused_total; nothing has run. A request that was handed over is refused with the code that daemons know as busy, so it goes to another one.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -226,7 +226,7 @@
 
 // bufferAnswer reads the complete answer and buffers it for the reducer to decide on.
 func (a *attempt) bufferAnswer(resp *http.Response) step.Ending {
-	held := &buffer{budget: a.exchange.daemon.buffers}
+	held := &buffer{budget: a.exchange.daemon.answers}
 	body, err := io.ReadAll(io.LimitReader(&budgetedReader{Reader: resp.Body, buffer: held}, maxAnswerBytes+1))
 	if err != nil {
 		held.release()
@@ -248,7 +248,7 @@
 func (a *attempt) relayStream(resp *http.Response) step.Ending {
 	a.startStallTimer(a.forward.EventGapTimeout)
 	in := bufio.NewReader(resp.Body)
-	held := &buffer{budget: a.exchange.daemon.buffers}
+	held := &buffer{budget: a.exchange.daemon.answers}
 	defer held.release()
 	var pending []byte
 	lineBegan := 0 // index in pending
@@ -295,7 +295,7 @@
 	case !a.started && !framed:
 		return step.EndedBroken
 	case !a.exchange.streamStarted:
-		a.exchange.hold(&bufferedAnswer{status: resp.StatusCode, header: resp.Header, held: &buffer{budget: a.exchange.daemon.buffers}})
+		a.exchange.hold(&bufferedAnswer{status: resp.StatusCode, header: resp.Header, held: &buffer{budget: a.exchange.daemon.answers}})
 	}
 	return step.EndedComplete
 }
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -93,7 +93,8 @@
 	isLeaseHolder atomic.Bool // this daemon orders the groups of engines
 	targets       *targets
 	notifier      *relay.Notifier
-	buffers       *bufferBudget
+	answers       *bufferBudget // memory of targets' answers that are held
+	bodies        *bufferBudget // memory of requests' bodies
 	idleConns     idleConns
 	background    sync.WaitGroup
 }
@@ -108,7 +109,7 @@
 	d := &Daemon{
 		settings: set, log: log, platform: p, incarnation: id.String(), clock: clock,
 		events: make(chan step.Event, eventQueueSize), reducerDone: make(chan struct{}),
-		targets: newTargets(clock), notifier: relay.NewNotifier(clock), buffers: newBufferBudget(set.MemoryMiB),
+		targets: newTargets(clock), notifier: relay.NewNotifier(clock), answers: newAnswerBudget(set.MemoryMiB), bodies: newBodyBudget(set.MemoryMiB),
 	}
 	d.state = core.New(core.Settings{
 		Daemon: set.Daemon, Incarnation: d.incarnation, DataCentre: set.DataCentre, Cores: set.Cores,
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -14,6 +14,7 @@
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/event"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/loop"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/object"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/relay"
 )
 
@@ -29,6 +30,8 @@
 	writeGrace = time.Second
 	// discardTimeout bounds the reading of a refused body; the connection is closed after it.
 	discardTimeout = 500 * time.Millisecond
+	// memoryRetryAfter is when a caller may send a request again whose body found no room.
+	memoryRetryAfter = time.Second
 )
 
 // serveCaller handles one request of a caller, from its body to the end of its answer.
@@ -46,6 +49,8 @@
 	if d.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	x.bodyMemory = &buffer{budget: d.bodies}
+	defer x.bodyMemory.release()
 	if !x.readBody(callHeader.TimeLeft) {
 		return
 	}
@@ -72,6 +77,8 @@
 	callerID  string         // the caller's own ID of the request
 	arrivedAt time.Duration  // when the header had been read
 	body      []byte
+	// bodyMemory is the memory of body.
+	bodyMemory *buffer
 
 	streamStarted   bool            // the header of a stream has been sent to the caller
 	eventsDelivered int             // events of a stream written to the caller
@@ -115,18 +122,27 @@
 		// Without a deadline, a caller that stops sending would occupy memory forever.
 		_ = x.control.SetReadDeadline(time.Now().Add(wait))
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
-	if x.r.ContentLength != 0 {
-		_ = x.control.SetReadDeadline(time.Time{})
+	var err error
+	if x.r.ContentLength > limit {
+		err = &http.MaxBytesError{Limit: limit}
+	} else {
+		x.body, err = x.bodyMemory.readWhole(http.MaxBytesReader(x.w, x.r.Body, limit), x.r.ContentLength)
 	}
-	x.body = body
 	if err == nil {
+		if x.r.ContentLength != 0 {
+			_ = x.control.SetReadDeadline(time.Time{})
+		}
 		return true
 	}
+	x.body = nil
+	x.bodyMemory.release()
 	a := step.Answer{Status: http.StatusRequestTimeout, Code: step.CodeBadRequest, Message: "the body did not arrive whole in time: send it again"}
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case errors.As(err, &tooLarge):
 		a.Status, a.Code, a.Message = http.StatusRequestEntityTooLarge, step.CodeTooLarge, "the body is larger than the configuration allows: shorten it"
+	case errors.Is(err, errBuffersFull):
+		a = x.refuseForMemory()
 	}
 	x.w.Header().Set("Connection", "close")
 	x.sendError(a)
@@ -141,6 +157,17 @@
 	_, _ = io.Copy(io.Discard, x.r.Body) // an error means that the caller has left, or sends too long
 }
 
+// refuseForMemory returns the answer to a request whose body finds no room. Another daemon may have some.
+func (x *exchange) refuseForMemory() step.Answer {
+	bodiesRefused.Inc()
+	x.daemon.logEvent(event.BodyRefused, event.F("request", x.callerID), event.F("length", x.r.ContentLength), event.F("handedOver", x.handedOver))
+	a := step.Answer{Status: http.StatusServiceUnavailable, Code: step.CodeOverloaded, Outcome: object.NotRun, RetryAfter: memoryRetryAfter, Message: "bodies of other requests take the memory that there is: come back"}
+	if x.handedOver {
+		a.Code = step.CodeDaemonBusy
+	}
+	return a
+}
+
 // serve posts the request to the reducer and executes the effects for it. It returns once the
 // last attempt has ended, because attempts write to the caller.
 func (x *exchange) serve(call step.Call) {
--- a/test/process/gateway_bodies_test.go
+++ b/test/process/gateway_bodies_test.go
@@ -1,11 +1,14 @@
 package process
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -35,6 +38,71 @@
 	return load.FrontedAnswer{Status: response.StatusCode, Header: response.Header, Body: string(answer), Complete: err == nil, Err: err}, nil
 }
 
+// TestLargeBodiesOfManyCallersStayWithinMemory guards against daemons that are killed since bodies of many callers fill their memory.
+func TestLargeBodiesOfManyCallersStayWithinMemory(t *testing.T) {
+	const memoryMiB, callers, rounds = 128, 75, 3
+	f := newGatewayClusterWith(t, 1, map[string]any{"memoryMiB": memoryMiB})
+	d := f.daemons[0]
+	waitUntil(t, "requests are served", func() bool {
+		return d.request(http.MethodPost, "/write/1", fmt.Sprintf("warm-%d", time.Now().UnixNano()), nil).Status == http.StatusOK
+	})
+	var mu sync.Mutex
+	answers := make(map[string]load.FrontedAnswer)
+	var wg sync.WaitGroup
+	for i := range callers {
+		wg.Go(func() {
+			caller := load.NewFrontedCaller()
+			defer caller.Close()
+			chunks := &http.Client{Transport: &http.Transport{}}
+			defer chunks.CloseIdleConnections()
+			for round := range rounds {
+				id := fmt.Sprintf("large-%d-%d", i, round)
+				send := func(id, body string) load.FrontedAnswer {
+					return caller.Send(context.Background(), d.callersAddress, load.FrontedCall{
+						Method: http.MethodPost, Host: site.Host, Path: "/write/1", Body: body,
+						Header: map[string]string{"X-Request-Id": id, "X-Credential": site.Key, "X-Deadline-Ms": "8000"},
+					})
+				}
+				send("small-"+id, "a body") // opens the connection that is kept
+				var a load.FrontedAnswer
+				if i%3 == 0 {
+					var err error
+					a, err = d.sendChunked(chunks, id, largeBody)
+					require.NoError(t, err)
+				} else {
+					a = send(id, largeBody)
+				}
+				mu.Lock()
+				answers[id] = a
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	if !raceEnabled { // the race detector multiplies the memory of a process
+		require.Less(t, d.peakMemoryMiB(), memoryMiB)
+	}
+	ran := make(map[string]bool)
+	for _, r := range f.site.Runs() {
+		ran[r.Request] = true
+	}
+	served := 0
+	for id, a := range answers {
+		require.True(t, a.Complete, "%s: no answer: %v", id, a.Err)
+		if a.Status == http.StatusOK {
+			served++
+			continue
+		}
+		require.Equal(t, http.StatusServiceUnavailable, a.Status, "%s: %s", id, a.Body)
+		require.NotEmpty(t, a.Header.Get("Retry-After"), id)
+		require.False(t, ran[id], id)
+	}
+	require.Len(t, answers, callers*rounds)
+	require.Positive(t, served)
+	t.Logf("%d of %d served, %d MiB", served, len(answers), d.peakMemoryMiB())
+	require.Equal(t, http.StatusOK, d.requestWithBody(http.MethodPost, "/write/1", "after", largeBody, nil).Status, "all memory is given back")
+}
+
 // TestBodiesThatAreTooLargeOrLate guards against callers who lose the answer to a body that is not read to its end.
 func TestBodiesThatAreTooLargeOrLate(t *testing.T) {
 	f := newGatewayCluster(t, 1)
@@ -58,3 +126,54 @@
 		require.Contains(t, string(answer), "HTTP/1.1 408")
 	}
 }
+
+// TestBodiesWithoutRoomAreHandedOverElsewhere guards against callers who are refused since the daemon that takes over their request has no memory left.
+func TestBodiesWithoutRoomAreHandedOverElsewhere(t *testing.T) {
+	f := newCutOffCluster(t, 1)
+	start := func(i int, settings map[string]any) *gatewayDaemon {
+		f.extraSettings = settings
+		d := f.startDaemon(i)
+		waitUntil(t, d.name+" serves", func() bool {
+			return d.readyStatus() == http.StatusOK && d.request(http.MethodPost, "/write/1", fmt.Sprintf("warm-%d", time.Now().UnixNano()), nil).Status == http.StatusOK
+		})
+		return d
+	}
+	full := start(1, map[string]any{"links": freeAddress(t), "memoryMiB": 32})
+	f.cut()
+	other := start(2, map[string]any{"links": freeAddress(t)})
+	waitUntil(t, "both take requests", func() bool {
+		f.daemons[0].request(http.MethodPost, "/write/1", fmt.Sprintf("probe-%d", time.Now().UnixNano()), nil)
+		return full.metric("rhubarbswitch_taken_over_total") > 0 && other.metric("rhubarbswitch_taken_over_total") > 0
+	})
+	waitUntil(t, "it refuses large bodies", func() bool {
+		c, err := net.Dial("tcp", full.callersAddress) // two of these take all that it has for large bodies
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = c.Close() })
+		id := fmt.Sprintf("%d", time.Now().UnixNano())
+		_, err = fmt.Fprintf(c, "POST /write/1 HTTP/1.1\r\nHost: %s\r\nX-Request-Id: held-%s\r\nX-Credential: %s\r\nContent-Length: %d\r\n\r\n", site.Host, id, site.Key, len(largeBody))
+		require.NoError(t, err)
+		return full.requestWithBody(http.MethodPost, "/write/1", "refused-"+id, largeBody, nil).Status == http.StatusServiceUnavailable
+	})
+	refused := full.metric("rhubarbswitch_bodies_refused_total")
+	for i := range 12 {
+		a := f.daemons[0].requestWithBody(http.MethodPost, "/write/1", fmt.Sprintf("large-%d", i), largeBody, nil)
+		require.Equal(t, http.StatusOK, a.Status, a.Body)
+	}
+	require.Greater(t, full.metric("rhubarbswitch_bodies_refused_total"), refused, "it was asked")
+}
+
+// metric returns the value of a counter.
+func (d *gatewayDaemon) metric(name string) (value float64) {
+	resp, err := http.Get("http://" + d.readyAddress + "/metrics")
+	require.NoError(d.t, err)
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	require.NoError(d.t, err)
+	for line := range strings.Lines(string(text)) {
+		if rest, ok := strings.CutPrefix(line, name+" "); ok {
+			value, err = strconv.ParseFloat(strings.TrimSpace(rest), 64)
+			require.NoError(d.t, err)
+		}
+	}
+	return value
+}
