Small answers to many slow callers stay within the memory setting

The first 64 KiB of each answer were free: 4,000 connections whose callers read slowly, with answers of 64 KiB, could hold 250 MiB of 284. Found by reading; no run of the daemon with that many connections was made.

Answers, as bodies, of up to 64 KiB now have a tenth of memoryMiB of their own; a larger one is counted as large from its first byte, so that large ones never take the room of small ones. Once half of that tenth is taken, new requests are refused as for bodies (RS2017, rhubarbswitch_refused_for_memory_total), before answers that have run are dropped. Answers of known length are read into one buffer of that length instead of a growing one. The memory is given back when the request ends, whatever came: a failure that was held before a stream began kept its part for good, and so could an attempt that outlived its request.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -27,7 +27,7 @@
 	RequestHandedOver      ID = 2014
 	HandoverRefused        ID = 2015
 	RequestAborted         ID = 2016
-	BodyRefused            ID = 2017
+	RefusedForMemory       ID = 2017
 	ClaimOwnerUnresponsive ID = 3001
 	ClaimUnreachable       ID = 3002
 	GroupFormed            ID = 4001
@@ -111,7 +111,7 @@
 	{RequestHandedOver, slog.LevelInfo, "request handed over to another daemon: this one reaches no target", "See RS8006 of this daemon."},
 	{HandoverRefused, slog.LevelInfo, "another daemon did not take a request", ""},
 	{RequestAborted, slog.LevelWarn, "connection closed without a complete answer to a request", "See the reason; a stream that has begun and can't go on is closed so. Report any other."},
-	{BodyRefused, slog.LevelWarn, "request refused: bodies of other requests hold the memory that there is for them", "If frequent, give the gateway more memory (memoryMiB) or lower the limit for bodies in the configuration."},
+	{RefusedForMemory, slog.LevelWarn, "request refused: bodies or answers of other requests hold the memory that there is for them", "If frequent, give the gateway more memory (memoryMiB) or lower the limit for bodies in the configuration."},
 	{ClaimOwnerUnresponsive, slog.LevelInfo, "daemon asked to write a claim did not answer; claim is written here", ""},
 	{ClaimUnreachable, slog.LevelWarn, "call refused: its claim could not be written", "Check the platform; callers retry with the same key."},
 	{GroupFormed, slog.LevelInfo, "group assigned to hosts", ""},
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -227,7 +227,14 @@
 // bufferAnswer reads the complete answer and buffers it for the reducer to decide on.
 func (a *attempt) bufferAnswer(resp *http.Response) step.Ending {
 	held := &buffer{budget: a.exchange.daemon.answers}
-	body, err := io.ReadAll(io.LimitReader(&budgetedReader{Reader: resp.Body, buffer: held}, maxAnswerBytes+1))
+	length := resp.ContentLength
+	switch {
+	case resp.Body == http.NoBody:
+		length = 0 // its Content-Length may be that of another method's answer
+	case length > maxAnswerBytes:
+		return step.EndedBroken
+	}
+	body, err := held.readWhole(io.LimitReader(resp.Body, maxAnswerBytes+1), length)
 	if err != nil {
 		held.release()
 		return a.classifyError(err)
--- a/internal/gateway/buffer.go
+++ b/internal/gateway/buffer.go
@@ -2,49 +2,54 @@
 
 import (
 	"io"
-	"math"
 	"sync/atomic"
 
 	"github.com/go-faster/errors"
 )
 
 const (
-	// smallBytes of each answer and each body are counted apart from the rest, so that a few large ones
-	// that never end leave small ones room.
+	// smallBytes is the size of an answer or body up to which it is counted as small. Small ones and large
+	// ones have memory of their own, so that large ones that never end leave small ones room.
 	smallBytes = 64 << 10
-	// largeAnswerShare and largeBodyShare are the fractions of the memory setting for all that answers and
-	// bodies hold beyond their first smallBytes.
+	// largeAnswerShare and largeBodyShare are the fractions of the memory setting for all large answers,
+	// and all large bodies.
 	largeAnswerShare = 0.2
 	largeBodyShare   = 0.25
-	// smallBodyShare is the fraction of the memory setting for the first smallBytes of all bodies.
-	smallBodyShare = 0.1
+	// smallShare is the fraction of the memory setting for all small answers, and for all small bodies.
+	smallShare = 0.1
 	// bufferGrowth is how much memory a growing buffer takes for each byte that it holds, until the
 	// copies that it has outgrown are collected.
 	bufferGrowth = 3
 )
 
-var errBuffersFull = errors.New("answers or bodies hold too much memory: answer treated as broken, or request refused")
+var (
+	errBuffersFull = errors.New("bodies or answers hold too much memory: request refused, or answer treated as broken")
+	errAnswersFull = errors.New("answers to slow callers hold too much memory: request refused")
+)
 
 // bufferBudget is the memory for all answers, or for all bodies. It is safe for concurrent use.
 type bufferBudget struct {
-	small atomic.Int64 // left for the first smallBytes of each
-	large atomic.Int64 // left for the rest of each
+	small atomic.Int64 // left for small ones
+	large atomic.Int64 // left for large ones
+	// smallTotal is small of an unused budget.
+	smallTotal int64
 }
 
-func newBufferBudget(smallBytesOfAll, largeBytesOfAll int64) *bufferBudget {
-	b := &bufferBudget{}
-	b.small.Store(smallBytesOfAll)
-	b.large.Store(largeBytesOfAll)
+func newBufferBudget(memoryMiB int, largeShare float64) *bufferBudget {
+	b := &bufferBudget{smallTotal: shareOf(memoryMiB, smallShare)}
+	b.small.Store(b.smallTotal)
+	b.large.Store(shareOf(memoryMiB, largeShare))
 	return b
 }
 
 func newAnswerBudget(memoryMiB int) *bufferBudget {
-	return newBufferBudget(math.MaxInt64, shareOf(memoryMiB, largeAnswerShare))
+	return newBufferBudget(memoryMiB, largeAnswerShare)
 }
 
-func newBodyBudget(memoryMiB int) *bufferBudget {
-	return newBufferBudget(shareOf(memoryMiB, smallBodyShare), shareOf(memoryMiB, largeBodyShare))
-}
+func newBodyBudget(memoryMiB int) *bufferBudget { return newBufferBudget(memoryMiB, largeBodyShare) }
+
+// nearlyFull reports whether small answers hold so much that those of requests under way may need the rest.
+func (b *bufferBudget) nearlyFull() bool { return b.small.Load() < b.smallTotal/2 }
 
 func shareOf(memoryMiB int, share float64) int64 {
 	return int64(share * float64(memoryMiB) * (1 << 20))
@@ -53,7 +58,7 @@
 // buffer is the memory that one answer or body holds.
 type buffer struct {
 	budget       *bufferBudget
-	small, large int64 // taken from the budget
+	small, large int64 // taken from the budget; one of them is 0
 }
 
 // grow makes room for a buffer that is filled piece by piece and has n bytes. It fails with errBuffersFull.
@@ -61,17 +66,20 @@
 
 // reserve makes room for n bytes that take copies times their size. It fails with errBuffersFull.
 func (b *buffer) reserve(n, copies int64) error {
-	small := max(0, min(n, smallBytes)*copies-b.small)
-	large := max(0, (n-smallBytes)*copies-b.large)
-	if !take(&b.budget.small, small) {
-		return errBuffersFull
+	from, taken := &b.budget.small, &b.small
+	isLarge := n > smallBytes || b.large > 0
+	if isLarge {
+		from, taken = &b.budget.large, &b.large
 	}
-	if !take(&b.budget.large, large) {
-		b.budget.small.Add(small)
+	need := max(0, n*copies-*taken)
+	if !take(from, need) {
 		return errBuffersFull
 	}
-	b.small += small
-	b.large += large
+	*taken += need
+	if isLarge {
+		b.budget.small.Add(b.small)
+		b.small = 0
+	}
 	return nil
 }
 
@@ -86,7 +94,7 @@
 
 // settle gives back what was needed for growing beyond the n bytes that the whole takes.
 func (b *buffer) settle(n int64) {
-	small, large := min(b.small, n, smallBytes), max(0, min(b.large, n-smallBytes))
+	small, large := min(b.small, n), min(b.large, n)
 	b.budget.small.Add(b.small - small)
 	b.budget.large.Add(b.large - large)
 	b.small, b.large = small, large
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -30,7 +31,7 @@
 	writeGrace = time.Second
 	// discardTimeout bounds the reading of a refused body; the connection is closed after it.
 	discardTimeout = 500 * time.Millisecond
-	// memoryRetryAfter is when a caller may send a request again whose body found no room.
+	// memoryRetryAfter is when a caller may send a request again that found no room.
 	memoryRetryAfter = time.Second
 )
 
@@ -50,7 +51,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	x.bodyMemory = &buffer{budget: d.bodies}
-	defer x.bodyMemory.release()
+	defer x.giveMemoryBack()
 	if !x.readBody(callHeader.TimeLeft) {
 		return
 	}
@@ -84,6 +85,8 @@
 	eventsDelivered int             // events of a stream written to the caller
 	lastEventID     string          // of the last event written, for a resumed stream
 	buffered        *bufferedAnswer // nil before a complete answer has arrived
+	holdMu          sync.Mutex      // guards the change of buffered and ended
+	ended           bool            // the handler is about to return
 
 	handedOver    bool   // another daemon has handed the request over
 	runs          int    // ended attempts that may have run
@@ -99,12 +102,27 @@
 	held   *buffer // the memory of body
 }
 
-// hold keeps an answer in place of an earlier one; nil keeps none.
+// hold keeps an answer in place of an earlier one; nil keeps none. Once the exchange has ended it keeps none.
 func (x *exchange) hold(a *bufferedAnswer) {
+	x.holdMu.Lock()
+	defer x.holdMu.Unlock()
 	if x.buffered != nil {
 		x.buffered.held.release()
 	}
 	x.buffered = a
+	if x.ended && a != nil {
+		a.held.release()
+		x.buffered = nil
+	}
+}
+
+// giveMemoryBack ends the exchange. An attempt may still be about to end.
+func (x *exchange) giveMemoryBack() {
+	x.holdMu.Lock()
+	x.ended = true
+	x.holdMu.Unlock()
+	x.hold(nil)
+	x.bodyMemory.release()
 }
 
 // readBody reads the request's body. If that fails, it sends an error answer and returns
@@ -123,9 +141,12 @@
 		_ = x.control.SetReadDeadline(time.Now().Add(wait))
 	}
 	var err error
-	if x.r.ContentLength > limit {
+	switch {
+	case x.r.ContentLength > limit:
 		err = &http.MaxBytesError{Limit: limit}
-	} else {
+	case x.daemon.answers.nearlyFull():
+		err = errAnswersFull
+	default:
 		x.body, err = x.bodyMemory.readWhole(http.MaxBytesReader(x.w, x.r.Body, limit), x.r.ContentLength)
 	}
 	if err == nil {
@@ -141,8 +162,8 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		a.Status, a.Code, a.Message = http.StatusRequestEntityTooLarge, step.CodeTooLarge, "the body is larger than the configuration allows: shorten it"
-	case errors.Is(err, errBuffersFull):
-		a = x.refuseForMemory()
+	case errors.Is(err, errBuffersFull), errors.Is(err, errAnswersFull):
+		a = x.refuseForMemory(err)
 	}
 	x.w.Header().Set("Connection", "close")
 	x.sendError(a)
@@ -157,11 +178,11 @@
 	_, _ = io.Copy(io.Discard, x.r.Body) // an error means that the caller has left, or sends too long
 }
 
-// refuseForMemory returns the answer to a request whose body finds no room. Another daemon may have some.
-func (x *exchange) refuseForMemory() step.Answer {
-	bodiesRefused.Inc()
-	x.daemon.logEvent(event.BodyRefused, event.F("request", x.callerID), event.F("length", x.r.ContentLength), event.F("handedOver", x.handedOver))
-	a := step.Answer{Status: http.StatusServiceUnavailable, Code: step.CodeOverloaded, Outcome: object.NotRun, RetryAfter: memoryRetryAfter, Message: "bodies of other requests take the memory that there is: come back"}
+// refuseForMemory returns the answer to a request that finds no room. Another daemon may have some.
+func (x *exchange) refuseForMemory(reason error) step.Answer {
+	refusedForMemory.Inc()
+	x.daemon.logEvent(event.RefusedForMemory, event.F("request", x.callerID), event.F("reason", reason), event.F("length", x.r.ContentLength), event.F("handedOver", x.handedOver))
+	a := step.Answer{Status: http.StatusServiceUnavailable, Code: step.CodeOverloaded, Outcome: object.NotRun, RetryAfter: memoryRetryAfter, Message: "other requests take the memory that there is: come back"}
 	if x.handedOver {
 		a.Code = step.CodeDaemonBusy
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -22,8 +22,8 @@
 	cutServices = metrics.NewGauge("rhubarbswitch_cut_services", nil)
 	// takenOver counts requests that other daemons have handed over to this one.
 	takenOver = metrics.NewCounter("rhubarbswitch_taken_over_total")
-	// bodiesRefused counts requests that were refused since their bodies found no room.
-	bodiesRefused = metrics.NewCounter("rhubarbswitch_bodies_refused_total")
+	// refusedForMemory counts requests that were refused since bodies or answers of others hold the memory.
+	refusedForMemory = metrics.NewCounter("rhubarbswitch_refused_for_memory_total")
 )
 
 // countAttemptEnd counts the end of an attempt by how it ended.
--- a/test/process/gateway_bodies_test.go
+++ b/test/process/gateway_bodies_test.go
@@ -154,12 +154,12 @@
 		require.NoError(t, err)
 		return full.requestWithBody(http.MethodPost, "/write/1", "refused-"+id, largeBody, nil).Status == http.StatusServiceUnavailable
 	})
-	refused := full.metric("rhubarbswitch_bodies_refused_total")
+	refused := full.metric("rhubarbswitch_refused_for_memory_total")
 	for i := range 12 {
 		a := f.daemons[0].requestWithBody(http.MethodPost, "/write/1", fmt.Sprintf("large-%d", i), largeBody, nil)
 		require.Equal(t, http.StatusOK, a.Status, a.Body)
 	}
-	require.Greater(t, full.metric("rhubarbswitch_bodies_refused_total"), refused, "it was asked")
+	require.Greater(t, full.metric("rhubarbswitch_refused_for_memory_total"), refused, "it was asked")
 }
 
 // metric returns the value of a counter.
