Requests that are handed over run by no older configuration

The hand-over named no version, so only a refusal (401, 404) showed that the other configuration was older.

The hop now names the version of the configuration by which the request was admitted. A daemon with an older one refuses with the code outdated before it looks at routes or keys: not run, ask elsewhere. One with a newer one takes it by its own.

--- a/internal/core/gateway/calls.go
+++ b/internal/core/gateway/calls.go
@@ -56,6 +56,7 @@
 type call struct {
 	req       step.Call
 	route     *site.Route
+	version   int64 // of the configuration by which it was admitted
 	service   string
 	team      string // empty if the caller's key belongs to none
 	urgency   int    // 0 is most urgent
@@ -127,6 +128,11 @@
 			Message: "this daemon is stopping: send the request again, over another connection",
 		}
 	}
+	if c.req.ConfigVersion > s.config.Version {
+		a := outdatedAnswer
+		return &a
+	}
+	c.version = s.config.Version
 	c.route = s.config.Match(c.req.Host, c.req.Path)
 	if c.route == nil {
 		return &step.Answer{Status: 404, Code: step.CodeNotFound, Message: "no route leads there: check the host name and the path"}
--- a/internal/core/gateway/handover.go
+++ b/internal/core/gateway/handover.go
@@ -55,7 +55,7 @@
 	c.beginAttempt(now)
 	c.daemon = d.Name
 	f := step.Forward{
-		ID: c.req.ID, Attempt: c.attempt, Daemon: d.Name, Address: d.Address, Service: c.service, MaxRuns: c.maxRuns - c.ranAttempts, Counted: c.counted,
+		ID: c.req.ID, Attempt: c.attempt, Daemon: d.Name, Address: d.Address, Service: c.service, MaxRuns: c.maxRuns - c.ranAttempts, Counted: c.counted, ConfigVersion: c.version,
 		Deadline: c.deadline, Stream: c.route.Kind == site.Stream, MayRepeat: c.route.MayRepeat(),
 	}
 	out.Log(event.RequestHandedOver, event.F("request", c.req.CallerID), event.F("attempt", c.attempt), event.F("route", c.route.Name),
@@ -81,6 +81,10 @@
 // cutOffAnswer refuses a request that was handed over to a daemon that reaches no target either.
 var cutOffAnswer = step.Answer{Status: 503, Code: step.CodeCutOff, RetryAfter: defaultRetryAfter, Message: "this daemon reaches no target either"}
 
+// outdatedAnswer refuses a request that was admitted by a newer configuration than this daemon has: it might
+// run where that does not allow it.
+var outdatedAnswer = step.Answer{Status: 503, Code: step.CodeOutdated, RetryAfter: otherDaemonRetryAfter, Message: "this daemon has an older configuration"}
+
 // usesOldConnections reports whether a request may still be sent to a host although no new connection
 // can be opened: hosts have answered lately over those that were open before.
 func (s *State) usesOldConnections(now time.Duration, c *call) bool {
@@ -119,7 +123,7 @@
 		return handover.Busy, true
 	case step.CodeShuttingDown:
 		return handover.Leaving, true
-	case step.CodeNoPlatform, step.CodeNotFound, step.CodeUnauthorized, step.CodeTooLarge, step.CodeBadRequest:
+	case step.CodeOutdated, step.CodeNoPlatform, step.CodeNotFound, step.CodeUnauthorized, step.CodeTooLarge, step.CodeBadRequest:
 		return handover.Outdated, true // this daemon has admitted the request
 	}
 	return 0, false
--- a/internal/core/gateway/handover_property_test.go
+++ b/internal/core/gateway/handover_property_test.go
@@ -53,6 +53,7 @@
 	at        time.Duration
 	daemon    *linkDaemon
 	cutFor    time.Duration // how long the daemon had been cut off when it came; zero if it was not
+	version   int64         // of the configuration that the daemon had
 	runs      int
 	answer    *step.Answer // an error answer; nil for any other
 	ended     bool
@@ -183,6 +184,7 @@
 		return
 	}
 	w.original(f.ID).runs++
+	require.GreaterOrEqual(w.rt, d.s.Config().Version, w.original(f.ID).version, "%s runs by an older configuration", f.ID)
 	w.after(20*time.Millisecond, 300*time.Millisecond, func() {
 		switch {
 		case d.links == linksSilent:
@@ -246,7 +248,7 @@
 	if path == "/chat/1" {
 		call.Model, call.PromptTokens = "m", 100
 	}
-	r := &linkRequest{path: path, at: w.now, daemon: d}
+	r := &linkRequest{path: path, at: w.now, daemon: d, version: d.s.Config().Version}
 	if d.links != linksSound {
 		r.cutFor = w.now - d.since
 	}
@@ -293,14 +295,16 @@
 	}
 }
 
-// TestHandedOverRequestsRunAtMostOnce cuts off daemons from hosts and from each other at any moment.
-// Requests must run at most as often as allowed, and the callers of daemons that are cut off must be served
+// TestHandedOverRequestsRunAtMostOnce cuts off daemons from hosts and from each other at any moment, while
+// configurations reach some of them only. Requests must run at most as often as allowed and by no older
+// configuration than their caller's daemon had, and the callers of daemons that are cut off must be served
 // as long as one daemon reaches the hosts.
 func TestHandedOverRequestsRunAtMostOnce(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		n := rapid.IntRange(2, 6).Draw(rt, "daemons")
 		w := newLinkWorld(rt, t, n)
 		isolations := rapid.Bool().Draw(rt, "isolations")
+		newVersion, version := rapid.Bool().Draw(rt, "configurations"), int64(1)
 		w.refusing = isolations
 		for range rapid.IntRange(1, 4).Draw(rt, "changes") {
 			for _, d := range w.daemons[1:] { // one stays sound
@@ -311,6 +315,15 @@
 					d.isolated = !d.isolated
 				}
 			}
+			if newVersion && rapid.Bool().Draw(rt, "configuration") {
+				version++
+				for i, d := range w.daemons {
+					if i == 0 || rapid.Bool().Draw(rt, "has it") {
+						d.now = w.now
+						d.configure(version)
+					}
+				}
+			}
 			for range rapid.IntRange(5, 40).Draw(rt, "requests") {
 				w.send(w.daemons[rapid.IntRange(0, n-1).Draw(rt, "to")])
 				w.run(time.Duration(rapid.IntRange(0, 30).Draw(rt, "pause")) * 10 * time.Millisecond)
--- a/internal/core/gateway/paths_test.go
+++ b/internal/core/gateway/paths_test.go
@@ -7,8 +7,10 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/handover"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/site"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/object"
 )
 
 // cutOff returns a harness with two other daemons, and hosts none of which accepts connections.
@@ -179,3 +181,47 @@
 	_, effects = x.call("/once/1", "key")
 	require.False(t, x.requireForward(effects).Counted)
 }
+
+// handedOver is a request that another daemon hands over.
+func (x *harness) handedOver(path string, version int64) []step.Effect {
+	id := step.RequestID(fmt.Sprintf("h%d", x.now))
+	x.now++
+	return x.reduce(step.Call{ID: id, CallerID: string(id), Host: "h", Path: path, Key: "key", HandedOver: true, MaxRuns: 1, ConfigVersion: version})
+}
+
+// TestHandedOverRequestIsNotRunByAnOlderConfiguration guards against requests that run by routes that operators have changed.
+func TestHandedOverRequestIsNotRunByAnOlderConfiguration(t *testing.T) {
+	x := started(t)
+	x.configure(7)
+	for _, path := range []string{"/once/1", "/chat/1", "/a/route/that/came/later/", "/read/open/1"} {
+		a, ok := x.handedOver(path, 8)[0].(step.Answer)
+		require.True(t, ok, path)
+		require.Equal(t, object.NotRun, a.Outcome)
+		why, elsewhere := refusalOf(a.Code)
+		require.True(t, elsewhere)
+		require.Equal(t, handover.Outdated, why)
+	}
+	for _, version := range []int64{0, 6, 7} { // 0: of a release that names none
+		x.requireForward(x.handedOver("/once/1", version))
+	}
+	x.configure(8)
+	x.requireForward(x.handedOver("/once/1", 8))
+}
+
+// TestHandoverNamesTheConfiguration guards against daemons that can't know by which configuration a request was admitted.
+func TestHandoverNamesTheConfiguration(t *testing.T) {
+	x := cutOff(t)
+	x.configure(7)
+	_, effects := x.call("/once/1", "key")
+	last, _ := x.failUntilHandedOver(effects, step.EndedUnsent)
+	f := last.(step.Forward)
+	require.EqualValues(t, 7, f.ConfigVersion)
+	first := f.Daemon
+	effects = x.reduce(step.ForwardEnded{
+		AttemptEnded: step.AttemptEnded{ID: f.ID, Attempt: f.Attempt, Ending: step.EndedRefused},
+		Handover:     &step.HandoverResult{Answer: &step.Answer{Status: 503, Code: step.CodeOutdated, Outcome: object.NotRun}},
+	})
+	f = x.requireForward(effects)
+	require.NotEmpty(t, f.Daemon)
+	require.NotEqual(t, first, f.Daemon, "another one is asked")
+}
--- a/internal/core/step/effect.go
+++ b/internal/core/step/effect.go
@@ -76,6 +76,7 @@
 	CodeOutOfService  Code = "out_of_service"
 	CodeCutOff        Code = "cut_off"     // the daemon reaches no target
 	CodeDaemonBusy    Code = "daemon_busy" // the daemon has as many requests of others as it may have
+	CodeOutdated      Code = "outdated"    // the daemon has an older configuration than the one that asks it
 	CodeIsolated      Code = "isolated"    // the daemon is cut off from the platform and its peers
 	CodeInternalError Code = "internal"
 )
--- a/internal/core/step/gateway.go
+++ b/internal/core/step/gateway.go
@@ -35,6 +35,8 @@
 	MaxRuns    int
 	// Counted is set if the daemon that hands it over has counted it for its retry budget.
 	Counted bool
+	// ConfigVersion is the version of the configuration by which that daemon admitted it; 0 if it named none.
+	ConfigVersion int64
 }
 
 // Forward starts one attempt of an admitted Call. ForwardEnded reports its end.
@@ -48,10 +50,12 @@
 	// Daemon is the daemon that the request is handed over to, at Address; empty if it is sent to a
 	// host. MaxRuns is how many attempts that daemon may let run.
 	// Counted is set if the request counts for this daemon's retry budget, and so not for the other's.
-	Daemon  string
-	MaxRuns int
-	Counted bool
-	Team    string
+	// ConfigVersion is the version of the configuration by which this daemon admitted it.
+	Daemon        string
+	MaxRuns       int
+	Counted       bool
+	ConfigVersion int64
+	Team          string
 	// Urgency ranks the request in the target's queue; 0 is served first.
 	Urgency  int
 	Deadline time.Duration // monotonic; the attempt ends with EndedTimeout here
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -13,7 +13,7 @@
 )
 
 // A request that is handed over reaches the other daemon's links as the caller sent it, its key
-// included, with the headers headerMaxRuns and headerCounted. The answer has the headers below in addition.
+// included, with the headers headerMaxRuns, headerCounted and headerConfigVersion. The answer has the headers below in addition.
 const (
 	// HandoverPrefix begins the names of all these headers. Neither callers nor targets may set them.
 	HandoverPrefix = "Rhubarbswitch-Handover-"
@@ -21,6 +21,9 @@
 	headerMaxRuns = HandoverPrefix + "Max-Runs"
 	// headerCounted is set if the request counts for the retry budget of the daemon that hands it over.
 	headerCounted = HandoverPrefix + "Counted"
+	// headerConfigVersion is the version of the configuration by which the request was admitted. Releases
+	// without it neither send nor read it.
+	headerConfigVersion = HandoverPrefix + "Config-Version"
 	// headerRuns is how many have run by the time of the answer, or may have.
 	headerRuns = HandoverPrefix + "Runs"
 	// headerHost is the host that gave the answer; missing if it is the daemon's own.
@@ -37,6 +40,8 @@
 	MaxRuns int
 	// Counted is set if the request counts for the retry budget of the daemon that hands it over.
 	Counted bool
+	// ConfigVersion is the version of the configuration by which that daemon admitted it; 0 if it names none.
+	ConfigVersion int64
 }
 
 // ReadHandover reads what a daemon says of a request. It fails if the request is not one that is handed
@@ -46,7 +51,13 @@
 	if err != nil {
 		return Handover{}, errors.Wrap(err, "read the attempts that may run")
 	}
-	return Handover{MaxRuns: runs, Counted: h.Get(headerCounted) != ""}, nil
+	o := Handover{MaxRuns: runs, Counted: h.Get(headerCounted) != ""}
+	if version := h.Get(headerConfigVersion); version != "" {
+		if o.ConfigVersion, err = strconv.ParseInt(version, 10, 64); err != nil {
+			return Handover{}, errors.Wrap(err, "read the version of the configuration")
+		}
+	}
+	return o, nil
 }
 
 // Set marks a request as handed over.
@@ -55,6 +66,9 @@
 	if o.Counted {
 		h.Set(headerCounted, "1")
 	}
+	if o.ConfigVersion > 0 {
+		h.Set(headerConfigVersion, strconv.FormatInt(o.ConfigVersion, 10))
+	}
 }
 
 // HandoverAnswer is what a daemon says of its answer to a request that was handed over.
--- /dev/null
+++ b/internal/relay/handover_test.go
@@ -0,0 +1,30 @@
+package relay
+
+import (
+	"math"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestHandoverHeadersKeepWhatTheySay guards against hand-overs that lose the version by which a request was admitted.
+func TestHandoverHeadersKeepWhatTheySay(t *testing.T) {
+	for _, o := range []Handover{{}, {MaxRuns: 2, Counted: true, ConfigVersion: 8}, {MaxRuns: 1, ConfigVersion: math.MaxInt64}} {
+		h := http.Header{}
+		o.Set(h)
+		for name := range h {
+			require.True(t, IsHandoverHeader(name), name)
+		}
+		read, err := ReadHandover(h)
+		require.NoError(t, err)
+		require.Equal(t, o, read)
+	}
+	_, err := ReadHandover(http.Header{})
+	require.Error(t, err)
+	_, err = ReadHandover(http.Header{headerMaxRuns: {"1"}, headerConfigVersion: {"new"}})
+	require.Error(t, err, "what can't be read is not taken")
+	read, err := ReadHandover(http.Header{headerMaxRuns: {"1"}})
+	require.NoError(t, err)
+	require.Zero(t, read.ConfigVersion, "of a release that names none")
+}
