--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -158,7 +158,7 @@
 	timeLeft := a.forward.Deadline - a.exchange.daemon.clock()
 	if a.forward.Daemon != "" {
 		a.exchange.daemon.platform.ToDaemon(h, timeLeft)
-		relay.Handover{MaxRuns: a.forward.MaxRuns, Counted: a.forward.Counted}.Set(h)
+		relay.Handover{MaxRuns: a.forward.MaxRuns, Counted: a.forward.Counted, ConfigVersion: a.forward.ConfigVersion}.Set(h)
 	} else {
 		a.exchange.daemon.platform.ToTarget(h, AttemptHeader{Host: a.forward.Host, Team: a.forward.Team, Urgency: a.forward.Urgency, TimeLeft: timeLeft, LastEventID: a.exchange.lastEventID})
 	}
@@ -238,8 +238,15 @@
 
 // bufferAnswer reads the complete answer and buffers it for the reducer to decide on.
 func (a *attempt) bufferAnswer(resp *http.Response) step.Ending {
-	held := &buffer{budget: a.exchange.daemon.buffers}
-	body, err := io.ReadAll(io.LimitReader(&budgetedReader{Reader: resp.Body, buffer: held}, maxAnswerBytes+1))
+	held := &buffer{budget: a.exchange.daemon.answers}
+	length := resp.ContentLength
+	switch {
+	case resp.Body == http.NoBody:
+		length = 0 // its Content-Length may be that of another method's answer
+	case length > maxAnswerBytes:
+		return step.EndedBroken
+	}
+	body, err := held.readWhole(io.LimitReader(resp.Body, maxAnswerBytes+1), length)
 	if err != nil {
 		held.release()
 		return a.classifyError(err)
--- a/internal/gateway/buffer.go
+++ b/internal/gateway/buffer.go
@@ -8,54 +8,118 @@
 )
 
 const (
-	// unbudgetedBytes are free for each answer, so that a few that never end leave small ones room.
-	unbudgetedBytes = 64 << 10
-	// bufferShare is the fraction of the memory setting for all that answers hold beyond that.
-	bufferShare = 0.2
+	// smallBytes is the size of an answer or body up to which it is counted as small. Small ones and large
+	// ones have memory of their own, so that large ones that never end leave small ones room.
+	smallBytes = 64 << 10
+	// largeAnswerShare and largeBodyShare are the fractions of the memory setting for all large answers,
+	// and all large bodies.
+	largeAnswerShare = 0.2
+	largeBodyShare   = 0.25
+	// smallShare is the fraction of the memory setting for all small answers, and for all small bodies.
+	smallShare = 0.1
 	// bufferGrowth is how much memory a growing buffer takes for each byte that it holds, until the
 	// copies that it has outgrown are collected.
 	bufferGrowth = 3
 )
 
-var errBuffersFull = errors.New("answers hold too much memory: answer treated as broken")
+var (
+	errBuffersFull = errors.New("bodies or answers hold too much memory: request refused, or answer treated as broken")
+	errAnswersFull = errors.New("answers to slow callers hold too much memory: request refused")
+)
 
-// bufferBudget is the memory for large answers that are held. It is safe for concurrent use.
-type bufferBudget struct{ free atomic.Int64 }
+// bufferBudget is the memory for all answers, or for all bodies. It is safe for concurrent use.
+type bufferBudget struct {
+	small atomic.Int64 // left for small ones
+	large atomic.Int64 // left for large ones
+	// smallTotal is small of an unused budget.
+	smallTotal int64
+}
 
-func newBufferBudget(memoryMiB int) *bufferBudget {
-	b := &bufferBudget{}
-	b.free.Store(int64(bufferShare * float64(memoryMiB) * (1 << 20)))
+func newBufferBudget(memoryMiB int, largeShare float64) *bufferBudget {
+	b := &bufferBudget{smallTotal: shareOf(memoryMiB, smallShare)}
+	b.small.Store(b.smallTotal)
+	b.large.Store(shareOf(memoryMiB, largeShare))
 	return b
 }
 
-// buffer is the memory that one answer holds.
+func newAnswerBudget(memoryMiB int) *bufferBudget {
+	return newBufferBudget(memoryMiB, largeAnswerShare)
+}
+
+func newBodyBudget(memoryMiB int) *bufferBudget { return newBufferBudget(memoryMiB, largeBodyShare) }
+
+// nearlyFull reports whether small answers hold so much that those of requests under way may need the rest.
+func (b *bufferBudget) nearlyFull() bool { return b.small.Load() < b.smallTotal/2 }
+
+func shareOf(memoryMiB int, share float64) int64 {
+	return int64(share * float64(memoryMiB) * (1 << 20))
+}
+
+// buffer is the memory that one answer or body holds.
 type buffer struct {
-	budget *bufferBudget
-	taken  int64
+	budget       *bufferBudget
+	small, large int64 // taken from the budget; one of them is 0
 }
 
-// grow makes room for an answer that has grown to n bytes. It fails with errBuffersFull.
-func (b *buffer) grow(n int) error {
-	need := (int64(n)-unbudgetedBytes)*bufferGrowth - b.taken
-	if need <= 0 {
-		return nil
+// grow makes room for a buffer that is filled piece by piece and has n bytes. It fails with errBuffersFull.
+func (b *buffer) grow(n int) error { return b.reserve(int64(n), bufferGrowth) }
+
+// reserve makes room for n bytes that take copies times their size. It fails with errBuffersFull.
+func (b *buffer) reserve(n, copies int64) error {
+	from, taken := &b.budget.small, &b.small
+	isLarge := n > smallBytes || b.large > 0
+	if isLarge {
+		from, taken = &b.budget.large, &b.large
 	}
-	need = (need/unbudgetedBytes + 1) * unbudgetedBytes
-	if b.budget.free.Add(-need) < 0 {
-		b.budget.free.Add(need)
+	need := max(0, n*copies-*taken)
+	if !take(from, need) {
 		return errBuffersFull
 	}
-	b.taken += need
+	*taken += need
+	if isLarge {
+		b.budget.small.Add(b.small)
+		b.small = 0
+	}
 	return nil
 }
 
+// take takes n bytes of what is left, or none if there are fewer.
+func take(left *atomic.Int64, n int64) bool {
+	if left.Add(-n) < 0 {
+		left.Add(n)
+		return false
+	}
+	return true
+}
+
+// settle gives back what was needed for growing beyond the n bytes that the whole takes.
+func (b *buffer) settle(n int64) {
+	small, large := min(b.small, n), min(b.large, n)
+	b.budget.small.Add(b.small - small)
+	b.budget.large.Add(b.large - large)
+	b.small, b.large = small, large
+}
+
 // release gives the memory back.
-func (b *buffer) release() {
-	b.budget.free.Add(b.taken)
-	b.taken = 0
+func (b *buffer) release() { b.settle(0) }
+
+// readWhole reads r to its end into memory of the buffer. length is that of all that follows, if it is
+// known, else -1: then what is read takes copies as it grows.
+func (b *buffer) readWhole(r io.Reader, length int64) ([]byte, error) {
+	if length < 0 {
+		body, err := io.ReadAll(&budgetedReader{Reader: r, buffer: b})
+		b.settle(int64(cap(body)))
+		return body, err
+	}
+	if err := b.reserve(length, 1); err != nil {
+		return nil, err
+	}
+	body := make([]byte, length)
+	n, err := io.ReadFull(r, body)
+	return body[:n], err
 }
 
-// budgetedReader reads an answer into a buffer.
+// budgetedReader reads an answer or a body into a buffer.
 type budgetedReader struct {
 	io.Reader
 	buffer *buffer
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -92,7 +92,8 @@
 	isLeaseHolder  atomic.Bool // this daemon orders the groups of engines
 	targets        *targets
 	notifier       *relay.Notifier
-	buffers        *bufferBudget
+	answers        *bufferBudget // memory of targets' answers that are held
+	bodies         *bufferBudget // memory of requests' bodies
 	background     sync.WaitGroup
 	callers, links listeningServer // links has no listener if the settings name no address
 	// draining is cancelled once the connections are to be closed.
@@ -110,7 +111,7 @@
 	d := &Daemon{
 		settings: set, log: log, platform: p, incarnation: id.String(), clock: clock,
 		events: make(chan step.Event, eventQueueSize), reducerDone: make(chan struct{}),
-		targets: newTargets(clock), notifier: relay.NewNotifier(clock), buffers: newBufferBudget(set.MemoryMiB),
+		targets: newTargets(clock), notifier: relay.NewNotifier(clock), answers: newAnswerBudget(set.MemoryMiB), bodies: newBodyBudget(set.MemoryMiB),
 	}
 	d.draining, d.startDraining = context.WithCancel(context.Background())
 	d.state = core.New(core.Settings{
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -35,6 +36,10 @@
 	// exitRetryAfter is the delay after which a caller should retry a request that this daemon can't
 	// take since it exits. Any other daemon takes it at once.
 	exitRetryAfter = 10 * time.Millisecond
+	// discardTimeout bounds the reading of a refused body; the connection is closed after it.
+	discardTimeout = 500 * time.Millisecond
+	// memoryRetryAfter is when a caller may send a request again that found no room.
+	memoryRetryAfter = time.Second
 )
 
 // serveCaller handles one request of a caller, from its body to the end of its answer.
@@ -53,6 +58,8 @@
 		panic(http.ErrAbortHandler) // its caller may have sent it elsewhere
 	}
 	x.setKeepAlive()
+	x.bodyMemory = &buffer{budget: d.bodies}
+	defer x.giveMemoryBack()
 	if !x.readBody(callHeader.TimeLeft) {
 		return
 	}
@@ -60,7 +67,7 @@
 		ID: x.id, CallerID: callHeader.ID, Method: r.Method, Host: r.Host, Path: r.URL.EscapedPath(), Query: r.URL.RawQuery, Key: callHeader.Key,
 		Model: callHeader.Model, PromptTokens: callHeader.PromptTokens, MaxTokens: callHeader.MaxTokens,
 		SharedParts: callHeader.SharedParts, BodyHash: xxhash.Sum64(x.body),
-		HandedOver: origin.HandedOver, MaxRuns: origin.MaxRuns, Counted: origin.Counted,
+		HandedOver: origin.HandedOver, MaxRuns: origin.MaxRuns, Counted: origin.Counted, ConfigVersion: origin.ConfigVersion,
 	}
 	if callHeader.TimeLeft > 0 {
 		call.Deadline = x.arrivedAt + callHeader.TimeLeft
@@ -79,12 +86,16 @@
 	callerID  string         // the caller's own ID of the request
 	arrivedAt time.Duration  // when the header had been read
 	body      []byte
+	// bodyMemory is the memory of body.
+	bodyMemory *buffer
 
 	streamStarted   bool            // the header of a stream has been sent to the caller
 	eventsDelivered int             // events of a stream written to the caller
 	lastEventID     string          // of the last event written that has a number, for a resumed stream
 	unresumable     atomic.Bool     // the last event written does not show which one is next
 	buffered        *bufferedAnswer // nil before a complete answer has arrived
+	holdMu          sync.Mutex      // guards the change of buffered and closed
+	closed          bool            // the handler is about to return
 
 	handedOver    bool   // another daemon has handed the request over
 	runs          int    // ended attempts that may have run
@@ -105,12 +116,27 @@
 	held   *buffer // the memory of body
 }
 
-// hold keeps an answer in place of an earlier one; nil keeps none.
+// hold keeps an answer in place of an earlier one; nil keeps none. Once the exchange has ended it keeps none.
 func (x *exchange) hold(a *bufferedAnswer) {
+	x.holdMu.Lock()
+	defer x.holdMu.Unlock()
 	if x.buffered != nil {
 		x.buffered.held.release()
 	}
 	x.buffered = a
+	if x.closed && a != nil {
+		a.held.release()
+		x.buffered = nil
+	}
+}
+
+// giveMemoryBack ends the exchange. An attempt may still be about to end.
+func (x *exchange) giveMemoryBack() {
+	x.holdMu.Lock()
+	x.closed = true
+	x.holdMu.Unlock()
+	x.hold(nil)
+	x.bodyMemory.release()
 }
 
 // readBody reads the request's body. If that fails, it sends an error answer and returns
@@ -128,24 +154,55 @@
 		// Without a deadline, a caller that stops sending would occupy memory forever.
 		_ = x.control.SetReadDeadline(time.Now().Add(wait))
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
-	if x.r.ContentLength != 0 {
-		_ = x.control.SetReadDeadline(time.Time{})
+	var err error
+	switch {
+	case x.r.ContentLength > limit:
+		err = &http.MaxBytesError{Limit: limit}
+	case x.daemon.answers.nearlyFull():
+		err = errAnswersFull
+	default:
+		x.body, err = x.bodyMemory.readWhole(http.MaxBytesReader(x.w, x.r.Body, limit), x.r.ContentLength)
 	}
-	x.body = body
 	if err == nil {
+		if x.r.ContentLength != 0 {
+			_ = x.control.SetReadDeadline(time.Time{})
+		}
 		return true
 	}
+	x.body = nil
+	x.bodyMemory.release()
 	a := step.Answer{Status: http.StatusRequestTimeout, Code: step.CodeBadRequest, Message: "the body did not arrive whole in time: send it again"}
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case errors.As(err, &tooLarge):
 		a.Status, a.Code, a.Message = http.StatusRequestEntityTooLarge, step.CodeTooLarge, "the body is larger than the configuration allows: shorten it"
+	case errors.Is(err, errBuffersFull), errors.Is(err, errAnswersFull):
+		a = x.refuseForMemory(err)
 	}
 	x.w.Header().Set("Connection", "close")
 	x.sendError(a)
+	x.discardBody()
 	return false
 }
 
+// discardBody reads the rest of a body after its refusal: a connection that is closed with unread bytes is
+// reset, and the caller may lose the answer.
+func (x *exchange) discardBody() {
+	_ = x.control.SetReadDeadline(time.Now().Add(discardTimeout))
+	_, _ = io.Copy(io.Discard, x.r.Body) // an error means that the caller has left, or sends too long
+}
+
+// refuseForMemory returns the answer to a request that finds no room. Another daemon may have some.
+func (x *exchange) refuseForMemory(reason error) step.Answer {
+	refusedForMemory.Inc()
+	x.daemon.logEvent(event.RefusedForMemory, event.F("request", x.callerID), event.F("reason", reason), event.F("length", x.r.ContentLength), event.F("handedOver", x.handedOver))
+	a := step.Answer{Status: http.StatusServiceUnavailable, Code: step.CodeOverloaded, Outcome: object.NotRun, RetryAfter: memoryRetryAfter, Message: "other requests take the memory that there is: come back"}
+	if x.handedOver {
+		a.Code = step.CodeDaemonBusy
+	}
+	return a
+}
+
 // serve posts the request to the reducer and executes the effects for it. It returns once the
 // last attempt has ended, because attempts write to the caller.
 func (x *exchange) serve(call step.Call) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -29,7 +29,7 @@
 	a.startStallTimer(a.forward.EventGapTimeout)
 	a.resumes = a.exchange.lastEventID != ""
 	in := bufio.NewReader(resp.Body)
-	held := &buffer{budget: a.exchange.daemon.buffers}
+	held := &buffer{budget: a.exchange.daemon.answers}
 	defer held.release()
 	var pending []byte
 	lineBegan := 0 // index in pending
@@ -77,7 +77,7 @@
 	case !a.started && (!framed || a.resumes):
 		return step.EndedBroken
 	case !a.exchange.streamStarted:
-		a.exchange.hold(&bufferedAnswer{status: resp.StatusCode, header: resp.Header, held: &buffer{budget: a.exchange.daemon.buffers}})
+		a.exchange.hold(&bufferedAnswer{status: resp.StatusCode, header: resp.Header, held: &buffer{budget: a.exchange.daemon.answers}})
 	}
 	return step.EndedComplete
 }
--- a/test/docs/docs_test.go
+++ b/test/docs/docs_test.go
@@ -89,10 +89,10 @@
 var metricName = regexp.MustCompile(`rhubarbswitch_[a-z_]+[a-z]`)
 
 // TestMetricsPageMatchesCode compares the metric names in docs/metrics.md with those in the
-// Go files of cmd and internal that are not tests.
+// Go files of cmd, internal and platform that are not tests.
 func TestMetricsPageMatchesCode(t *testing.T) {
 	inCode := make(map[string]bool)
-	for _, dir := range []string{"cmd", "internal"} {
+	for _, dir := range []string{"cmd", "internal", "platform"} {
 		err := filepath.WalkDir(filepath.Join(repositoryRoot, dir), func(path string, entry fs.DirEntry, err error) error {
 			if err != nil || entry.IsDir() || filepath.Ext(path) != ".go" || strings.HasSuffix(path, "_test.go") {
 				return err
