Cutter: its address is never free, and connections that are open stay open

Cause: the cutter released its port for a moment, both before it began to refuse connections and before it listened again; another socket that wanted any free port could get it. And it stopped accepting at once: a connection whose caller had opened it, but that was still in the listener's queue, was held up as if it came later (Hanging) or reset (Refusing). The latter is what TestListening saw: its first connection was not accepted yet. Whether the queue was full was told by dials that took over 50 ms, which a busy machine can bring about by itself.

Now one socket that never listens keeps the address from Open to Close; listeners share it while there is one, nobody does while there is none. Before the treatment changes, the cutter connects to itself: the queue is in the order of the callers, so all that were open before are accepted once that one is. That the queue is full is read from the kernel.

--- a/internal/stub/cutter/cutter.go
+++ b/internal/stub/cutter/cutter.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -66,12 +65,6 @@
 	PathStats = "/stub/stats"
 )
 
-const (
-	// bindTries and bindRetryDelay bound how long Refuse waits for its port to be free.
-	bindTries      = 20
-	bindRetryDelay = 25 * time.Millisecond
-)
-
 // Cutter relays the connections of one listener to one target.
 type Cutter struct {
 	target  string
@@ -81,26 +74,32 @@
 	listener  net.Listener
 	listening Listening
 	closed    bool
+	reserved  int        // socket that keeps the address to the end, and never listens
 	fillers   []net.Conn // that fill the queue while connections hang
-	resumed   chan struct{}
-	paused    atomic.Bool // accepted connections are put aside until resumed is closed
+
+	gateMu sync.Mutex
+	gate   *gate // nil while connections are accepted
 
 	mu       sync.Mutex
-	reserved int // socket that keeps the port after Refuse; 0 before
 	links    map[*link]struct{}
 	newModes map[Direction]Mode // modes of connections accepted from now on
 	delay    time.Duration      // between each read and the write of its bytes
 	stats    Stats
 }
 
-// Open listens on an address and starts relaying to the target.
+// Open listens on an IPv4 address and starts relaying to the target.
 func Open(listen, target string) (*Cutter, error) {
-	listener, err := net.Listen("tcp", listen)
+	reserved, address, err := reserve(listen)
 	if err != nil {
+		return nil, errors.Wrap(err, "keep the address")
+	}
+	listener, err := net.Listen("tcp4", address.String())
+	if err != nil {
+		_ = unix.Close(reserved)
 		return nil, errors.Wrap(err, "listen")
 	}
 	c := &Cutter{
-		target: target, address: listener.Addr(), listener: listener, resumed: make(chan struct{}), links: make(map[*link]struct{}),
+		target: target, address: address, listener: listener, reserved: reserved, links: make(map[*link]struct{}),
 		newModes: map[Direction]Mode{ToTarget: Pass, ToCaller: Pass},
 	}
 	go c.acceptAll(listener)
@@ -120,14 +119,9 @@
 	c.closed = true
 	_ = c.listener.Close()
 	c.Apply(Cut{Existing: Reset, New: Reset})
-	for _, conn := range c.fillers {
-		_ = conn.Close()
-	}
-	close(c.resumed)
-	if c.reserved > 0 {
-		_ = unix.Close(c.reserved)
-		c.reserved = 0
-	}
+	c.closeFillers()
+	c.openGate()
+	_ = unix.Close(c.reserved)
 }
 
 // Refuse resets all connections and refuses new ones.
@@ -137,51 +131,6 @@
 	return err
 }
 
-// refuse closes the listener. Nothing else gets the address meanwhile: a socket stays bound to it that
-// does not listen.
-func (c *Cutter) refuse() error {
-	_ = c.listener.Close()
-	address := c.address.(*net.TCPAddr)
-	// A connection of another process may use the port for a moment after the listener has gone.
-	var socket int
-	var err error
-	for range bindTries {
-		if socket, err = reserve(address); !errors.Is(err, unix.EADDRINUSE) {
-			break
-		}
-		time.Sleep(bindRetryDelay)
-	}
-	if err != nil {
-		return err
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.reserved = socket
-	return nil
-}
-
-// reserve returns a socket that is bound to an address and does not listen.
-func reserve(address *net.TCPAddr) (int, error) {
-	socket, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
-	if err != nil {
-		return 0, errors.Wrap(err, "open a socket")
-	}
-	// The connections that were just reset would else keep the port from being bound.
-	if err := unix.SetsockoptInt(socket, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1); err != nil {
-		_ = unix.Close(socket)
-		return 0, errors.Wrap(err, "share the address with connections that have ended")
-	}
-	if err := unix.Bind(socket, &unix.SockaddrInet4{Port: address.Port, Addr: [4]byte(address.IP.To4())}); err != nil {
-		_ = unix.Close(socket)
-		return 0, errors.Wrap(err, "keep the address")
-	}
-	if err := unix.SetsockoptInt(socket, unix.SOL_SOCKET, unix.SO_REUSEADDR, 0); err != nil {
-		_ = unix.Close(socket)
-		return 0, errors.Wrap(err, "keep the address from others")
-	}
-	return socket, nil
-}
-
 // Apply applies a cut.
 func (c *Cutter) Apply(cut Cut) {
 	c.mu.Lock()
@@ -225,8 +174,8 @@
 		if err != nil {
 			return
 		}
-		if resumed := c.pausedUntil(); resumed != nil {
-			<-resumed
+		if c.waitAtGate(conn) {
+			continue
 		}
 		go c.relay(conn)
 	}
--- a/internal/stub/cutter/listening.go
+++ b/internal/stub/cutter/listening.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/go-faster/errors"
-	"golang.org/x/sys/unix"
 )
 
 // Listening is how a Cutter treats callers that open a connection.
@@ -21,11 +20,10 @@
 )
 
 const (
-	// The queue of a listener that hangs is filled with connections until fullAfter in a row hang.
-	// maxFillers bounds the tries.
-	fullAfter, maxFillers = 2, 8
-	// fillerTimeout is how long each may take to be queued.
-	fillerTimeout = 50 * time.Millisecond
+	// maxFillers bounds the connections that fill the queue of a listener that hangs.
+	maxFillers = 8
+	// ownDialTimeout bounds the time in which the cutter connects to itself.
+	ownDialTimeout = 5 * time.Second
 	// usualBacklog is the queue of a listener that accepts.
 	usualBacklog = 1024
 )
@@ -55,30 +53,45 @@
 
 // hang shortens the listener's queue to the least and fills it. The kernel drops what comes then.
 func (c *Cutter) hang() error {
-	c.paused.Store(true)
+	if err := c.closeGate(); err != nil {
+		return err
+	}
 	if err := c.setBacklog(0); err != nil {
 		return err
 	}
-	hanging := 0
 	for range maxFillers {
-		conn, err := net.DialTimeout("tcp", c.Address(), fillerTimeout)
-		if err == nil {
-			c.fillers, hanging = append(c.fillers, conn), 0
-			continue
+		full, err := c.queueIsFull()
+		if err != nil || full {
+			return err
 		}
-		if hanging++; hanging == fullAfter {
-			return nil
+		conn, err := net.DialTimeout("tcp", c.Address(), ownDialTimeout)
+		if err != nil {
+			return errors.Wrap(err, "fill the listener's queue")
 		}
+		c.fillers = append(c.fillers, conn)
 	}
 	return errors.New("the listener's queue is never full")
 }
 
+// refuse closes the listener. The address stays reserved, and no one else may share it.
+func (c *Cutter) refuse() error {
+	if err := c.closeGate(); err != nil {
+		return err
+	}
+	defer c.openGate()
+	if err := c.shareAddress(false); err != nil {
+		return err
+	}
+	return c.listener.Close()
+}
+
 // accept lets connections be accepted again.
 func (c *Cutter) accept() error {
 	if c.listening == Refusing {
-		_ = unix.Close(c.reserved)
-		c.reserved = 0
-		listener, err := net.Listen("tcp", c.Address())
+		if err := c.shareAddress(true); err != nil {
+			return err
+		}
+		listener, err := net.Listen("tcp4", c.Address())
 		if err != nil {
 			return errors.Wrap(err, "listen again")
 		}
@@ -86,40 +99,61 @@
 		go c.acceptAll(listener)
 		return nil
 	}
+	c.closeFillers()
+	c.openGate()
+	return c.setBacklog(usualBacklog)
+}
+
+func (c *Cutter) closeFillers() {
 	for _, conn := range c.fillers {
 		_ = conn.Close()
 	}
 	c.fillers = nil
-	c.paused.Store(false)
-	close(c.resumed)
-	c.resumed = make(chan struct{})
-	return c.setBacklog(usualBacklog)
 }
 
-func (c *Cutter) setBacklog(n int) error {
-	raw, err := c.listener.(*net.TCPListener).SyscallConn()
+// gate stops the accepting of connections. Those that callers had opened before are accepted first: the
+// queue is in the order in which they were opened, and the marker is the last.
+type gate struct {
+	marker  string        // the address from which the cutter has connected to itself
+	reached chan struct{} // closed once the marker is accepted
+	opened  chan struct{} // closed once connections are accepted again
+}
+
+// closeGate returns once all connections that were open before it are accepted, and no more are.
+func (c *Cutter) closeGate() error {
+	g := &gate{reached: make(chan struct{}), opened: make(chan struct{})}
+	c.gateMu.Lock()
+	marker, err := net.DialTimeout("tcp", c.Address(), ownDialTimeout)
 	if err != nil {
-		return errors.Wrap(err, "reach the listener's socket")
+		c.gateMu.Unlock()
+		return errors.Wrap(err, "mark the end of the listener's queue")
 	}
-	var errListen error
-	if err := raw.Control(func(fd uintptr) { errListen = unix.Listen(int(fd), n) }); err != nil {
-		return errors.Wrap(err, "reach the listener's socket")
-	}
-	if errListen != nil {
-		return errors.Wrap(errListen, "set the listener's queue")
-	}
-	return nil
+	g.marker = marker.LocalAddr().String()
+	c.gate = g
+	c.gateMu.Unlock()
+	<-g.reached
+	return marker.Close()
 }
 
-// pausedUntil returns what is closed once accepted connections are relayed again, or nil if they are.
-func (c *Cutter) pausedUntil() <-chan struct{} {
-	if !c.paused.Load() {
-		return nil
+func (c *Cutter) openGate() {
+	c.gateMu.Lock()
+	defer c.gateMu.Unlock()
+	if c.gate != nil {
+		close(c.gate.opened)
+		c.gate = nil
 	}
-	c.listenMu.Lock()
-	defer c.listenMu.Unlock()
-	if !c.paused.Load() || c.closed {
-		return nil
+}
+
+// waitAtGate reports whether a connection is the marker of a gate, and waits until that is open again.
+func (c *Cutter) waitAtGate(conn net.Conn) bool {
+	c.gateMu.Lock()
+	g := c.gate
+	c.gateMu.Unlock()
+	if g == nil || conn.RemoteAddr().String() != g.marker {
+		return false
 	}
-	return c.resumed
+	_ = conn.Close()
+	close(g.reached)
+	<-g.opened
+	return true
 }
