Soak: requests cut during a planned stop are judged as the users judge them

Seen: nothing; the check could not see it. During a graceful stop it excused every request that was cut within 200 ms, also one that had been passed on to a server, and every request that was sent over 3 s after SIGTERM, however long it had been held.

Cause: the users' rule is the other way round. A request that was sent 3 s or less after SIGTERM may be cut if a server is still at work on it in the last sixth of the grace. Any later one must be answered or refused, or find its connection closed within 200 ms of its last byte without having reached a server.

Now the caller notes when the last byte was written and whether the connection had been used before. Requests that were cut are judged once the servers' records are there: a closed connection is excused only if the request reached no server.

The cases that TestCheckerFindsEachViolation had are unchanged.

--- a/internal/stub/load/fronted.go
+++ b/internal/stub/load/fronted.go
@@ -4,7 +4,9 @@
 	"context"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -24,6 +26,10 @@
 	Complete bool
 	// Err is the reason if it did not.
 	Err error
+	// WrittenAt is when the last byte of the request was written; zero if that never happened.
+	WrittenAt time.Time
+	// KeptConnection is true if the connection had served another request before.
+	KeptConnection bool
 }
 
 // FrontedCaller sends FrontedCalls. It keeps its connections open until the daemon closes
@@ -43,6 +49,39 @@
 // Send sends one request and reads its answer to the end. A POST without an idempotency key,
 // such as the soak sends, is not repeated by the transport once a byte has been sent.
 func (c *FrontedCaller) Send(ctx context.Context, address string, call FrontedCall) FrontedAnswer {
+	var traced traced
+	a := c.send(httptrace.WithClientTrace(ctx, traced.hooks()), address, call)
+	traced.mu.Lock()
+	defer traced.mu.Unlock()
+	a.WrittenAt, a.KeptConnection = traced.writtenAt, traced.kept
+	return a
+}
+
+// traced is what the transport tells of the connection of a request, in goroutines of its own.
+type traced struct {
+	mu        sync.Mutex
+	writtenAt time.Time
+	kept      bool
+}
+
+func (t *traced) hooks() *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			t.mu.Lock()
+			defer t.mu.Unlock()
+			t.kept = info.Reused
+		},
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			t.mu.Lock()
+			defer t.mu.Unlock()
+			if info.Err == nil {
+				t.writtenAt = time.Now()
+			}
+		},
+	}
+}
+
+func (c *FrontedCaller) send(ctx context.Context, address string, call FrontedCall) FrontedAnswer {
 	request, err := http.NewRequestWithContext(ctx, call.Method, "http://"+address+call.Path, strings.NewReader(call.Body))
 	if err != nil {
 		return FrontedAnswer{Err: err}
--- a/internal/stub/soak/check.go
+++ b/internal/stub/soak/check.go
@@ -27,9 +27,6 @@
 	// regressGrace is how long after a daemon served a configuration it may still answer from
 	// an older one, since requests overtake each other.
 	regressGrace = 250 * time.Millisecond
-	// idleCloseWindow is the age up to which a request may fail because the daemon closed the
-	// idle connection while the request was on its way.
-	idleCloseWindow = 200 * time.Millisecond
 	// Within any retryWindow, the runs that repeat an earlier run of the same request, over
 	// all daemons, are at most retryShare of the requests plus retrySlack.
 	retryWindow = 10 * time.Second
@@ -43,6 +40,10 @@
 	Detail  string
 	// At is when the checker found it, since the start of the run.
 	At time.Duration
+	// Request is the ID of the request that it is about, if it is about one. Moment is when that
+	// request ended, or else when the checker found it.
+	Request string `json:",omitempty"`
+	Moment  time.Time
 }
 
 // checker compares what callers received and servers ran with the promises of the daemons. A
@@ -66,6 +67,7 @@
 	freezes          map[int][]time.Time // when each daemon was frozen
 	crashers         []*crasher          // so far
 	linksCuts        []*linksCut
+	truncated        []*call // that no unplanned disturbance excuses; see checkLost
 }
 
 // evacuation is a time during which the operators had a data centre evacuated; to is zero
@@ -100,7 +102,16 @@
 	detail := fmt.Sprintf(format, args...)
 	if !k.reported[promise+detail] {
 		k.reported[promise+detail] = true
-		k.findings = append(k.findings, Finding{promise, detail, time.Since(k.startedAt).Round(time.Millisecond)})
+		f := Finding{Promise: promise, Detail: detail, At: time.Since(k.startedAt).Round(time.Millisecond), Moment: time.Now()}
+		// A text about one request begins with its ID.
+		id, _, _ := strings.Cut(detail, " ")
+		if c := k.calls[id]; c != nil {
+			f.Request = id
+			if !c.EndedAt.IsZero() {
+				f.Moment = c.EndedAt
+			}
+		}
+		k.findings = append(k.findings, f)
 	}
 }
 
@@ -160,7 +171,7 @@
 		k.callCounts[string(c.Kind)+" left"]++
 	case !a.Complete:
 		k.callCounts[string(c.Kind)+" cut"]++
-		k.checkTruncatedAnswer(c)
+		k.recordTruncated(c)
 	default:
 		k.callCounts[fmt.Sprintf("%s %d", c.Kind, a.Status)]++
 		k.checkCompleteAnswer(c)
@@ -174,36 +185,6 @@
 	}
 }
 
-// checkTruncatedAnswer checks a request whose answer is missing or incomplete.
-func (k *checker) checkTruncatedAnswer(c *call) {
-	if k.timeline.disturbed(c.Daemon, c.SentAt, c.EndedAt, true) {
-		return
-	}
-	stopping := k.timeline.disturbed(c.Daemon, c.SentAt, c.EndedAt, false)
-	switch {
-	case c.Answer.Status != 0 && k.timeline.disturbed(scopeServers, c.SentAt, c.EndedAt, false):
-		return // a started stream that no other engine could resume
-	case stopping && (c.EndedAt.Sub(c.SentAt) <= idleCloseWindow || k.sentDuringLateStop(c)):
-		return
-	case c.Answer.Status == 0 && c.EndedAt.Sub(c.SentAt) <= idleCloseWindow:
-		return // the daemon closed the idle connection while the request was on its way
-	}
-	k.addFindingLocked("lost", "%s was cut off by daemon %d after %s with status %d: %v", c.ID, c.Daemon, c.EndedAt.Sub(c.SentAt), c.Answer.Status, c.Answer.Err)
-}
-
-// sentDuringLateStop reports whether a request was sent more than 3 s after its daemon began a
-// graceful stop, so that it may not end within the daemon's grace.
-func (k *checker) sentDuringLateStop(c *call) bool {
-	k.timeline.mu.Lock()
-	defer k.timeline.mu.Unlock()
-	for _, s := range k.timeline.disturbances {
-		if s.scope == c.Daemon && s.gracefulStop && c.SentAt.After(s.from.Add(3*time.Second)) && (s.to.IsZero() || c.SentAt.Before(s.to)) {
-			return true
-		}
-	}
-	return false
-}
-
 // checkCompleteAnswer checks the status, stamp and body of a complete answer.
 func (k *checker) checkCompleteAnswer(c *call) {
 	a := c.Answer
--- a/internal/stub/soak/soak.go
+++ b/internal/stub/soak/soak.go
@@ -221,6 +221,7 @@
 // check checks what has reached the servers so far.
 func (r *run) check() {
 	r.checker.checkRuns(r.site.Runs(), r.site.Violations())
+	r.checker.checkLost(r.site.Runs(), r.site.Arrivals())
 	r.checker.checkNotices(r.site.Arrivals())
 	r.checker.checkLimits(r.site.Limits(), r.site.Arrivals())
 	r.checker.checkLinksCuts()
--- a/internal/stub/soak/soak_test.go
+++ b/internal/stub/soak/soak_test.go
@@ -108,9 +108,12 @@
 		"gap in a broken stream": {"order", answer(chat, func(c *call) { c.Answer.Body, c.Answer.Complete = "id: 2\n", false })},
 		"refused without a time": {"refusal", answer(read, func(c *call) { c.Answer = load.FrontedAnswer{Status: 503, Complete: true} })},
 		"proper request denied":  {"denied", answer(read, func(c *call) { c.Answer = load.FrontedAnswer{Status: 404, Complete: true} })},
-		"cut off":                {"lost", answer(write, func(c *call) { c.Answer, c.EndedAt = load.FrontedAnswer{}, c.SentAt.Add(second) })},
-		"past its deadline":      {"deadline", answer(read, func(c *call) { c.EndedAt = c.SentAt.Add(requestDeadline + second) })},
-		"run twice":              {"once", runs(nil, own, own)},
+		"cut off": {"lost", func(h *checkerTest) {
+			h.request(write, func(c *call) { c.Answer, c.EndedAt = load.FrontedAnswer{}, c.SentAt.Add(second) })
+			h.checkLost(nil, nil)
+		}},
+		"past its deadline": {"deadline", answer(read, func(c *call) { c.EndedAt = c.SentAt.Add(requestDeadline + second) })},
+		"run twice":         {"once", runs(nil, own, own)},
 		"refused and run": {"refusal", runs(func(c *call) {
 			c.Answer = load.FrontedAnswer{Status: 503, Complete: true, Header: http.Header{"Retry-After": {"1"}}}
 		}, own)},
@@ -174,6 +177,7 @@
 	h.timeline.disturbances = append(h.timeline.disturbances, &disturbance{scope: 0, from: h.now.Add(-time.Second), to: h.now})
 	h.request(write, func(c *call) { c.Answer = load.FrontedAnswer{} })
 	h.request(read, func(c *call) { c.EndedAt = c.SentAt.Add(requestDeadline + time.Second) })
+	h.checkLost([]site.Run{h.ranAt("s", 0)}, nil)
 	require.Empty(t, h.findings)
 }
 
