Soak: a run with findings keeps its whole logs, its plan and what was seen

Seen: TestSoak found a request that was cut; the log of that moment was gone. It printed the last 6 KiB of each daemon's log, which end long after the finding, and deleted the files.

Now a run with findings leaves a folder with the whole logs, the plan (each begin, end, signal and start with its time and scope), the requests that did not end with a complete 200, the runs at servers and the report with the seed. Each finding knows its moment and the ID of its request. The lines of all of these files around the moment, and all lines with the ID, are printed with the finding and kept beside it. TestSoak keeps its folders below the temporary folder, or in the folder that -soak-logs names, and prints their paths.

--- a/cmd/rhubarbstub/soak.go
+++ b/cmd/rhubarbstub/soak.go
@@ -104,6 +104,13 @@
 	for _, f := range r.Findings {
 		fmt.Printf("seed %d, %s: %s: %s (logs: %s)\n", r.Seed, f.At, f.Promise, f.Detail, r.Logs)
 	}
+	if len(r.Findings) > 0 {
+		excerpts, err := soak.Excerpts(r)
+		if err != nil {
+			return err
+		}
+		fmt.Print(excerpts)
+	}
 	if t.report == "" {
 		return nil
 	}
--- a/internal/stub/soak/daemon.go
+++ b/internal/stub/soak/daemon.go
@@ -53,6 +53,7 @@
 	timeline         *timeline
 	addFinding       func(promise, format string, args ...any)
 	recordStart      func(daemon, incarnation int, at time.Time)
+	plan             *planWriter
 	supervisionEnded chan struct{} // closed once the daemon is not restarted any more
 
 	mu          sync.Mutex
@@ -73,7 +74,7 @@
 	ip := fmt.Sprintf("%s%d", r.prefix, i+1)
 	d := &daemon{
 		index: i, name: fmt.Sprintf("gateway-%d", i), readinessAddress: fmt.Sprintf("%s:%d", ip, readinessPort),
-		timeline: &r.timeline, addFinding: r.checker.addFinding, recordStart: r.checker.recordStart, supervisionEnded: make(chan struct{}),
+		timeline: &r.timeline, addFinding: r.checker.addFinding, recordStart: r.checker.recordStart, plan: r.plan, supervisionEnded: make(chan struct{}),
 	}
 	callers := fmt.Sprintf("%s:%d", ip, callersPort)
 	var err error
@@ -122,6 +123,7 @@
 	d.process, d.endRequested, d.gracefulStop = p, false, false
 	d.incarnation++
 	d.recordStart(d.index, d.incarnation, time.Now())
+	d.plan.add(planLine{Phase: "start", Scope: d.name})
 	for _, s := range d.absences {
 		d.timeline.end(s)
 	}
@@ -166,6 +168,7 @@
 	}
 	d.gracefulStop = s == syscall.SIGTERM && !d.endRequested
 	d.endRequested, d.restartDelay = true, restartDelay
+	d.plan.add(planLine{Phase: s.String(), Scope: d.name})
 	d.absences = append(d.absences, d.timeline.begin(d.index, s == syscall.SIGTERM))
 	d.process.Signal(s)
 	if d.gracefulStop {
--- a/internal/stub/soak/soak.go
+++ b/internal/stub/soak/soak.go
@@ -66,6 +66,7 @@
 	site       *site.Site
 	dir        string // folder of the settings and logs of the daemons
 	prefix     string // the daemons' loopback addresses without their last byte
+	plan       *planWriter
 	timeline   timeline
 	checker    *checker
 	daemons    []*daemon
@@ -82,7 +83,8 @@
 	evacuated      bool                      // an evacuation is in force
 }
 
-// Run executes one run and returns its report. It keeps the logs only if there are findings.
+// Run executes one run and returns its report. If there are findings it keeps the whole logs, the plan, what
+// callers and servers saw, and the findings with excerpts; see record.go.
 func Run(ctx context.Context, set Settings) (Report, error) {
 	if set.Daemons < 1 || set.Daemons > MaxDaemons {
 		return Report{}, errors.Errorf("%d daemons: give 1 to %d", set.Daemons, MaxDaemons)
@@ -101,6 +103,9 @@
 	if r.dir, err = os.MkdirTemp(set.Logs, fmt.Sprintf("soak-%d-", set.Seed)); err != nil {
 		return Report{}, errors.Wrap(err, "create the log folder")
 	}
+	if r.plan, err = newPlanWriter(r.dir); err != nil {
+		return Report{}, err
+	}
 	defer r.close()
 	if err := r.start(); err != nil {
 		return Report{}, err
@@ -108,8 +113,14 @@
 	faults := Draw(set.Seed, set.Length, set.Kinds)
 	r.disturbAndCheck(ctx, faults)
 	report := r.checker.report(set.Seed, faults)
+	if err := r.plan.close(); err != nil {
+		return report, errors.Wrap(err, "write the plan")
+	}
 	if len(report.Findings) > 0 {
 		report.Logs = r.dir
+		if err := r.keepRecords(report); err != nil {
+			return report, err
+		}
 	} else if err := os.RemoveAll(r.dir); err != nil {
 		return report, errors.Wrap(err, "remove logs")
 	}
@@ -233,8 +244,14 @@
 		if t.kind != f.Kind {
 			continue
 		}
+		line := planLine{Phase: "begin", Kind: f.Kind, Scope: r.scopeOf(f), Duration: f.Duration, Pick: f.Pick}
+		r.plan.add(line)
 		if end := t.begin(r, f); end != nil {
-			r.runAfter(f.Duration, end)
+			r.runAfter(f.Duration, func() {
+				end()
+				line.Phase = "end"
+				r.plan.add(line)
+			})
 		}
 	}
 }
@@ -315,6 +332,7 @@
 		relay.Close()
 	}
 	r.caller.Close()
+	_ = r.plan.close() // after a run that has a report it is closed already
 }
 
 func sleepContext(ctx context.Context, d time.Duration) bool {
--- a/test/process/soak_test.go
+++ b/test/process/soak_test.go
@@ -16,6 +16,8 @@
 	"github.com/rhubarbswitch/rhubarbswitch/internal/stub/soak"
 )
 
+var soakLogs = flag.String("soak-logs", filepath.Join(os.TempDir(), "rhubarbswitch-soak"), "folder in which runs of TestSoak with findings leave their logs")
+
 var soakDuration = flag.Duration("soak-for", 10*time.Second, "time in which faults are injected in each run of TestSoak")
 
 // manyDaemons is the number of daemons of the large soak, in two data centres. With so many,
@@ -29,12 +31,13 @@
 }
 
 // TestSoak makes short runs of the fault soak: two seeds with the default number of daemons,
-// one of them also with many daemons, and every run that ever found a fault. To run more
-// seeds use rhubarbstub soak.
+// one of them also with many daemons, and every run that ever found a fault.
+// To run more seeds use rhubarbstub soak.
 func TestSoak(t *testing.T) {
 	if testing.Short() {
 		t.Skip("takes half a minute")
 	}
+	require.NoError(t, os.MkdirAll(*soakLogs, 0o700))
 	defaultDaemons := soak.Defaults().Daemons
 	runs := []soakRun{{1, defaultDaemons}, {2, defaultDaemons}, {2, manyDaemons}}
 	runs = append(runs, regressionRuns(t, defaultDaemons)...)
@@ -43,15 +46,17 @@
 		t.Run(fmt.Sprintf("%d with %d", seed, run.daemons), func(t *testing.T) {
 			t.Parallel()
 			set := soak.Defaults()
-			set.Program, set.Seed, set.Length, set.Logs = filepath.Join(binaryDir, "rhubarbswitchd"), seed, *soakDuration, t.TempDir()
+			set.Program, set.Seed, set.Length, set.Logs = filepath.Join(binaryDir, "rhubarbswitchd"), seed, *soakDuration, *soakLogs
 			set.Daemons = run.daemons
 			report, err := soak.Run(t.Context(), set)
 			require.NoError(t, err)
 			for _, f := range report.Findings {
 				t.Errorf("seed %d, %s: %s: %s", seed, f.At, f.Promise, f.Detail)
 			}
-			if t.Failed() {
-				logDaemonLogs(t, report.Logs)
+			if len(report.Findings) > 0 {
+				excerpts, err := soak.Excerpts(report)
+				require.NoError(t, err)
+				t.Logf("whole logs, plan and report: %s\n%s", report.Logs, excerpts)
 			}
 			require.NotZero(t, report.Calls["chat 200"])
 			require.NotZero(t, report.Runs)
@@ -59,17 +64,6 @@
 	}
 }
 
-// logDaemonLogs prints the end of each daemon's log.
-func logDaemonLogs(t *testing.T, dir string) {
-	logs, err := filepath.Glob(filepath.Join(dir, "*.log"))
-	require.NoError(t, err)
-	for _, path := range logs {
-		text, err := os.ReadFile(path)
-		require.NoError(t, err)
-		t.Logf("%s: %s", filepath.Base(path), text[max(0, len(text)-maxLogBytes):])
-	}
-}
-
 // regressionRuns reads the runs that once found a fault. Each line of the file holds the
 // seed, the number of daemons if it was not the default, then # and the cause.
 func regressionRuns(t *testing.T, defaultDaemons int) []soakRun {
