Gateway: a stream that waits may go on at a head that opens again

Cause: a request avoids the hosts where an attempt has failed, for good. A begun stream that had moved from one head as stalled, and that the other one had turned away, waited for a target of which there was none left, while the first head was closed and opened again.

Now a host counts as untried once it has changed after the stream began to wait: it has restarted, or its group or phase is another one. The retry budget and the bound on runs are asked as before, and a host that has not changed is still avoided.

Evidence: TestBegunStreamGoesBackToAHeadThatOpensAgain failed before ("[]" should have 1 item(s), but has 0); TestBegunStreamAvoidsAHeadThatHasNotChanged holds on both.

--- a/internal/core/gateway/resume.go
+++ b/internal/core/gateway/resume.go
@@ -15,6 +15,7 @@
 
 // interrupted is a stream that has begun and that no target can go on with at the moment.
 type interrupted struct {
+	since    time.Duration
 	until    time.Duration
 	choice   place.Choice // why there is no target
 	fallback step.Answer
@@ -30,13 +31,14 @@
 	if now >= until {
 		return false
 	}
-	c.interrupted = &interrupted{until: until, choice: choice, fallback: fallback}
+	c.interrupted = &interrupted{since: now, until: until, choice: choice, fallback: fallback}
 	s.interrupted++
 	return true
 }
 
 // resumeInterrupted sends streams that wait to targets that have room, and ends those that have
-// waited for too long.
+// waited for too long. A host where a stream failed may take it again once it has changed: it has
+// restarted, or has another group or phase.
 func (s *State) resumeInterrupted(now time.Duration, out *step.Out) {
 	if s.interrupted == 0 {
 		return
@@ -47,6 +49,7 @@
 		if i == nil {
 			continue
 		}
+		c.failedHosts = slices.DeleteFunc(c.failedHosts, func(host string) bool { return s.targets.ChangedSince(host, i.since) })
 		hasTarget := s.targets.Peek(now, s.placement(now, c)).Target != nil
 		if s.wantsHandover(c) {
 			hasTarget = s.peers.Available(now, s.handoverRequest(c)) || s.usesOldConnections(now, c)
--- a/internal/core/gateway/resume_test.go
+++ b/internal/core/gateway/resume_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/retry"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/site"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
 )
 
@@ -86,3 +87,41 @@
 	}
 	return answers
 }
+
+// TestBegunStreamGoesBackToAHeadThatOpensAgain guards against a stream that waits for a target while it
+// avoids the only ones there are.
+func TestBegunStreamGoesBackToAHeadThatOpensAgain(t *testing.T) {
+	x, id, effects := interruptedStream(t, 2)
+	require.Empty(t, effects)
+	failed := x.s.calls[id].host
+	x.now += resumeWait / 4
+	closed := openHead(failed)
+	closed.Member.Phase = site.Closing
+	x.setHosts(closed)
+	require.Empty(t, x.reduce(step.Tick{}))
+	x.now += resumeWait / 4
+	x.setHosts(openHead(failed))
+	require.Equal(t, failed, x.requireForward(x.reduce(step.Tick{})).Host)
+	require.Zero(t, x.s.interrupted)
+}
+
+// TestBegunStreamAvoidsAHeadThatHasNotChanged guards against a stream that goes back to where it has just
+// failed.
+func TestBegunStreamAvoidsAHeadThatHasNotChanged(t *testing.T) {
+	x := startedWithSlack(t)
+	x.setHosts(openHead("h1"))
+	id, effects := x.call("/chat/1", "key")
+	f := x.requireForward(effects)
+	x.reduce(step.AnswerBegan{ID: id, Attempt: f.Attempt})
+	x.reduce(step.StreamStarted{ID: id, Attempt: f.Attempt})
+	require.Empty(t, answersOf(x.reduce(step.ForwardEnded{AttemptEnded: step.AttemptEnded{ID: id, Attempt: f.Attempt, Ending: step.EndedBroken, Delivered: 2}})))
+	for range 2 {
+		x.now += resumeWait / 4
+		x.setHosts(openHead("h1"))
+		for _, e := range x.reduce(step.Tick{}) {
+			_, sent := e.(step.Forward)
+			require.False(t, sent)
+		}
+	}
+	require.Equal(t, 1, x.s.interrupted)
+}
--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -202,12 +202,13 @@
 	for _, h := range hosts {
 		t := before[h.ID]
 		if t == nil || t.Host.Incarnation != h.Incarnation {
-			t = &Target{hash: rendezvous.Hash(h.ID), coldUntil: now + h.ColdLeft}
+			t = &Target{hash: rendezvous.Hash(h.ID), changedAt: now, coldUntil: now + h.ColdLeft}
 		} else if t.Host.ColdLeft != h.ColdLeft {
 			t.coldUntil = now + h.ColdLeft
 		}
 		if t.Host.Member != h.Member {
 			t.clearSuspicion() // another group or phase: earlier faults no longer matter
+			t.changedAt = now
 		}
 		t.Host = *h
 		tbl.targets[h.ID] = t
@@ -239,6 +240,13 @@
 // Target returns a host's target, or nil.
 func (tbl *Table) Target(host string) *Target { return tbl.targets[host] }
 
+// ChangedSince reports whether a host's incarnation, group or phase has changed after a moment, so that
+// earlier faults no longer matter.
+func (tbl *Table) ChangedSince(host string, at time.Duration) bool {
+	t := tbl.targets[host]
+	return t != nil && t.changedAt > at
+}
+
 // Choose picks the target of a request that is about to be sent.
 func (tbl *Table) Choose(now time.Duration, a Request) Choice {
 	c := tbl.Peek(now, a)
--- a/internal/core/place/target.go
+++ b/internal/core/place/target.go
@@ -17,6 +17,7 @@
 	model  *site.Model  // nil if engine is
 	hash   uint64       // of the host ID
 
+	changedAt time.Duration   // when its incarnation, group or phase last changed
 	coldUntil time.Duration   // until then it is cold, and its rate is limited
 	limit     *hostlimit.Host // what the host has named; nil if it has named none
 	spacer    spacer          // of requests while the rate is limited
