Soak: planned stops that overlap, under callers that keep their connections

Seen: nothing; the soak did not try it. It stopped daemons one by one with SIGTERM, at moments drawn by themselves, under the usual load.

Now "planned-series" stops several daemons, in turn and at once, with SIGHUP and changes of the configuration beside them. Before each stop callers open 16 connections to the daemon, and from then on send a request each 40 ms until its process has ended, the first on connections that are open. The series are drawn by themselves and, unless kinds are named, come with one seed in five: they excuse daemons from promises with a time bound most of the time. TestSoak makes one more run, with seed 4.

--- a/internal/stub/soak/plan.go
+++ b/internal/stub/soak/plan.go
@@ -95,13 +95,15 @@
 	seriesStream = 16
 	// crashSeries and crashBurstSeries are the numbers of the series with requests that crash servers.
 	crashSeries, crashBurstSeries = 2, 4
+	// plannedSeries is the number of the series with PlannedSeries.
+	plannedSeries = 7
 	// plannedInterval is the mean time between actions of operators, which also occur in calm
 	// periods.
 	plannedInterval = 4 * time.Second
 )
 
 // catalogues are the series of kinds of disturbances, in the order in which they were added.
-var catalogues = [][]kindSpec{catalogue, laterCatalogue, crashCatalogue, answerCatalogue, crashBurstCatalogue, limitCatalogue, linksCatalogue}
+var catalogues = [][]kindSpec{catalogue, laterCatalogue, crashCatalogue, answerCatalogue, crashBurstCatalogue, limitCatalogue, linksCatalogue, plannedCatalogue}
 
 // Kinds returns all kinds of disturbances.
 func Kinds() []Kind {
@@ -126,13 +128,17 @@
 // It draws from the given kinds, or from all if none is given. The kinds of each series of the
 // catalogue are drawn by themselves, so that a seed keeps the disturbances that it had before a
 // series was added. Unless kinds are given, requests crash servers only with odd seeds: they
-// disturb the servers most of the time, which excuses daemons from other promises.
+// disturb the servers most of the time, which excuses daemons from other promises. In the same way
+// only some seeds have series of planned work.
 func Draw(seed uint64, length time.Duration, kinds []Kind) []Fault {
 	var faults []Fault
 	for series, specs := range catalogues {
 		if (series == crashSeries || series == crashBurstSeries) && len(kinds) == 0 && seed%2 == 0 {
 			continue
 		}
+		if series == plannedSeries && len(kinds) == 0 && seed%plannedSeriesSeeds != plannedSeriesSeeds-1 {
+			continue
+		}
 		faults = append(faults, drawSeries(rand.New(rand.NewPCG(seed, uint64(series)*seriesStream)), specs, length, kinds)...)
 	}
 	slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
--- a/internal/stub/soak/record.go
+++ b/internal/stub/soak/record.go
@@ -85,7 +85,7 @@
 			names = append(names, d.name)
 		}
 		return strings.Join(names, " ")
-	case f.Kind == DaemonHerd:
+	case f.Kind == DaemonHerd || f.Kind == PlannedSeries:
 		return "daemons"
 	case strings.HasPrefix(kind, "daemon-"), strings.HasPrefix(kind, "callers-"),
 		slices.Contains([]Kind{StoreReset, StoreDelay, StoreSilent, StoreOneWay}, f.Kind):
--- a/internal/stub/soak/soak_test.go
+++ b/internal/stub/soak/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -39,6 +40,29 @@
 	require.Error(t, Check([]Kind{"nonsense"}))
 }
 
+// TestSeedsKeepTheirDisturbances guards against a new kind that changes what the seeds of earlier findings
+// draw: without the series of planned work they have what the other kinds alone draw.
+func TestSeedsKeepTheirDisturbances(t *testing.T) {
+	withSeries := 0
+	for seed := range uint64(20) {
+		var others []Kind
+		for _, k := range Kinds() {
+			isCrash := slices.Contains([]Kind{CrashingRequest, CrashingPart, CrashingBurst}, k)
+			if k != PlannedSeries && (!isCrash || seed%2 == 1) {
+				others = append(others, k)
+			}
+		}
+		drawn := Draw(seed, time.Minute, nil)
+		rest := slices.DeleteFunc(slices.Clone(drawn), func(f Fault) bool { return f.Kind == PlannedSeries })
+		require.Equal(t, Draw(seed, time.Minute, others), rest)
+		if len(rest) < len(drawn) {
+			withSeries++
+			require.Equal(t, uint64(plannedSeriesSeeds-1), seed%plannedSeriesSeeds)
+		}
+	}
+	require.Equal(t, 20/plannedSeriesSeeds, withSeries)
+}
+
 // checkerTest is a checker for one request to an undisturbed daemon. The test cases change one
 // part of its outcome or its runs.
 type checkerTest struct {
--- a/test/process/soak_test.go
+++ b/test/process/soak_test.go
@@ -30,8 +30,8 @@
 	daemons int
 }
 
-// TestSoak makes short runs of the fault soak: two seeds with the default number of daemons,
-// one of them also with many daemons, and every run that ever found a fault.
+// TestSoak makes short runs of the fault soak: three seeds with the default number of daemons, the third
+// with series of planned work, one of them also with many daemons, and every run that ever found a fault.
 // To run more seeds use rhubarbstub soak.
 func TestSoak(t *testing.T) {
 	if testing.Short() {
@@ -39,7 +39,7 @@
 	}
 	require.NoError(t, os.MkdirAll(*soakLogs, 0o700))
 	defaultDaemons := soak.Defaults().Daemons
-	runs := []soakRun{{1, defaultDaemons}, {2, defaultDaemons}, {2, manyDaemons}}
+	runs := []soakRun{{1, defaultDaemons}, {2, defaultDaemons}, {2, manyDaemons}, {4, defaultDaemons}}
 	runs = append(runs, regressionRuns(t, defaultDaemons)...)
 	for _, run := range runs {
 		seed := run.seed
