Gateway: at a full head a begun stream comes before new requests

What callers see: a begun stream that lost its head is cut after 1.5 s while new requests, which could be refused, keep being admitted.

Cause: a stream that waits looks for a place at each tick, every 50 ms; a new request takes a place at the moment at which it is free. With one arrival for each end, the stream never finds one.

Now two more requests may wait at an engine if they go on with a stream that has begun; new requests are admitted only below the usual bound, so the stream is ahead of them. The retry budget and the bounds on runs and attempts are asked before, as they were.

--- a/internal/core/gateway/calls.go
+++ b/internal/core/gateway/calls.go
@@ -239,7 +239,7 @@
 	return place.Request{
 		Service: c.service, Model: s.model(c), PromptTokens: c.req.PromptTokens,
 		Spread:   rendezvous.Mix(rendezvous.Hash(string(c.req.ID)) + uint64(c.attempts)),
-		TimeLeft: c.deadline - now, AvoidHosts: c.failedHosts, HandedOver: c.req.HandedOver,
+		TimeLeft: c.deadline - now, AvoidHosts: c.failedHosts, HandedOver: c.req.HandedOver, Begun: c.events > 0,
 	}
 }
 
--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -24,6 +24,9 @@
 	// maxWaitingAtEngine bounds the requests that wait at an engine for a slot. Slots become
 	// free about once per event interval, so these requests still begin within two intervals.
 	maxWaitingAtEngine = 2
+	// maxBegunAtEngine is how many more may wait there that go on with a stream that has begun. Their
+	// callers can't be refused, and new requests would else take each place as soon as it is free.
+	maxBegunAtEngine = 2
 	// plainRequestsPerSlot bounds the requests for each slot of a plain service. A request
 	// that would wait behind that many is better sent to another target.
 	plainRequestsPerSlot = 4
@@ -89,6 +92,8 @@
 	// HandedOver is set if another daemon has handed the request over. It leaves the places in which
 	// requests wait to this daemon's own callers.
 	HandedOver bool
+	// Begun is set if the request goes on with a stream of which its caller has a part.
+	Begun bool
 }
 
 // Choice is the target of a request, or the reason why there is none.
--- a/internal/core/place/target.go
+++ b/internal/core/place/target.go
@@ -72,6 +72,8 @@
 // capacityFor is the number of requests at which the target gets no more like this one.
 func (t *Target) capacityFor(a Request) int {
 	switch {
+	case a.Begun && t.engine != nil:
+		return t.capacity() + maxBegunAtEngine
 	case !a.HandedOver:
 		return t.capacity()
 	case t.engine != nil:
