Soak: the plan says from when to when the checker excuses a scope

A disturbance may go on after its end: a server that left ends and starts again, a crashed one stays down for a while, a stopped daemon starts late. Each change of what the checker excuses now stands in plan.jsonl with its time.

--- a/internal/stub/soak/record.go
+++ b/internal/stub/soak/record.go
@@ -16,8 +16,8 @@
 
 // The files that a run with findings leaves beside the settings and whole logs of its daemons.
 const (
-	// planFile has a line for the begin and the end of each disturbance, and one for each start and
-	// requested end of a daemon's process.
+	// planFile has a line for the begin and the end of each disturbance, one for each start and
+	// requested end of a daemon's process, and those from and to which the checker excuses a scope.
 	planFile = "plan.jsonl"
 	// requestsFile has a line for each request that did not end with a complete 200, and runsFile one
 	// for each run at a server.
--- a/internal/stub/soak/soak.go
+++ b/internal/stub/soak/soak.go
@@ -106,6 +106,7 @@
 	if r.plan, err = newPlanWriter(r.dir); err != nil {
 		return Report{}, err
 	}
+	r.timeline.plan = r.plan
 	defer r.close()
 	if err := r.start(); err != nil {
 		return Report{}, err
--- a/internal/stub/soak/timeline.go
+++ b/internal/stub/soak/timeline.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"sync"
 	"time"
 )
@@ -24,6 +25,8 @@
 
 // timeline records all disturbances of a run. The checker excuses violations during them.
 type timeline struct {
+	plan *planWriter // nil in tests of the checker
+
 	mu           sync.Mutex
 	disturbances []*disturbance
 }
@@ -33,6 +36,7 @@
 	defer t.mu.Unlock()
 	s := &disturbance{scope: scope, gracefulStop: gracefulStop, from: time.Now()}
 	t.disturbances = append(t.disturbances, s)
+	t.record("excused from", scope)
 	return s
 }
 
@@ -40,6 +44,22 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s.to = time.Now()
+	t.record("excused to", s.scope)
+}
+
+// record writes a change of what excuses daemons, so that it stands beside the disturbances.
+func (t *timeline) record(phase string, scope int) {
+	if t.plan == nil {
+		return
+	}
+	name := fmt.Sprintf("gateway-%d", scope)
+	switch scope {
+	case scopeStore:
+		name = "store"
+	case scopeServers:
+		name = "servers"
+	}
+	t.plan.add(planLine{Phase: phase, Scope: name})
 }
 
 // disturbed reports whether a disturbance of a scope overlaps the time between from and to, or
