gateway: a request of any method that a former release turns away has not run

What callers saw: 502 for a request that may run once, sent with a method such as PURGE to a daemon that is cut off from all hosts while daemons of a release without the hand-over run beside it.

Cause: such a daemon's router answers 404 for a path that it doesn't know, but 405 for a method that it doesn't know. Only 404 was taken as proof that nothing ran; 405 counted as a broken attempt, with all runs used up.

Evidence: the new test speaks to the links of such a release. It failed: "expected: 0x3 (refused), actual: 0x4 (broken)", PURGE.

Daemons that take requests answer 405 to none that is handed over, whatever its method: those that come from a host bear the headers of the hop. So the request goes to the next daemon.

--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -43,8 +43,8 @@
 	case ok && !header.MatchesRequest:
 		a.closeConnection()
 		return step.EndedWrongAttempt
-	case !ok && resp.StatusCode == http.StatusNotFound:
-		answer.Own = step.Answer{Status: http.StatusServiceUnavailable, Code: step.CodeNoPlatform} // a release that takes no requests
+	case !ok && (resp.StatusCode == http.StatusNotFound || resp.StatusCode == http.StatusMethodNotAllowed): // the router of a release that takes no requests
+		answer.Own = step.Answer{Status: http.StatusServiceUnavailable, Code: step.CodeNoPlatform}
 		answer.Own.Outcome = object.NotRun
 	case !ok:
 		return step.EndedBroken
