gateway: a caller's request is never handed over as a message of a daemon

What callers saw: nothing yet; found by reading what older releases make of the messages of newer ones. A daemon that is cut off from all hosts hands a request over with the caller's method, path and body. A daemon of a release without the hand-over, beside it in an upgrade, routes it by its path: a caller's POST /evidence would count there as evidence on crashing hosts, and the caller would get 502.

Requests whose path is one of the links' own stay at their daemon, which treats them like requests that no other daemon takes. All other paths are unknown to the links of older releases, which answer 404.

--- a/internal/core/gateway/paths_test.go
+++ b/internal/core/gateway/paths_test.go
@@ -52,6 +52,20 @@
 	}
 }
 
+// TestRequestThatStaysHereIsNotHandedOver guards against handing over what a daemon of an earlier release would
+// take for a message.
+func TestRequestThatStaysHereIsNotHandedOver(t *testing.T) {
+	x := cutOff(t)
+	_, effects := x.call("/once/1", "key")
+	last, _ := x.failUntilHandedOver(effects, step.EndedUnsent)
+	require.IsType(t, step.Forward{}, last, "the path is cut, others are handed over")
+	effects = x.reduce(step.Call{ID: "stays", CallerID: "stays", Host: "H:80", Path: "/once/1", Key: "key", StaysHere: true})
+	last, _ = x.failUntilHandedOver(effects, step.EndedUnsent)
+	answer, ok := last.(step.Answer)
+	require.True(t, ok, "%#v", last)
+	require.Equal(t, 503, answer.Status)
+}
+
 // TestResetsOfACutAreNoCrashes guards against taking a cut of this daemon's links for crashes.
 func TestResetsOfACutAreNoCrashes(t *testing.T) {
 	x := cutOff(t)
--- a/internal/core/step/gateway.go
+++ b/internal/core/step/gateway.go
@@ -33,6 +33,9 @@
 	// MaxRuns is how many more attempts may run then.
 	HandedOver bool
 	MaxRuns    int
+	// StaysHere is set if the request is never handed over: daemons of earlier releases would take it for a
+	// message.
+	StaysHere bool
 	// Counted is set if the daemon that hands it over has counted it for its retry budget.
 	Counted bool
 	// ConfigVersion is the version of the configuration by which that daemon admitted it; 0 if it named none.
--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -30,16 +30,25 @@
 
 func testClock() time.Duration { return time.Second }
 
-// headersOnly is a platform that sets no headers of requests that are handed over.
+// headersOnly is a platform that reads and sets no headers.
 type headersOnly struct{ Platform }
 
-func (headersOnly) ToDaemon(http.Header, time.Duration) {}
+func (headersOnly) ToDaemon(http.Header, time.Duration)         {}
+func (headersOnly) ToCaller(http.Header, string, time.Duration) {}
+func (headersOnly) ReadCall(http.Header) CallHeader             { return CallHeader{} }
+
+func newTestDaemon(t *testing.T) *Daemon {
+	d := &Daemon{
+		platform: headersOnly{}, log: slog.New(slog.DiscardHandler), clock: testClock, targets: newTargets(testClock), buffers: newBufferBudget(0),
+		events: make(chan step.Event, 1), reducerDone: make(chan struct{}),
+	}
+	t.Cleanup(d.targets.close)
+	return d
+}
 
 // handOver hands a request over to the daemon at an address.
 func handOver(t *testing.T, address, method, path string) step.ForwardEnded {
-	d := &Daemon{platform: headersOnly{}, log: slog.New(slog.DiscardHandler), clock: testClock, targets: newTargets(testClock), buffers: newBufferBudget(0)}
-	t.Cleanup(d.targets.close)
-	x := &exchange{daemon: d, r: httptest.NewRequest(method, path, strings.NewReader("{}")), body: []byte("{}")}
+	x := &exchange{daemon: newTestDaemon(t), r: httptest.NewRequest(method, path, strings.NewReader("{}")), body: []byte("{}")}
 	return x.runAttempt(t.Context(), step.Forward{Daemon: "former", Address: address, MaxRuns: 3, Deadline: testClock() + 5*time.Second})
 }
 
@@ -55,3 +64,34 @@
 	}
 	require.Zero(t, served())
 }
+
+// TestCallersBytesAreNoMessageToFormerRelease guards against a daemon that takes a caller's request, handed
+// over to it, for evidence of another daemon.
+func TestCallersBytesAreNoMessageToFormerRelease(t *testing.T) {
+	address, served := linksBeforeHandover(t)
+	for path, staysHere := range map[string]bool{
+		"/write/1": false, "/limit": false, "/evidence/1": false,
+		relay.EvidencePath: true, relay.SuspectPath: true, relay.LimitsPath: true, relay.PathPrefix + "config": true, relay.EvidencePath + "?a=b": true,
+	} {
+		d := newTestDaemon(t)
+		s := httptest.NewServer(http.HandlerFunc(d.serveCaller))
+		t.Cleanup(s.Close)
+		answered := make(chan error, 1)
+		go func() {
+			resp, err := http.Post(s.URL+path, "application/json", strings.NewReader("{}"))
+			if err == nil {
+				err = resp.Body.Close()
+			}
+			answered <- err
+		}()
+		call, ok := (<-d.events).(step.Call)
+		require.True(t, ok)
+		d.calls.Send(call.ID, step.Answer{ID: call.ID, Status: http.StatusServiceUnavailable})
+		require.NoError(t, <-answered)
+		require.Equal(t, staysHere, call.StaysHere, path)
+		if !call.StaysHere {
+			handOver(t, address, http.MethodPost, path)
+		}
+	}
+	require.Zero(t, served())
+}
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -34,6 +34,11 @@
 	headerRetryAfter = HandoverPrefix + "Retry-After-Ms"
 )
 
+// ServesPath reports whether daemons of a release that takes no requests serve a path of their links themselves.
+func ServesPath(path string) bool {
+	return path == SuspectPath || path == EvidencePath || path == LimitsPath || strings.HasPrefix(path, PathPrefix)
+}
+
 // Handover is what a daemon says of a request that it hands over.
 type Handover struct {
 	// MaxRuns is how many attempts may run.
