relay: evidence isn't sent again to a daemon that takes none

Cause: evidence on a crash is sent up to three times, 0.25 s apart, to a daemon that fails to take it, to 16 daemons at once. A daemon of a release without evidence answers 404 each time and so holds one of the 16 places for 0.5 s: beside 150 of them the last daemon would get its evidence 4.7 s after the first (by calculation; all must know within 3 s).

Evidence: the new test, against a daemon that answers 404, failed before: "expected: 1, actual: 3".

A 4xx would be the same again, so the message is sent once. Daemons that don't answer, or answer 5xx, get it again as before.

--- a/internal/relay/notify.go
+++ b/internal/relay/notify.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strconv"
 	"strings"
 	"time"
 
@@ -64,8 +65,15 @@
 	return t.post(ctx, address, SuspectPath, "application/x-www-form-urlencoded", []byte(url.Values{hostParam: {host}}.Encode()))
 }
 
+// refusedError is the answer of a daemon that does not take a message: a repetition would get the same.
+type refusedError struct{ status int }
+
+func (e *refusedError) Error() string {
+	return "status " + strconv.Itoa(e.status) + ": the daemon takes no such message; it may be of an earlier release"
+}
+
 // SendEvidence sends evidence to the daemon at an address, host:port. It tries again if that
-// daemon does not answer.
+// daemon does not answer, or fails.
 func (t *Notifier) SendEvidence(ctx context.Context, address string, e quarantine.Evidence) error {
 	var err error
 	for try := range evidenceTries {
@@ -79,6 +87,9 @@
 		if err = t.post(ctx, address, EvidencePath, "application/json", body); err == nil {
 			return nil
 		}
+		if _, refused := errors.Into[*refusedError](err); refused {
+			return err
+		}
 	}
 	return err
 }
@@ -94,6 +105,9 @@
 		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode >= http.StatusBadRequest && resp.StatusCode < http.StatusInternalServerError {
+		return &refusedError{resp.StatusCode}
+	}
 	if resp.StatusCode >= http.StatusMultipleChoices {
 		return errors.Errorf("status %d", resp.StatusCode)
 	}
--- a/internal/relay/notify_test.go
+++ b/internal/relay/notify_test.go
@@ -74,6 +74,21 @@
 	require.Error(t, notifier.SendEvidence(t.Context(), strings.TrimPrefix(server.URL, "http://"), quarantine.Evidence{}))
 }
 
+// TestEvidenceIsNotSentAgainToFormerRelease guards against a delay of the evidence for all daemons by those
+// of a release that takes none.
+func TestEvidenceIsNotSentAgainToFormerRelease(t *testing.T) {
+	tries := 0
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		tries++
+		http.NotFound(w, r)
+	}))
+	defer server.Close()
+	notifier := NewNotifier(func() time.Duration { return 0 })
+	defer notifier.Close()
+	require.Error(t, notifier.SendEvidence(t.Context(), strings.TrimPrefix(server.URL, "http://"), quarantine.Evidence{}))
+	require.Equal(t, 1, tries)
+}
+
 // BenchmarkSendEvidence sends the evidence of one crash to a daemon over a new connection each time,
 // as after a long calm. It counts both sides.
 func BenchmarkSendEvidence(b *testing.B) {
