soak: an older build beside this one, daemons replaced one after the other

The soak ran one build only. A log says which program each process runs, and the report how many were replaced.

--- a/cmd/rhubarbstub/soak.go
+++ b/cmd/rhubarbstub/soak.go
@@ -26,6 +26,7 @@
 	Engines int           `help:"Servers with engines in each of two data centres; three make a group." default:"7"`
 	Ledgers int           `help:"Plain servers in each data centre." default:"2"`
 	Rate    float64       `help:"Requests per second." default:"60"`
+	Former  string        `help:"rhubarbswitchd of another build, usually an older one: all daemons run it at first, and are replaced one after the other." type:"existingfile"`
 	Faults  []soak.Kind   `help:"Disturbances to draw from: ${soakKinds}. All if none is named."`
 	Jobs    int           `help:"Runs side by side." default:"2"`
 	Report  string        `help:"File to which the reports are written, one JSON object a line." type:"path"`
@@ -49,7 +50,7 @@
 		return errors.Wrap(err, "find the folder of this program")
 	}
 	set := soak.Settings{
-		Program: filepath.Join(filepath.Dir(self), "rhubarbswitchd"), Length: c.For, Daemons: c.Daemons,
+		Program: filepath.Join(filepath.Dir(self), "rhubarbswitchd"), Former: c.Former, Length: c.For, Daemons: c.Daemons,
 		Engines: c.Engines, Ledgers: c.Ledgers, Rate: c.Rate, Kinds: c.Faults, Logs: c.Logs,
 	}
 	first := c.First
--- a/internal/core/gateway/handover.go
+++ b/internal/core/gateway/handover.go
@@ -32,7 +32,9 @@
 }
 
 // wantsHandover reports whether a request had better go to another daemon than to a host.
-func (s *State) wantsHandover(c *call) bool { return !c.req.HandedOver && !c.req.StaysHere && s.pathDoubtful(c) }
+func (s *State) wantsHandover(c *call) bool {
+	return !c.req.HandedOver && !c.req.StaysHere && s.pathDoubtful(c)
+}
 
 func (s *State) handoverRequest(c *call) handover.Request {
 	return handover.Request{
--- a/internal/stub/soak/check.go
+++ b/internal/stub/soak/check.go
@@ -356,10 +356,12 @@
 	Seed uint64
 	// Faults are the numbers of disturbances by kind, Calls the numbers of requests by kind
 	// and status, and Runs the number of runs at servers.
-	Faults   map[Kind]int
-	Calls    map[string]int
-	Runs     int
-	Findings []Finding
+	Faults map[Kind]int
+	Calls  map[string]int
+	Runs   int
+	// Replacements is the number of daemons that were replaced by those of another build.
+	Replacements int
+	Findings     []Finding
 	// Logs is the folder with the daemons' logs; empty if there are no findings.
 	Logs string `json:",omitempty"`
 }
--- a/internal/stub/soak/daemon.go
+++ b/internal/stub/soak/daemon.go
@@ -48,7 +48,6 @@
 	store            *cutter.Cutter // relay from the daemon to the store
 	view             *site.View     // its paths to servers; nil in a run with many daemons
 	readinessAddress string
-	args             []string
 	log              *os.File
 	timeline         *timeline
 	addFinding       func(promise, format string, args ...any)
@@ -57,6 +56,7 @@
 	supervisionEnded chan struct{} // closed once the daemon is not restarted any more
 
 	mu          sync.Mutex
+	args        []string // program of the next process, and its arguments
 	process     *program.Process
 	incarnation int // number of starts so far
 	// endRequested is true once endProcess or close has signalled the running process.
@@ -105,7 +105,11 @@
 	if d.log, err = os.Create(filepath.Join(r.dir, d.name+".log")); err != nil {
 		return nil, errors.Wrap(err, "create the log file")
 	}
-	d.args = []string{r.settings.Program, "gateway", path}
+	program := r.settings.Program
+	if r.settings.Former != "" {
+		program = r.settings.Former
+	}
+	d.args = []string{program, "gateway", path}
 	if err := d.startProcess(); err != nil {
 		return nil, err
 	}
@@ -114,12 +118,16 @@
 }
 
 func (d *daemon) startProcess() error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	// Its log is that of several processes, and of several builds in some runs.
+	if _, err := fmt.Fprintf(d.log, "{\"msg\":\"the soak starts a process\",\"program\":%q}\n", d.args[0]); err != nil {
+		return errors.Wrap(err, "write to the log file")
+	}
 	p, err := program.Start(d.log, d.log, d.args[0], d.args[1:]...)
 	if err != nil {
 		return err
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
 	d.process, d.endRequested, d.gracefulStop = p, false, false
 	d.incarnation++
 	d.recordStart(d.index, d.incarnation, time.Now())
--- a/internal/stub/soak/soak.go
+++ b/internal/stub/soak/soak.go
@@ -21,7 +21,11 @@
 type Settings struct {
 	// Program is the path of the rhubarbswitchd binary.
 	Program string
-	Seed    uint64
+	// Former is the path of the binary of another build, usually an older one. All daemons run it at
+	// first; they are replaced by Program one after the other, and some are rolled back meanwhile. If it
+	// is empty, all daemons run Program.
+	Former string
+	Seed   uint64
 	// Length is the time during which disturbances begin.
 	Length time.Duration
 	// Daemons is the number of daemons. Engines is the number of engine servers in each data
@@ -73,6 +77,8 @@
 	caller     *load.FrontedCaller
 	background sync.WaitGroup
 	startedAt  time.Time
+	// replacementCount is the number of daemons replaced so far; valid after the load has ended.
+	replacementCount int
 
 	mu             sync.Mutex
 	relays         map[string]*cutter.Cutter // by server: the relay whose address it registers
@@ -117,6 +123,7 @@
 	if err := r.plan.close(); err != nil {
 		return report, errors.Wrap(err, "write the plan")
 	}
+	report.Replacements = r.replacementCount
 	if len(report.Findings) > 0 {
 		report.Logs = r.dir
 		if err := r.keepRecords(report); err != nil {
@@ -210,6 +217,7 @@
 	r.startLoad(loadCtx)
 	r.background.Go(func() { r.checkPeriodically(loadCtx) })
 	start := time.Now()
+	r.background.Go(func() { r.replaceDaemons(loadCtx, start) })
 	for _, f := range faults {
 		if !sleepContext(ctx, time.Until(start.Add(f.At))) {
 			break
@@ -218,6 +226,9 @@
 	}
 	// Load continues until the last disturbance has ended and the daemons have recovered.
 	rest := recoveryGrace
+	if r.settings.Former != "" {
+		rest = max(rest, r.settings.Length+recoveryGrace-time.Since(start)) // until the last replacement
+	}
 	for _, f := range faults {
 		rest = max(rest, f.At+f.Duration-time.Since(start))
 	}
--- a/test/process/soak_test.go
+++ b/test/process/soak_test.go
@@ -37,7 +37,6 @@
 	if testing.Short() {
 		t.Skip("takes half a minute")
 	}
-	require.NoError(t, os.MkdirAll(*soakLogs, 0o700))
 	defaultDaemons := soak.Defaults().Daemons
 	runs := []soakRun{{1, defaultDaemons}, {2, defaultDaemons}, {2, manyDaemons}, {4, defaultDaemons}}
 	runs = append(runs, regressionRuns(t, defaultDaemons)...)
@@ -46,24 +45,31 @@
 		t.Run(fmt.Sprintf("%d with %d", seed, run.daemons), func(t *testing.T) {
 			t.Parallel()
 			set := soak.Defaults()
-			set.Program, set.Seed, set.Length, set.Logs = filepath.Join(binaryDir, "rhubarbswitchd"), seed, *soakDuration, *soakLogs
-			set.Daemons = run.daemons
-			report, err := soak.Run(t.Context(), set)
-			require.NoError(t, err)
-			for _, f := range report.Findings {
-				t.Errorf("seed %d, %s: %s: %s", seed, f.At, f.Promise, f.Detail)
-			}
-			if len(report.Findings) > 0 {
-				excerpts, err := soak.Excerpts(report)
-				require.NoError(t, err)
-				t.Logf("whole logs, plan and report: %s\n%s", report.Logs, excerpts)
-			}
+			set.Seed, set.Daemons = seed, run.daemons
+			report := runSoak(t, set)
 			require.NotZero(t, report.Calls["chat 200"])
 			require.NotZero(t, report.Runs)
 		})
 	}
 }
 
+// runSoak runs the soak with the daemon of this tree, for soakDuration. Findings fail the test and keep the logs.
+func runSoak(t *testing.T, set soak.Settings) soak.Report {
+	require.NoError(t, os.MkdirAll(*soakLogs, 0o700))
+	set.Program, set.Length, set.Logs = filepath.Join(binaryDir, "rhubarbswitchd"), *soakDuration, *soakLogs
+	report, err := soak.Run(t.Context(), set)
+	require.NoError(t, err)
+	for _, f := range report.Findings {
+		t.Errorf("seed %d, %s: %s: %s", set.Seed, f.At, f.Promise, f.Detail)
+	}
+	if len(report.Findings) > 0 {
+		excerpts, err := soak.Excerpts(report)
+		require.NoError(t, err)
+		t.Logf("whole logs, plan and report: %s\n%s", report.Logs, excerpts)
+	}
+	return report
+}
+
 // regressionRuns reads the runs that once found a fault. Each line of the file holds the
 // seed, the number of daemons if it was not the default, then # and the cause.
 func regressionRuns(t *testing.T, defaultDaemons int) []soakRun {
