handover: requests don't go back to an older configuration by way of another daemon

What callers would see: while a change of the configuration spreads, a daemon that reaches no hosts hands one request over to a daemon that has the new version, and a later one to a daemon that hasn't. The same daemon serves the new routes, then the old ones.

Cause: a daemon that hands requests over knew only its own version, not that by which they ran.

Evidence: the new tests failed before: "expected: 2, actual: 1" (the version asked of the next daemon), "expected: 7, actual: 0" (the version that the taking daemon names).

What is left: a daemon that has an older version itself and reaches hosts again runs requests by it, until the store or another daemon tells it.

--- a/internal/core/gateway/calls.go
+++ b/internal/core/gateway/calls.go
@@ -327,6 +327,7 @@
 	c.answerBegan = true
 	if c.daemon != "" {
 		s.peers.Took(now, c.daemon)
+		s.handedVersion = max(s.handedVersion, e.ConfigVersion)
 		return
 	}
 	s.recordLimit(now, c, e.Limit, out)
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -80,6 +80,8 @@
 	interrupted   int          // streams that wait for a target
 	paths         *reach.Paths // to the hosts of each service
 	peers         *handover.Peers
+	// handedVersion is the newest version of the configuration of the daemons that took requests.
+	handedVersion int64
 	// stalled are the last stalls of attempts that wait for the path to their targets to be known.
 	stalled   map[step.RequestID]step.AnswerStalled
 	takenOver int // requests in progress that other daemons have handed over
--- a/internal/core/gateway/paths_test.go
+++ b/internal/core/gateway/paths_test.go
@@ -159,6 +159,27 @@
 	require.Equal(t, 1, x.s.CondemnedFingerprints()+x.s.ProvisionalFingerprints())
 }
 
+// TestHandedOverRequestsDontReturnToAnOlderConfiguration guards against a caller's daemon that hands requests
+// over to one with a new configuration, and later ones to one that has not got it yet.
+func TestHandedOverRequestsDontReturnToAnOlderConfiguration(t *testing.T) {
+	x := cutOff(t)
+	_, effects := x.call("/once/1", "key")
+	last, _ := x.failUntilHandedOver(effects, step.EndedUnsent)
+	f, ok := last.(step.Forward)
+	require.True(t, ok)
+	for version, want := range []int64{1, 1, 2, 3} { // 0: a release that does not say
+		x.reduce(step.AnswerBegan{ID: f.ID, Attempt: f.Attempt, ConfigVersion: int64(version)})
+		x.endAttempt(f, step.EndedComplete, 0)
+		_, effects = x.call("/once/1", "key")
+		f = x.requireForward(effects)
+		require.NotEmpty(t, f.Daemon)
+		require.Equal(t, want, f.ConfigVersion)
+	}
+	x.configure(9)
+	_, effects = x.call("/once/1", "key")
+	require.EqualValues(t, 9, x.requireForward(effects).ConfigVersion)
+}
+
 // TestTakenRequestsCountOnceForTheRetryBudget guards against counting a request that was handed over twice,
 // or not at all.
 func TestTakenRequestsCountOnceForTheRetryBudget(t *testing.T) {
--- a/internal/core/step/gateway.go
+++ b/internal/core/step/gateway.go
@@ -53,7 +53,8 @@
 	// Daemon is the daemon that the request is handed over to, at Address; empty if it is sent to a
 	// host. MaxRuns is how many attempts that daemon may let run.
 	// Counted is set if the request counts for this daemon's retry budget, and so not for the other's.
-	// ConfigVersion is the version of the configuration by which this daemon admitted it.
+	// ConfigVersion is the oldest version of the configuration by which the request may run, valid if Daemon
+	// is set.
 	Daemon        string
 	MaxRuns       int
 	Counted       bool
@@ -81,6 +82,9 @@
 	Limit   site.LimitStatement
 	// NewConnection is set if the connection was opened for this attempt.
 	NewConnection bool
+	// ConfigVersion is the version of the configuration of the daemon that the request was handed over to;
+	// zero if it does not say, or the request was sent to a host.
+	ConfigVersion int64
 }
 
 // StreamStarted reports that the first event of an attempt's stream has been delivered.
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -29,9 +29,14 @@
 
 // markTargetsAnswer adds to an answer for another daemon whose it is, and how many attempts have run.
 func (x *exchange) markTargetsAnswer(runs int) {
-	if x.handedOver {
-		relay.HandoverAnswer{Host: x.answeringHost, Runs: runs}.Set(x.w.Header())
+	if !x.handedOver {
+		return
 	}
+	a := relay.HandoverAnswer{Host: x.answeringHost, Runs: runs}
+	if c := x.daemon.config.Load(); c != nil {
+		a.ConfigVersion = c.Version
+	}
+	a.Set(x.w.Header())
 }
 
 // receiveHandover processes the answer of the daemon that the request was handed over to. Its own refusal
@@ -67,7 +72,7 @@
 		// Its pause concerns the daemon that has asked the host; that it leaves concerns all.
 		a.exchange.daemon.Post(step.HostNotice{Host: answer.Host, Notice: site.Notice{Leaving: true}})
 	}
-	a.exchange.daemon.Post(step.AnswerBegan{ID: a.forward.ID, Attempt: a.forward.Attempt})
+	a.exchange.daemon.Post(step.AnswerBegan{ID: a.forward.ID, Attempt: a.forward.Attempt, ConfigVersion: answer.ConfigVersion})
 	return a.receiveAnswer(resp)
 }
 
--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/quarantine"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/site"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/object"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/relay"
@@ -33,13 +34,16 @@
 // headersOnly is a platform that reads and sets no headers.
 type headersOnly struct{ Platform }
 
-func (headersOnly) ToDaemon(http.Header, time.Duration)         {}
+func (headersOnly) ToDaemon(http.Header, time.Duration) {}
+func (headersOnly) FromTarget(int, http.Header, string) AnswerHeader {
+	return AnswerHeader{MatchesRequest: true}
+}
 func (headersOnly) ToCaller(http.Header, string, time.Duration) {}
 func (headersOnly) ReadCall(http.Header) CallHeader             { return CallHeader{} }
 
 func newTestDaemon(t *testing.T) *Daemon {
 	d := &Daemon{
-		platform: headersOnly{}, log: slog.New(slog.DiscardHandler), clock: testClock, targets: newTargets(testClock), buffers: newBufferBudget(0),
+		platform: headersOnly{}, log: slog.New(slog.DiscardHandler), clock: testClock, targets: newTargets(testClock), answers: newAnswerBudget(64), bodies: newBodyBudget(64),
 		events: make(chan step.Event, 1), reducerDone: make(chan struct{}),
 	}
 	t.Cleanup(d.targets.close)
@@ -65,6 +69,28 @@
 	require.Zero(t, served())
 }
 
+// TestTakingDaemonNamesItsConfiguration lets daemons of two releases answer for a host.
+func TestTakingDaemonNamesItsConfiguration(t *testing.T) {
+	for _, version := range []int64{0, 7} {
+		taker := newTestDaemon(t)
+		if version > 0 {
+			taker.config.Store(&site.Config{Version: version})
+		}
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			x := &exchange{daemon: taker, w: w, handedOver: true, answeringHost: "h"}
+			x.markTargetsAnswer(1)
+		}))
+		t.Cleanup(s.Close)
+		d := newTestDaemon(t)
+		x := &exchange{daemon: d, r: httptest.NewRequest(http.MethodPost, "/write/1", nil)}
+		end := x.runAttempt(t.Context(), step.Forward{Daemon: "taker", Address: s.Listener.Addr().String(), MaxRuns: 1, Deadline: testClock() + 5*time.Second})
+		require.Equal(t, step.EndedComplete, end.Ending)
+		began, ok := (<-d.events).(step.AnswerBegan)
+		require.True(t, ok)
+		require.Equal(t, version, began.ConfigVersion)
+	}
+}
+
 // TestCallersBytesAreNoMessageToFormerRelease guards against a daemon that takes a caller's request, handed
 // over to it, for evidence of another daemon.
 func TestCallersBytesAreNoMessageToFormerRelease(t *testing.T) {
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -21,8 +21,8 @@
 	headerMaxRuns = HandoverPrefix + "Max-Runs"
 	// headerCounted is set if the request counts for the retry budget of the daemon that hands it over.
 	headerCounted = HandoverPrefix + "Counted"
-	// headerConfigVersion is the version of the configuration by which the request was admitted. Releases
-	// without it neither send nor read it.
+	// headerConfigVersion is the oldest version of the configuration by which the request may run; in an answer, the
+	// version of the daemon that took it.
 	headerConfigVersion = HandoverPrefix + "Config-Version"
 	// headerRuns is how many have run by the time of the answer, or may have.
 	headerRuns = HandoverPrefix + "Runs"
@@ -45,7 +45,8 @@
 	MaxRuns int
 	// Counted is set if the request counts for the retry budget of the daemon that hands it over.
 	Counted bool
-	// ConfigVersion is the version of the configuration by which that daemon admitted it; 0 if it names none.
+	// ConfigVersion is the oldest version of the configuration by which the request may run; zero if it does
+	// not say.
 	ConfigVersion int64
 }
 
@@ -82,6 +83,9 @@
 	Host string
 	// Runs is the number of attempts that have run, or may have.
 	Runs int
+	// ConfigVersion is the version of the daemon's configuration, valid if Host is set; zero if the daemon
+	// does not say.
+	ConfigVersion int64
 	// Own is the daemon's own answer, valid if Host is empty.
 	Own step.Answer
 }
@@ -91,6 +95,9 @@
 	h.Set(headerRuns, strconv.Itoa(a.Runs))
 	if a.Host != "" {
 		h.Set(headerHost, a.Host)
+		if a.ConfigVersion != 0 {
+			h.Set(headerConfigVersion, strconv.FormatInt(a.ConfigVersion, 10))
+		}
 		return
 	}
 	outcome := a.Own.Outcome
@@ -111,6 +118,7 @@
 	}
 	a.Host, a.Runs = h.Get(headerHost), runs
 	if a.Host != "" {
+		a.ConfigVersion, _ = strconv.ParseInt(h.Get(headerConfigVersion), 10, 64) // earlier releases don't set it
 		return a, true
 	}
 	a.Own = step.Answer{Status: status, Code: step.Code(h.Get(headerCode)), Outcome: object.Outcome(h.Get(headerOutcome)), Message: "the daemon that was asked for it refused"}
--- a/internal/relay/handover_test.go
+++ b/internal/relay/handover_test.go
@@ -27,4 +27,12 @@
 	read, err := ReadHandover(http.Header{headerMaxRuns: {"1"}})
 	require.NoError(t, err)
 	require.Zero(t, read.ConfigVersion, "of a release that names none")
+
+	for _, answer := range []HandoverAnswer{{Host: "h", Runs: 1}, {Host: "h", Runs: 1, ConfigVersion: 7}} {
+		h := make(http.Header)
+		answer.Set(h)
+		read, ok := ReadHandoverAnswer(http.StatusOK, h)
+		require.True(t, ok)
+		require.Equal(t, answer, read)
+	}
 }
