Hand-overs name the hosts that leave

The hand-over named no hosts.

It now names up to 16 hosts of the service that have said that they leave, each with its incarnation, and the taking daemon treats those incarnations as leaving, for all requests. It does so only after the request's key was accepted; on a public route there is none. Hosts that are drained by their entry alone are not named, as that may be taken back.

TestHandedOverRequestNamesHostsThatLeave fails without the adoption (expected "b", actual "a").

--- a/internal/core/gateway/calls.go
+++ b/internal/core/gateway/calls.go
@@ -107,6 +107,7 @@
 	c.counted = r.Counted
 	if r.HandedOver {
 		s.takenOver++
+		s.adoptLeaving(now, r.LeavingHosts, out)
 	}
 	if !s.wantsHandover(c) {
 		s.countForBudget(now, c)
--- a/internal/core/gateway/handover.go
+++ b/internal/core/gateway/handover.go
@@ -58,7 +58,7 @@
 	c.beginAttempt(now)
 	c.daemon = d.Name
 	f := step.Forward{
-		ID: c.req.ID, Attempt: c.attempt, Daemon: d.Name, Address: d.Address, Service: c.service, MaxRuns: c.maxRuns - c.ranAttempts, Counted: c.counted, ConfigVersion: max(c.version, s.handedVersion),
+		ID: c.req.ID, Attempt: c.attempt, Daemon: d.Name, Address: d.Address, Service: c.service, MaxRuns: c.maxRuns - c.ranAttempts, Counted: c.counted, ConfigVersion: max(c.version, s.handedVersion), LeavingHosts: s.leavingHosts(c.service),
 		Deadline: c.deadline, Stream: c.route.Kind == site.Stream, MayRepeat: c.route.MayRepeat(),
 	}
 	out.Log(event.RequestHandedOver, event.F("request", c.req.CallerID), event.F("attempt", c.attempt), event.F("route", c.route.Name),
--- a/internal/core/gateway/notice_test.go
+++ b/internal/core/gateway/notice_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -105,3 +106,42 @@
 	}
 	require.Len(t, x.hostsServing("/read/1"), 2)
 }
+
+// TestHandedOverRequestNamesHostsThatLeave guards against requests that reach a host that has told their caller's daemon that it leaves.
+func TestHandedOverRequestNamesHostsThatLeave(t *testing.T) {
+	x := cutOff(t)
+	x.reduce(step.HostNotice{Host: "a", Notice: site.Notice{Leaving: true}})
+	x.reduce(step.HostNotice{Host: "h1", Notice: site.Notice{Leaving: true}})
+	_, effects := x.call("/once/1", "key")
+	last, _ := x.failUntilHandedOver(effects, step.EndedUnsent)
+	named := last.(step.Forward).LeavingHosts
+	require.Equal(t, []step.LeavingHost{{Host: "a", Incarnation: 1}}, named, "those of its service")
+
+	y := newHarness(t)
+	y.configure(1)
+	restarted := plainHost("b")
+	restarted.Incarnation = 2
+	y.setHosts(plainHost("a"), restarted)
+	named = append(named, step.LeavingHost{Host: "b", Incarnation: 1}, step.LeavingHost{Host: "unknown", Incarnation: 1})
+	for i := range 8 {
+		id := step.RequestID(fmt.Sprintf("taken%d", i))
+		call := step.Call{ID: id, CallerID: string(id), Host: "h", Path: "/once/1", Key: "key", HandedOver: true, MaxRuns: 1, LeavingHosts: named}
+		if i > 3 {
+			call.LeavingHosts = nil
+		}
+		require.Equal(t, "b", y.requireForward(y.reduce(call)).Host)
+	}
+	many := make([]site.Host, 2*maxLeavingHosts)
+	for i := range many {
+		many[i] = plainHost(fmt.Sprintf("many%d", i))
+	}
+	y.setHosts(many...)
+	for _, h := range many {
+		y.reduce(step.HostNotice{Host: h.ID, Notice: site.Notice{Leaving: true}})
+	}
+	require.Len(t, y.s.leavingHosts("plain"), maxLeavingHosts)
+
+	z := started(t)
+	z.reduce(step.Call{ID: "r", CallerID: "r", Host: "h", Path: "/once/1", Key: "none", HandedOver: true, MaxRuns: 1, LeavingHosts: named})
+	require.False(t, z.s.hosts["a"].Draining, "a request without a valid key says nothing")
+}
--- a/internal/core/step/gateway.go
+++ b/internal/core/step/gateway.go
@@ -40,6 +40,14 @@
 	Counted bool
 	// ConfigVersion is the version of the configuration by which that daemon admitted it; 0 if it named none.
 	ConfigVersion int64
+	// LeavingHosts are hosts that have told that daemon that they leave.
+	LeavingHosts []LeavingHost
+}
+
+// LeavingHost is an incarnation of a host that has stated that it leaves.
+type LeavingHost struct {
+	Host        string
+	Incarnation int64
 }
 
 // Forward starts one attempt of an admitted Call. ForwardEnded reports its end.
@@ -59,7 +67,9 @@
 	MaxRuns       int
 	Counted       bool
 	ConfigVersion int64
-	Team          string
+	// LeavingHosts are hosts of the service that have told this daemon that they leave.
+	LeavingHosts []LeavingHost
+	Team         string
 	// Urgency ranks the request in the target's queue; 0 is served first.
 	Urgency  int
 	Deadline time.Duration // monotonic; the attempt ends with EndedTimeout here
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -23,7 +23,7 @@
 			return
 		}
 		takenOver.Inc()
-		d.serve(w, r, step.Call{HandedOver: true, MaxRuns: o.MaxRuns, Counted: o.Counted, ConfigVersion: o.ConfigVersion})
+		d.serve(w, r, step.Call{HandedOver: true, MaxRuns: o.MaxRuns, Counted: o.Counted, ConfigVersion: o.ConfigVersion, LeavingHosts: o.LeavingHosts})
 	})
 }
 
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -13,7 +14,7 @@
 )
 
 // A request that is handed over reaches the other daemon's links as the caller sent it, its key
-// included, with the headers headerMaxRuns, headerCounted and headerConfigVersion. The answer has the headers below in addition.
+// included, with the headers headerMaxRuns, headerCounted, headerConfigVersion and headerLeaving. The answer has the headers below in addition.
 const (
 	// HandoverPrefix begins the names of all these headers. Neither callers nor targets may set them.
 	HandoverPrefix = "Rhubarbswitch-Handover-"
@@ -24,6 +25,8 @@
 	// headerConfigVersion is the oldest version of the configuration by which the request may run; in an answer, the
 	// version of the daemon that took it.
 	headerConfigVersion = HandoverPrefix + "Config-Version"
+	// headerLeaving names a host that leaves, escaped, an equals sign and its incarnation; once for each.
+	headerLeaving = HandoverPrefix + "Leaving"
 	// headerRuns is how many have run by the time of the answer, or may have.
 	headerRuns = HandoverPrefix + "Runs"
 	// headerHost is the host that gave the answer; missing if it is the daemon's own.
@@ -48,6 +51,8 @@
 	// ConfigVersion is the oldest version of the configuration by which the request may run; zero if it does
 	// not say.
 	ConfigVersion int64
+	// LeavingHosts are hosts that have told that daemon that they leave.
+	LeavingHosts []step.LeavingHost
 }
 
 // ReadHandover reads what a daemon says of a request. It fails if the request is not one that is handed
@@ -63,6 +68,15 @@
 			return Handover{}, errors.Wrap(err, "read the version of the configuration")
 		}
 	}
+	for _, line := range h[headerLeaving] {
+		name, number, _ := strings.Cut(line, "=")
+		host, errName := url.QueryUnescape(name)
+		incarnation, errNumber := strconv.ParseInt(number, 10, 64)
+		if errName != nil || errNumber != nil {
+			return Handover{}, errors.Errorf("read the hosts that leave: %q is not a host and its incarnation", line)
+		}
+		o.LeavingHosts = append(o.LeavingHosts, step.LeavingHost{Host: host, Incarnation: incarnation})
+	}
 	return o, nil
 }
 
@@ -75,6 +89,10 @@
 	if o.ConfigVersion > 0 {
 		h.Set(headerConfigVersion, strconv.FormatInt(o.ConfigVersion, 10))
 	}
+	h.Del(headerLeaving)
+	for _, l := range o.LeavingHosts {
+		h.Add(headerLeaving, url.QueryEscape(l.Host)+"="+strconv.FormatInt(l.Incarnation, 10))
+	}
 }
 
 // HandoverAnswer is what a daemon says of its answer to a request that was handed over.
--- a/internal/relay/handover_test.go
+++ b/internal/relay/handover_test.go
@@ -6,11 +6,13 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
 )
 
 // TestHandoverHeadersKeepWhatTheySay guards against hand-overs that lose the version by which a request was admitted.
 func TestHandoverHeadersKeepWhatTheySay(t *testing.T) {
-	for _, o := range []Handover{{}, {MaxRuns: 2, Counted: true, ConfigVersion: 8}, {MaxRuns: 1, ConfigVersion: math.MaxInt64}} {
+	for _, o := range []Handover{{}, {MaxRuns: 2, Counted: true, ConfigVersion: 8}, {MaxRuns: 1, ConfigVersion: math.MaxInt64}, {LeavingHosts: []step.LeavingHost{{Host: "h1", Incarnation: 7}, {Host: "a=b, c%\r\n", Incarnation: -1}}}} {
 		h := http.Header{}
 		o.Set(h)
 		for name := range h {
@@ -24,6 +26,8 @@
 	require.Error(t, err)
 	_, err = ReadHandover(http.Header{headerMaxRuns: {"1"}, headerConfigVersion: {"new"}})
 	require.Error(t, err, "what can't be read is not taken")
+	_, err = ReadHandover(http.Header{headerMaxRuns: {"1"}, headerLeaving: {"h1"}})
+	require.Error(t, err)
 	read, err := ReadHandover(http.Header{headerMaxRuns: {"1"}})
 	require.NoError(t, err)
 	require.Zero(t, read.ConfigVersion, "of a release that names none")
