--- a/test/process/gateway_bodies_test.go
+++ b/test/process/gateway_bodies_test.go
@@ -114,7 +114,12 @@
 		require.NoError(t, err)
 		require.Equal(t, http.StatusRequestEntityTooLarge, a.Status, "%v", a.Err)
 	}
-	for _, framing := range []string{"Content-Length: 100\r\n\r\nsome", "Transfer-Encoding: chunked\r\n\r\n4\r\nsome\r\n"} {
+	for framing, status := range map[string]string{
+		"Content-Length: 100\r\n\r\nsome":                            "HTTP/1.1 408",
+		"Transfer-Encoding: chunked\r\n\r\n4\r\nsome\r\n":            "HTTP/1.1 408",
+		"Expect: 100-continue\r\nContent-Length: 5000000\r\n\r\n":    "HTTP/1.1 413",
+		"Expect: 100-continue\r\nTransfer-Encoding: chunked\r\n\r\n": "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 408",
+	} {
 		c, err := net.Dial("tcp", d.callersAddress)
 		require.NoError(t, err)
 		defer func() { _ = c.Close() }()
@@ -123,7 +128,8 @@
 		require.NoError(t, c.SetReadDeadline(time.Now().Add(5*time.Second)))
 		answer, err := io.ReadAll(c)
 		require.NoError(t, err, "the connection is closed")
-		require.Contains(t, string(answer), "HTTP/1.1 408")
+		require.True(t, strings.HasPrefix(string(answer), status), "%s", answer)
+		require.Equal(t, strings.Count(status, "HTTP/1.1"), strings.Count(string(answer), "HTTP/1.1"), "nothing follows the answer")
 	}
 }
 
