A stream gives back the memory of an earlier attempt's answer as it begins

No way was found on which the complete answer of an earlier attempt, or an order to deliver it, ends a stream that broke off: TestFailureOfAnEarlierAttemptNeverEndsAStream passes without a change, sent and handed over.

It is now released as the stream begins.

Subtests that wait run in parallel.

--- a/internal/gateway/rawtarget_test.go
+++ b/internal/gateway/rawtarget_test.go
@@ -179,7 +179,10 @@
 	for _, handedOver := range []bool{false, true} {
 		for _, path := range paths {
 			name := map[bool]string{false: "sent", true: "handed over"}[handedOver]
-			t.Run(name+path[:strings.LastIndex(path, "/")], func(t *testing.T) { test(t, handedOver, path) })
+			t.Run(name+path[:strings.LastIndex(path, "/")], func(t *testing.T) {
+				t.Parallel() // most of their time is waiting
+				test(t, handedOver, path)
+			})
 		}
 	}
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -99,6 +99,7 @@
 		}
 	}
 	if !x.streamStarted {
+		x.hold(nil) // the failure of an earlier attempt can no longer be the answer
 		copyHeader(x.w.Header(), resp.Header)
 		x.markTargetsAnswer(x.runs + 1)
 		x.w.WriteHeader(resp.StatusCode)
--- a/internal/gateway/stream_errors_test.go
+++ b/internal/gateway/stream_errors_test.go
@@ -120,6 +120,7 @@
 	}
 	for name, next := range answers {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			var hosts *rawTargets
 			hosts = startRawTargets(t, 3, func(r rawRequest) rawAnswer {
 				hosts.refuseConnections()
@@ -324,3 +325,47 @@
 		require.Empty(t, a.header.Get("Content-Encoding"))
 	})
 }
+
+// TestStreamReleasesTheAnswerOfAnEarlierAttempt guards against memory that failures hold for ever once a stream has followed them.
+func TestStreamReleasesTheAnswerOfAnEarlierAttempt(t *testing.T) {
+	const requests, bytesEach = 30, 1 << 20 // three times the memory for answers, as it is counted
+	eachWay(t, []string{"/chat/1"}, func(t *testing.T, handedOver bool, path string) {
+		large := strings.Repeat("x", bytesEach)
+		s := startRawSite(t, handedOver, 3, func(r rawRequest) rawAnswer {
+			switch {
+			case r.id == "large":
+				return rawAnswer{text: whole(r.id, "200 OK", large)}
+			case r.number == 1:
+				return rawAnswer{text: whole(r.id, "500 Internal Server Error", large)}
+			}
+			return rawAnswer{text: restAfter(r)}
+		})
+		for i := range requests {
+			require.Equal(t, events(1, lastEvent), s.send(path, fmt.Sprint(i)).body)
+		}
+		require.Len(t, s.send("/read/1", "large").body, bytesEach)
+	})
+}
+
+// TestFailureOfAnEarlierAttemptNeverEndsAStream guards against a stream that breaks off and looks complete, since an earlier attempt has left a complete answer.
+func TestFailureOfAnEarlierAttemptNeverEndsAStream(t *testing.T) {
+	for _, after := range []string{whole("id", "500 Internal Server Error", "error text"), refusal("id"), whole("id", "200 OK", "error text")} {
+		for targets := 2; targets <= 3; targets++ {
+			eachWay(t, []string{"/chat/1"}, func(t *testing.T, handedOver bool, path string) {
+				s := startRawSite(t, handedOver, targets, func(r rawRequest) rawAnswer {
+					switch r.number {
+					case 1:
+						return rawAnswer{text: whole(r.id, "500 Internal Server Error", "error text")}
+					case 2:
+						return rawAnswer{text: cutStream(r.id, events(1, eventsBeforeBreak)), close: true}
+					}
+					return rawAnswer{text: after}
+				})
+				a := s.send(path, "id")
+				require.Equal(t, events(1, eventsBeforeBreak), a.body)
+				require.False(t, a.complete)
+				require.Len(t, s.requestsWith("id"), targets)
+			})
+		}
+	}
+}
