--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -335,7 +335,11 @@
 	panic(http.ErrAbortHandler)
 }
 
+// recordAborted logs and counts a request without a complete answer, unless its caller has left.
 func (x *exchange) recordAborted(reason abortReason, fields ...event.Field) {
+	if x.r.Context().Err() != nil {
+		return
+	}
 	countAborted(reason)
 	x.daemon.logEvent(event.RequestAborted, append([]event.Field{
 		event.F("request", x.callerID), event.F("reason", string(reason)), event.F("events", x.eventsDelivered), event.F("runs", x.runs),
@@ -391,11 +395,8 @@
 	if err == nil {
 		err = x.control.Flush()
 	}
-	switch {
-	case err == nil:
-	case x.r.Context().Err() != nil:
-		x.daemon.log.Debug("caller disconnected before its answer was written", "request", x.callerID, "error", err)
-	default:
+	if err != nil {
+		x.daemon.log.Debug("an answer could not be written", "request", x.callerID, "error", err)
 		x.recordAborted(abortWriteFailed, event.F("error", err))
 	}
 }
