--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -331,15 +333,16 @@
 // abort closes the connection of a request that gets no complete answer, so that the caller can't mistake
 // what it has for one.
 func (x *exchange) abort(reason abortReason) {
-	x.recordAborted(reason)
+	if x.r.Context().Err() != nil {
+		x.daemon.log.Debug("the caller left before its answer was complete", "request", x.callerID, "reason", string(reason))
+	} else {
+		x.recordAborted(reason)
+	}
 	panic(http.ErrAbortHandler)
 }
 
-// recordAborted logs and counts a request without a complete answer, unless its caller has left.
+// recordAborted logs and counts a request without a complete answer.
 func (x *exchange) recordAborted(reason abortReason, fields ...event.Field) {
-	if x.r.Context().Err() != nil {
-		return
-	}
 	countAborted(reason)
 	x.daemon.logEvent(event.RequestAborted, append([]event.Field{
 		event.F("request", x.callerID), event.F("reason", string(reason)), event.F("events", x.eventsDelivered), event.F("runs", x.runs),
@@ -395,9 +398,12 @@
 	if err == nil {
 		err = x.control.Flush()
 	}
-	if err != nil {
-		x.daemon.log.Debug("an answer could not be written", "request", x.callerID, "error", err)
+	switch {
+	case err == nil:
+	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, net.ErrClosed): // ended here, not by the caller
 		x.recordAborted(abortWriteFailed, event.F("error", err))
+	default:
+		x.daemon.log.Debug("the caller left before its answer was written", "request", x.callerID, "error", err)
 	}
 }
 
