Targets of a data centre that returns from an evacuation are taken for cold

A daemon learns the end of an evacuation and the entries of its hosts by different watches, so for up to a watch cycle it knew them as warm.

A host of a data centre that returns counts as cold for the service's cold duration; its entry may say that it is cold for longer.

--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -120,6 +120,7 @@
 	daemons           []string              // known daemons, whether live or not
 	unreachedByDomain map[string]*unreachedHosts
 	coldRates         map[string]float64 // requests per second that a cold target can take, by service
+	evacuated         map[string]bool    // data centres that get no requests
 	quiet             *quiet.Periods     // hosts that asked for no requests; nil if none ever does
 	// limits are those that hosts have named, as of limitsGeneration linked to the targets; nil if
 	// none ever does.
@@ -204,6 +205,7 @@
 	for name, s := range c.Services {
 		tbl.coldRates[name] = s.ColdRequestsPerSecond
 	}
+	defer func() { tbl.evacuated = evacuated }()
 	for _, h := range hosts {
 		t := before[h.ID]
 		if t == nil || t.Host.Incarnation != h.Incarnation {
@@ -217,6 +219,10 @@
 		}
 		t.Host = *h
 		tbl.targets[h.ID] = t
+		if s := c.Services[h.Service]; s != nil && tbl.evacuated[h.DataCentre] && !evacuated[h.DataCentre] {
+			// Hosts without work may have cooled down, and their entries say so only later.
+			t.coldUntil = max(t.coldUntil, now+s.ColdDuration)
+		}
 		if model, ok := serves(c.Services[h.Service], t); ok && !h.Draining && !evacuated[h.DataCentre] && !leaving[h.Member.Group] {
 			key := poolKey{h.Service, model}
 			tbl.pools[key] = append(tbl.pools[key], t)
--- a/internal/core/place/place_test.go
+++ b/internal/core/place/place_test.go
@@ -212,6 +212,27 @@
 	require.NotNil(t, b.Choose(4*time.Second, a).Target, "the target is warm by now")
 }
 
+// TestTargetsOfADataCentreThatReturnsAreTakenForCold guards against a full load at targets that have cooled down without work.
+func TestTargetsOfADataCentreThatReturnsAreTakenForCold(t *testing.T) {
+	c := config()
+	c.Services["plain"].ColdDuration = 3 * time.Second
+	b := New("d0", "dc")
+	b.SetDaemons([]string{"d0"})
+	hosts := []*site.Host{plain("a")}
+	b.Update(0, c, hosts, nil)
+	b.Update(0, c, hosts, map[string]bool{"dc": true})
+	b.Update(10*time.Second, c, hosts, nil)
+	b.Update(10*time.Second, c, hosts, nil)
+	sent := 0
+	for ms := range 1000 {
+		if b.Choose(10*time.Second+time.Duration(ms)*time.Millisecond, Request{Service: "plain", TimeLeft: time.Second}).Target != nil {
+			sent++
+		}
+	}
+	require.InDelta(t, 20, sent, 1)
+	require.NotNil(t, b.Choose(13*time.Second, Request{Service: "plain", TimeLeft: time.Second}).Target)
+}
+
 func BenchmarkChoose(b *testing.B) {
 	var hosts []*site.Host
 	for i := range 90 {
