Messages of other daemons don't delay a stop

A stopping daemon left connections of other daemons open as it does those of callers, so messages that came more often than every two seconds (limits of hosts) kept it up for its whole timeout. Found by reading. Other daemons keep no connection for requests that long, and repeat their messages.

--- a/internal/core/gateway/lifecycle.go
+++ b/internal/core/gateway/lifecycle.go
@@ -18,7 +18,7 @@
 	// get their final answers.
 	finalAnswerReserve = 600 * time.Millisecond
 	// exitReserve is the last part of that, kept for the process to exit.
-	exitReserve = 300 * time.Millisecond
+	exitReserve = 400 * time.Millisecond
 )
 
 // lifecycle is the state of the daemon between its start and its exit.
--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -63,15 +63,15 @@
 }
 
 // awaited reports whether the connection must stay open: a request is being read or answered, or one may be
-// on its way.
-func (c *serverConn) awaited() bool {
+// on its way, as long as the connection has been idle for less than keptIdle.
+func (c *serverConn) awaited(keptIdle time.Duration) bool {
 	switch c.state.Load() {
 	case connBusy:
 		return true
 	case connNew:
 		return time.Since(c.idleSince) < firstRequestTime
 	case connIdle:
-		return time.Since(c.idleSince) < keptIdleTime
+		return time.Since(c.idleSince) < keptIdle
 	}
 	return false
 }
@@ -81,6 +81,9 @@
 // http.Server.Shutdown and IdleTimeout are not used: they close a connection whose next request has been
 // read and not yet parsed, and that request still runs.
 type serverConns struct {
+	// keptIdle is how long a stop leaves idle connections open.
+	keptIdle time.Duration
+
 	mu   sync.Mutex
 	open map[*serverConn]bool
 }
@@ -161,7 +164,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.open {
-		if c.awaited() {
+		if c.awaited(s.keptIdle) {
 			n++
 		}
 	}
--- a/internal/gateway/conns_test.go
+++ b/internal/gateway/conns_test.go
@@ -4,12 +4,14 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"slices"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/rhubarbswitch/rhubarbswitch/internal/config"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/site"
 )
 
@@ -72,3 +74,27 @@
 	_, err = c.in.ReadByte()
 	require.ErrorIs(t, err, io.EOF)
 }
+
+// TestMessagesOfOtherDaemonsDoNotDelayAStop guards against a stop that lasts for its whole timeout as other daemons keep sending.
+func TestMessagesOfOtherDaemonsDoNotDelayAStop(t *testing.T) {
+	d := startDaemonWith(t, site.Once, 8*time.Second, answerOK, func(set *config.Gateway) { set.Links = freeAddress(t) })
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(100 * time.Millisecond):
+			}
+			if resp, err := http.PostForm("http://"+d.settings.Links+"/suspects", url.Values{"host": {"host"}}); err == nil {
+				_ = resp.Body.Close()
+			}
+		}
+	}()
+	time.Sleep(300 * time.Millisecond)
+	began := time.Now()
+	d.Stop()
+	<-d.ended
+	require.Less(t, time.Since(began), unreadyWait+2*time.Second)
+}
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -113,6 +113,8 @@
 		events: make(chan step.Event, eventQueueSize), reducerDone: make(chan struct{}),
 		targets: newTargets(clock), notifier: relay.NewNotifier(clock), answers: newAnswerBudget(set.MemoryMiB), bodies: newBodyBudget(set.MemoryMiB),
 	}
+	// Other daemons keep no connection for requests that long, and repeat their messages.
+	d.callers.conns.keptIdle = keptIdleTime
 	d.draining, d.startDraining = context.WithCancel(context.Background())
 	d.state = core.New(core.Settings{
 		Daemon: set.Daemon, Incarnation: d.incarnation, DataCentre: set.DataCentre, Cores: set.Cores,
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -98,6 +98,11 @@
 
 // startDaemon starts a daemon whose requests of a kind are answered by target, and waits until it is ready.
 func startDaemon(t *testing.T, kind site.Kind, grace time.Duration, target http.HandlerFunc) *testDaemon {
+	return startDaemonWith(t, kind, grace, target, func(*config.Gateway) {})
+}
+
+// startDaemonWith is startDaemon with other settings.
+func startDaemonWith(t *testing.T, kind site.Kind, grace time.Duration, target http.HandlerFunc, change func(*config.Gateway)) *testDaemon {
 	d := &testDaemon{t: t, ended: make(chan struct{}), arrivals: make(map[string]bool)}
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		id := r.Header.Get(testID)
@@ -112,6 +117,7 @@
 	set := config.DefaultGateway()
 	set.Daemon, set.DataCentre, set.ShutdownTimeout = "daemon", "dc", config.Duration(grace)
 	set.Callers, set.Readiness = freeAddress(t), freeAddress(t)
+	change(set)
 	began := time.Now()
 	var err error
 	d.Daemon, err = New(set, slog.New(slog.DiscardHandler), &testPlatform{address: server.Listener.Addr().String(), kind: kind}, func() time.Duration { return time.Since(began) })
