The time of a stop counts from its signal

It counted from when the reducer handled the event, behind up to 4,096 others. On a slowed machine the daemon would outlast its grace, and streams would be admitted longer after the signal than a stop can finish them. An attempt that breaks as the grace ends no longer waits for a probe of its host.

--- a/internal/core/gateway/calls.go
+++ b/internal/core/gateway/calls.go
@@ -377,7 +377,7 @@
 			event.F("begun", c.answerBegan), event.F("attemptEvents", c.events-c.eventsBefore), event.F("millis", (now-c.sentAt).Milliseconds()))
 		s.paths.DoubtUrgently(c.service)
 		s.probePaths(now, out)
-		if s.probeAfterBreak(now, c, out) && c.route.MayRepeat() && !c.moving {
+		if s.probeAfterBreak(now, c, out) && c.route.MayRepeat() && !c.moving && !s.lifecycle.ending {
 			c.awaitsProbe = &e
 			return
 		}
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -9,6 +9,7 @@
 package gateway
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -206,7 +207,7 @@
 	case step.LeaseAnswered:
 		s.onLease(now.Mono, e, out)
 	case step.Stop:
-		s.stop(now.Mono, out)
+		s.stop(now.Mono, cmp.Or(e.Since, now.Mono), out)
 	case step.ConnectionsClosed:
 		s.lifecycle.connectionsClosed = true
 	}
--- a/internal/core/gateway/lifecycle.go
+++ b/internal/core/gateway/lifecycle.go
@@ -32,11 +32,11 @@
 	exited            bool
 }
 
-func (s *State) stop(now time.Duration, out *step.Out) {
+func (s *State) stop(now, since time.Duration, out *step.Out) {
 	if s.lifecycle.stopping {
 		return
 	}
-	s.lifecycle.stopping, s.lifecycle.stoppingSince = true, now
+	s.lifecycle.stopping, s.lifecycle.stoppingSince = true, since
 	s.lease.Release()
 	out.Log(event.DaemonDraining, event.F("requests", len(s.calls)))
 	s.controlTick(now, out)
--- a/internal/core/step/event.go
+++ b/internal/core/step/event.go
@@ -242,8 +242,9 @@
 	Message Message
 }
 
-// Stop requests a graceful stop.
-type Stop struct{}
+// Stop requests a graceful stop. Since is when it was requested, by the monotonic clock, which may be before the
+// event is handled; zero if that is not known.
+type Stop struct{ Since time.Duration }
 
 // ConnectionsClosed reports that CloseConnections is done.
 type ConnectionsClosed struct{}
