core/gateway imports no package that does I/O

promise.go took the names of four statuses from net/http; packages of the reducer import none such. The numbers stand there as in the rest of the package.

--- a/internal/core/gateway/promise.go
+++ b/internal/core/gateway/promise.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"net/http"
 	"strconv"
 
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
@@ -11,7 +10,7 @@
 // never will.
 func promisesNotRun(status int) bool {
 	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+	case 408, 421, 429, 503:
 		return true
 	}
 	return false
