--- a/internal/core/gateway/calls.go
+++ b/internal/core/gateway/calls.go
@@ -263,8 +263,7 @@
 // endWithoutTarget ends a request that no target can take.
 func (s *State) endWithoutTarget(now time.Duration, c *call, choice place.Choice, fallback step.Answer, out *step.Out) {
 	if c.hasFailureAnswer {
-		out.Add(step.Deliver{ID: c.req.ID, Attempt: c.attempt}) // the failure answer of its last target
-		s.finish(now, c, "target failed", out)
+		s.deliverFailure(now, c, out)
 		return
 	}
 	if fallback.Status == 0 || c.ranAttempts == 0 {
@@ -289,6 +288,12 @@
 	out.Log(event.RequestAnswered, event.F("request", c.req.CallerID), event.F("path", c.req.Path), event.F("code", a.Code), event.F("status", a.Status))
 }
 
+// deliverFailure ends a request with the failure answer of its last target.
+func (s *State) deliverFailure(now time.Duration, c *call, out *step.Out) {
+	out.Add(step.Deliver{ID: c.req.ID, Attempt: c.attempt})
+	s.finish(now, c, "target failed", out)
+}
+
 // end answers a request with an error from this daemon.
 func (s *State) end(now time.Duration, c *call, a step.Answer, reason string, out *step.Out) {
 	a.ID, a.Outcome = c.req.ID, object.Unknown
@@ -399,8 +404,7 @@
 	case c.callerGone:
 		s.endGone(now, c, out)
 	case s.lifecycle.ending && e.Ending == step.EndedError && !c.withheld(e):
-		out.Add(step.Deliver{ID: c.req.ID, Attempt: c.attempt})
-		s.finish(now, c, "target failed", out)
+		s.deliverFailure(now, c, out)
 	case s.lifecycle.ending:
 		s.endStopping(now, c, out)
 	default:
@@ -442,8 +446,7 @@
 	}
 	if !mayRetry || !exempt && !s.budget.Allow(now, c.reachedAttempts()) {
 		if c.hasFailureAnswer {
-			out.Add(step.Deliver{ID: c.req.ID, Attempt: c.attempt})
-			s.finish(now, c, "target failed", out)
+			s.deliverFailure(now, c, out)
 			return
 		}
 		s.end(now, c, answer, c.endingReason(e), out)
--- a/internal/core/gateway/handover.go
+++ b/internal/core/gateway/handover.go
@@ -170,8 +170,7 @@
 		}
 	}
 	if e.Ending == step.EndedError && !c.withheld(e) { // the other daemon has made the retries
-		out.Add(step.Deliver{ID: c.req.ID, Attempt: c.attempt})
-		s.finish(now, c, "target failed", out)
+		s.deliverFailure(now, c, out)
 		return
 	}
 	s.conclude(now, c, e, out)
