fabric: hosts go to the models that callers ask for

Cause: hosts were dealt by the configured shares of the models, whatever was asked for since. The lease holder now measures the work offered for each model from the engines' reports, deals free hosts by it, and closes groups of a model with more hosts than it needs for one that is short.

--- a/internal/core/fabric/deal.go
+++ b/internal/core/fabric/deal.go
@@ -20,7 +20,7 @@
 func (p *Pool) modelForEmptyDomain(domain string, models []*site.Model) *site.Model {
 	planned := p.plannedHosts()
 	perShare := func(hosts map[string]int, m *site.Model) float64 {
-		return float64(hosts[m.Name]) / max(m.Share, minShare)
+		return float64(hosts[m.Name]) / p.share(m)
 	}
 	leastPerShare := func(first *site.Model) float64 {
 		hosts := maps.Clone(planned)
--- /dev/null
+++ b/internal/core/fabric/demand.go
@@ -0,0 +1,240 @@
+package fabric
+
+import (
+	"math"
+	"time"
+
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/site"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/event"
+)
+
+// This file measures the work that callers offer for each model, and how many hosts it needs. It
+// answers load that differs from the configured shares and that shifts between models during a day.
+//
+// Reports of heads show the requests of all daemons. What daemons refuse is in no report: this
+// daemon's own callers are a sample of it.
+
+const (
+	// targetUtilisation is the share of a group's slots that its model's need is computed with. Each
+	// daemon knows only a part of the load, so above it requests begin to wait at some heads.
+	targetUtilisation = 0.65
+	// reserveGroups are the groups that a model needs beyond its work: one may be lost while another
+	// is under repair.
+	reserveGroups = 2
+	// offeredReportMaxAge is the age up to which the report of a head counts.
+	offeredReportMaxAge = 2 * time.Second
+	// offeredRiseHalfLife and offeredFallHalfLife smooth the offered concurrency. It falls slowly, so
+	// that a short dip takes no hosts from a model.
+	offeredRiseHalfLife = 1500 * time.Millisecond
+	offeredFallHalfLife = 8 * time.Second
+	// demandSettleTime is how long reports must have come before demand counts, and
+	// firstDemandSettleTime the same after the first request of a new deployment: the longest streams
+	// run for that long, so their number still grows.
+	demandSettleTime      = time.Second
+	firstDemandSettleTime = 3 * time.Second
+	// admissionHalfLife is the time in which the weight of an own caller's request in the admitted
+	// share halves, minAdmissionSamples the weight below which that share counts as 1, and
+	// minAdmittedShare its least value.
+	admissionHalfLife   = 5 * time.Second
+	minAdmissionSamples = 8
+	minAdmittedShare    = 0.25
+)
+
+// demand is the work offered for the models of one service.
+type demand struct {
+	// models are by name. A model is missing until heads of it have reported.
+	models map[string]*modelDemand
+	// measuredSince is when the first report was counted since this daemon took control or, in a new
+	// deployment, since the first request; valid if measuring.
+	measuredSince time.Duration
+	measuring     bool
+	settleTime    time.Duration
+	known         bool
+	// oldestReport is the age of the oldest report that counted last.
+	oldestReport time.Duration
+}
+
+// modelDemand is the work offered for one model.
+type modelDemand struct {
+	offered   float64 // requests that run, wait or would run had they been admitted; smoothed
+	updatedAt time.Duration
+	seen      bool // offered is valid
+	// admitted and counted weigh this daemon's own callers' requests, as of countedAt.
+	admitted, counted float64
+	countedAt         time.Duration
+}
+
+func (d *demand) model(name string) *modelDemand {
+	if d.models == nil {
+		d.models = make(map[string]*modelDemand)
+	}
+	m := d.models[name]
+	if m == nil {
+		m = &modelDemand{}
+		d.models[name] = m
+	}
+	return m
+}
+
+// restart forgets what a former term of control has measured.
+func (d *demand) restart() {
+	d.measuring, d.known, d.settleTime = false, false, demandSettleTime
+	for _, m := range d.models {
+		m.seen = false
+	}
+}
+
+func (m *modelDemand) ageCounts(now time.Duration) {
+	f := math.Exp2(-float64(now-m.countedAt) / float64(admissionHalfLife))
+	m.admitted, m.counted, m.countedAt = m.admitted*f, m.counted*f, now
+}
+
+// admittedShare is the share of the requests for the model that found a target.
+func (m *modelDemand) admittedShare(now time.Duration) float64 {
+	m.ageCounts(now)
+	if m.counted < minAdmissionSamples {
+		return 1
+	}
+	return max(minAdmittedShare, m.admitted/m.counted)
+}
+
+// follow moves the smoothed value towards a measured one.
+func (m *modelDemand) follow(now time.Duration, measured float64) {
+	if !m.seen {
+		m.offered, m.updatedAt, m.seen = measured, now, true
+		return
+	}
+	halfLife := offeredRiseHalfLife
+	if measured < m.offered {
+		halfLife = offeredFallHalfLife
+	}
+	keep := math.Exp2(-float64(now-m.updatedAt) / float64(halfLife))
+	m.offered, m.updatedAt = measured+(m.offered-measured)*keep, now
+}
+
+// RecordOffered counts the first attempt of a request of this daemon's own callers. It must not be
+// called for requests that come back after a refusal or were handed over: they would count twice.
+func (p *Pool) RecordOffered(now time.Duration, model string, admitted bool) {
+	if p.engine == nil || p.engine.Model(model) == nil {
+		return
+	}
+	m := p.demand.model(model)
+	m.ageCounts(now)
+	m.counted++
+	if admitted {
+		m.admitted++
+	}
+}
+
+// updateDemand measures the offered work. It is frozen while this daemon's path to the hosts is in
+// doubt.
+func (p *Pool) updateDemand(now time.Duration, out *step.Out) {
+	if p.initialDeployment {
+		p.demand.restart()
+		p.demand.settleTime = firstDemandSettleTime
+		return
+	}
+	if _, cut := p.partitions[anywhere]; cut {
+		return
+	}
+	p.demand.oldestReport = 0
+	for i := range p.engine.Models {
+		p.measure(now, &p.engine.Models[i])
+	}
+	known := p.demand.measuring && now-p.demand.measuredSince >= p.demand.settleTime
+	if known != p.demand.known {
+		p.demand.known = known
+		p.logDemandKnown(out)
+	}
+}
+
+// measure updates the demand for one model by the reports of its heads. A model without any report
+// keeps its value: that its groups are lost does not mean that nobody asks for it.
+func (p *Pool) measure(now time.Duration, m *site.Model) {
+	groups, reported, sum := 0, 0, 0
+	for _, g := range p.groups {
+		if g.model != m || g.stage != serving && g.stage != opening {
+			continue
+		}
+		groups++
+		h := p.hosts[g.head().id]
+		if h == nil || !h.hasAnswered || h.lastReport.Member.Group != g.id || now-h.lastAnswerAt > offeredReportMaxAge {
+			continue
+		}
+		reported++
+		sum += h.lastReport.Running + h.lastReport.Queued
+		p.demand.oldestReport = max(p.demand.oldestReport, now-h.lastAnswerAt)
+	}
+	if reported == 0 {
+		return
+	}
+	if !p.demand.measuring {
+		p.demand.measuring, p.demand.measuredSince = true, now
+	}
+	d := p.demand.model(m.Name)
+	d.follow(now, float64(sum)*float64(groups)/float64(reported)/d.admittedShare(now))
+}
+
+func (p *Pool) logDemandKnown(out *step.Out) {
+	fields := []event.Field{event.F("known", p.demand.known)}
+	for i := range p.engine.Models {
+		m := &p.engine.Models[i]
+		fields = append(fields, event.F("model"+string(rune('0'+i%10)), m.Name), event.F("offered"+string(rune('0'+i%10)), p.demand.model(m.Name).offered))
+	}
+	out.Log(event.DemandKnown, fields...)
+}
+
+// need is the number of hosts that a model needs for the work offered. It is valid while demand is
+// known.
+func (p *Pool) need(m *site.Model) float64 {
+	d := p.demand.models[m.Name]
+	if d == nil || !d.seen || d.offered == 0 {
+		return float64(m.GroupSize)
+	}
+	return float64(m.GroupSize) * (d.offered/(float64(max(p.engine.Slots, 1))*targetUtilisation) + reserveGroups)
+}
+
+// share is a model's part of the hosts: by the work offered or, while that is unknown, by the
+// configuration.
+func (p *Pool) share(m *site.Model) float64 {
+	if !p.demand.known {
+		return max(m.Share, minShare)
+	}
+	sum := 0.0
+	for i := range p.engine.Models {
+		sum += p.need(&p.engine.Models[i])
+	}
+	return max(p.need(m)/sum, minShare)
+}
+
+// ModelStats describes one model, by its position in the configuration.
+type ModelStats struct {
+	Offered float64 // requests that run, wait, or were refused at the same rate; 0 while unknown
+	Need    float64 // hosts; 0 while unknown
+	Hosts   int     // in groups that form or serve
+	Groups  int     // that serve
+}
+
+// ModelStats returns the statistics of the models while this daemon holds control, else nil.
+func (p *Pool) ModelStats() []ModelStats {
+	if !p.active || p.engine == nil {
+		return nil
+	}
+	stats := make([]ModelStats, len(p.engine.Models))
+	for i := range stats {
+		m := &p.engine.Models[i]
+		stats[i].Hosts = p.totals.activeHosts[m.Name]
+		if p.demand.known {
+			stats[i].Offered, stats[i].Need = p.demand.model(m.Name).offered, p.need(m)
+		}
+	}
+	for _, g := range p.groups {
+		for i := range stats {
+			if g.stage == serving && g.model == &p.engine.Models[i] {
+				stats[i].Groups++
+			}
+		}
+	}
+	return stats
+}
--- a/internal/core/fabric/form.go
+++ b/internal/core/fabric/form.go
@@ -103,8 +103,13 @@
 
 // orderable reports whether a free host can get an order now.
 func (p *Pool) orderable(name string) bool {
+	return p.hosts[name].stagingModel == "" && p.orderableWhileStaging(name)
+}
+
+// orderableWhileStaging reports the same for an order that needs no weights from the host's disk.
+func (p *Pool) orderableWhileStaging(name string) bool {
 	h := p.hosts[name]
-	return h.missedReports == 0 && h.orderCountKnown && h.pendingOp == 0 && h.stagingModel == "" && p.inNoActiveGroup(h)
+	return h.missedReports == 0 && h.orderCountKnown && h.pendingOp == 0 && p.inNoActiveGroup(h)
 }
 
 // inNoActiveGroup reports whether a host, at its known order count, is in no group whose head
@@ -117,7 +122,7 @@
 func (p *Pool) stagedWith(hosts []string, model string) []string {
 	var staged []string
 	for _, name := range hosts {
-		if p.orderable(name) && p.hosts[name].entry.StagedWith(model) {
+		if h := p.hosts[name]; h.hasWeights(model) && (p.orderable(name) || h.lastModel == model && p.orderableWhileStaging(name)) {
 			staged = append(staged, name)
 		}
 	}
@@ -149,7 +154,7 @@
 	for _, name := range hosts {
 		h := p.hosts[name]
 		g.members = append(g.members, member{id: name, incarnation: h.entry.Incarnation})
-		if !h.entry.StagedWith(m.Name) {
+		if !h.hasWeights(m.Name) {
 			p.loadStarts = append(p.loadStarts, now)
 		}
 	}
@@ -197,7 +202,7 @@
 
 // unstaged returns the hosts without any weights.
 func (p *Pool) unstaged(hosts []string) []string {
-	return slices.DeleteFunc(slices.Clone(hosts), func(name string) bool { return len(p.hosts[name].entry.Staged) > 0 })
+	return slices.DeleteFunc(slices.Clone(hosts), func(name string) bool { return len(p.hosts[name].entry.Staged) > 0 || p.hosts[name].lastModel != "" })
 }
 
 // modelForUnstaged returns the model for a group of hosts that have no weights at all, or nil
@@ -255,12 +260,12 @@
 // no group in the domain that the host could repair.
 func (p *Pool) mayRestage(domain, name string, to *site.Model) bool {
 	h := p.hosts[name]
-	if h.entry.StagedWith(to.Name) {
+	if h.hasWeights(to.Name) {
 		return false
 	}
 	for i := range p.engine.Models {
 		from := &p.engine.Models[i]
-		if h.entry.StagedWith(from.Name) && (p.groupedHosts(domain, from) > 0 || p.hostsPerShare(from) <= p.hostsPerShare(to)) {
+		if h.hasWeights(from.Name) && (p.groupedHosts(domain, from) > 0 || p.hostsPerShare(from) <= p.hostsPerShare(to)) {
 			return false
 		}
 	}
@@ -270,7 +275,7 @@
 func (p *Pool) stagedOrStaging(hosts []string, model string) int {
 	n := 0
 	for _, name := range hosts {
-		if h := p.hosts[name]; h.stagingModel == model || h.stagingModel == "" && h.entry.StagedWith(model) {
+		if h := p.hosts[name]; h.stagingModel == model || h.lastModel == model || h.stagingModel == "" && h.entry.StagedWith(model) {
 			n++
 		}
 	}
@@ -352,7 +357,7 @@
 			continue
 		}
 		for _, m := range g.members {
-			if h := p.hosts[m.id]; h != nil && !h.entry.StagedWith(g.model.Name) {
+			if h := p.hosts[m.id]; h != nil && !h.hasWeights(g.model.Name) {
 				n++
 			}
 		}
--- a/internal/core/fabric/group.go
+++ b/internal/core/fabric/group.go
@@ -40,9 +40,12 @@
 	// that order, or one to open the head, was sent; zero if it must be sent again at once.
 	lastHeadOrder   step.GroupOrderKind
 	lastHeadOrderAt time.Duration
-	// plannedClose is whether the group is closed because a member drains. Then its requests
-	// in flight get closeTimeout to finish.
+	// plannedClose is whether the group is closed because a member drains, or for a move. Then its
+	// requests in flight get closeTimeout, or moveCloseTimeout, to finish.
 	plannedClose bool
+	// moveTo is the model for which the group is closed, or will be once its members have the
+	// weights; nil if it is not.
+	moveTo *site.Model
 	// delaysInLease is whether the lease contains the join delays of a headless group's members.
 	// Only then is a member ordered to leave: a daemon that takes over must know that the
 	// members must not join another group yet.
@@ -325,13 +328,21 @@
 		p.releaseGroup(now, g, g.closeReason, out)
 	case phase != site.Open && phase != site.Closing:
 		p.orderHead(now, g, step.OrderLeave, out)
-	case g.plannedClose && now-g.stageSince < closeTimeout:
+	case g.plannedClose && now-g.stageSince < g.closeTimeout():
 		p.orderHead(now, g, step.OrderClose, out)
 	default:
 		p.orderHead(now, g, step.OrderAbort, out)
 	}
 }
 
+// closeTimeout is how long the head may finish its requests when its group is closed by plan.
+func (g *group) closeTimeout() time.Duration {
+	if g.moveTo != nil {
+		return moveCloseTimeout
+	}
+	return closeTimeout
+}
+
 // orderHead sends an order to the head. An accepted order is repeated only after
 // orderRetryDelay, in case it had no effect.
 func (p *Pool) orderHead(now time.Duration, g *group, kind step.GroupOrderKind, out *step.Out) {
--- a/internal/core/fabric/pool.go
+++ b/internal/core/fabric/pool.go
@@ -151,6 +151,8 @@
 	partitions map[string]time.Duration
 	// totals are the counts over hosts and groups as of the last recount.
 	totals totals
+	demand demand
+	moves  moves
 
 	// active is whether this daemon holds control.
 	active bool
@@ -224,6 +226,9 @@
 	// at stagingSince; empty if none.
 	stagingModel string
 	stagingSince time.Duration
+	// lastModel is the model of the host's last group in this incarnation, as far as it is known. It is
+	// still in memory, and the host rejoins a group of it without loading weights.
+	lastModel string
 	// mayJoinAt is when the host may join a group again. Until then the unreachable head of its
 	// last group may still serve with it.
 	mayJoinAt time.Duration
@@ -231,6 +236,12 @@
 	unresponsiveLogged bool
 }
 
+// hasWeights reports whether the host can join a group of a model without loading its weights from the
+// store: they are on its disk, or were those of its last group.
+func (h *host) hasWeights(model string) bool {
+	return h.lastModel == model || h.entry.StagedWith(model)
+}
+
 // pendingOrder is an order without an answer.
 type pendingOrder struct {
 	host   string
@@ -286,6 +297,9 @@
 			*h = host{lastAnswerAt: now, mayJoinAt: h.mayJoinAt} // another incarnation
 		}
 		h.entry, h.listed = *e, true
+		if e.Model != "" {
+			h.lastModel = e.Model
+		}
 		if h.stagingModel != "" && e.StagedWith(h.stagingModel) {
 			h.stagingModel = ""
 		}
@@ -309,6 +323,8 @@
 	}
 	p.loadStarts = nil
 	p.loadsBlockedUntil = now + loadsEnd
+	p.demand.restart()
+	p.moves.from, p.moves.to = "", ""
 }
 
 // AssumeUnknownPredecessor makes the pool safe after a holder of which nothing is known: that
@@ -382,10 +398,12 @@
 	p.updatePartitions(now)
 	p.requestReports(now, out)
 	p.adoptGroups(now)
+	p.updateDemand(now, out)
 	for _, id := range p.groupIDs() {
 		p.advance(now, p.groups[id], out)
 	}
 	p.recount(now)
+	p.rebalance(now, out)
 	p.formGroups(now, out)
 	p.removeGoneHosts(now)
 }
--- a/internal/core/fabric/totals.go
+++ b/internal/core/fabric/totals.go
@@ -92,7 +92,7 @@
 }
 
 // hostsPerShare is the number of hosts in active groups of a model, divided by the model's
-// share of the work. The model with the lowest value needs another group most.
+// share of the hosts. The model with the lowest value needs another group most.
 func (p *Pool) hostsPerShare(m *site.Model) float64 {
-	return float64(p.totals.activeHosts[m.Name]) / max(m.Share, minShare)
+	return float64(p.totals.activeHosts[m.Name]) / p.share(m)
 }
--- a/internal/core/gateway/calls.go
+++ b/internal/core/gateway/calls.go
@@ -176,7 +176,8 @@
 			return
 		}
 	}
-	if !c.demanded {
+	first := !c.demanded
+	if first {
 		c.demanded = true
 		s.limits.RecordDemand(now, c.service)
 	}
@@ -188,6 +189,9 @@
 		return
 	}
 	choice := s.targets.Choose(now, request)
+	if p := s.pools[c.service]; p != nil && first && !c.req.HandedOver {
+		p.RecordOffered(now, request.Model, choice.Target != nil)
+	}
 	if choice.Target == nil {
 		if !s.waitForTarget(now, c, choice, fallback) {
 			s.endWithoutTarget(now, c, choice, fallback, out)
--- a/internal/core/gateway/control.go
+++ b/internal/core/gateway/control.go
@@ -56,6 +56,7 @@
 	s.lastPassAt = now
 	for _, p := range s.pools {
 		p.SetInitialDeployment(s.initialDeployment && !s.requestSeen)
+		p.SetMovesBlocked(!s.storeReachable)
 		p.Tick(now, out)
 		if p.NeedsLeaseWrite() {
 			s.lease.RenewNow()
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -143,6 +143,18 @@
 // Config returns the configuration in force, or nil.
 func (s *State) Config() *site.Config { return s.config }
 
+// ModelStats returns the statistics of the models of all services with engines, in the order of the
+// services' names. It is empty while this daemon does not hold the lease.
+func (s *State) ModelStats() []fabric.ModelStats {
+	var stats []fabric.ModelStats
+	if s.holdsControl {
+		for _, name := range slices.Sorted(maps.Keys(s.pools)) {
+			stats = append(stats, s.pools[name].ModelStats()...)
+		}
+	}
+	return stats
+}
+
 // HoldsControl reports whether this daemon holds the lease and orders the groups.
 func (s *State) HoldsControl() bool { return s.holdsControl }
 
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -62,6 +62,8 @@
 	HostLimited            ID = 4037
 	HostLimitEnded         ID = 4038
 	HostLimitInvalid       ID = 4039
+	HostsMoving            ID = 4040
+	DemandKnown            ID = 4041
 	HostRegistered         ID = 4015
 	HostDeregistered       ID = 4016
 	HostRestarted          ID = 4017
@@ -140,6 +142,8 @@
 	{HostLimited, slog.LevelWarn, "host named a limit for the requests that it takes", "Check the host named: it is in need. If all hosts of a service name one, add hosts."},
 	{HostLimitEnded, slog.LevelInfo, "host no longer names a limit", ""},
 	{HostLimitInvalid, slog.LevelWarn, "host named a limit that can't be read; ignored", "Correct the Server-Limit of the host's service."},
+	{HostsMoving, slog.LevelInfo, "groups are given up so that their hosts serve another model", "If it goes back and forth, see docs/operations/models.md."},
+	{DemandKnown, slog.LevelInfo, "the work offered for each model is known, or no longer", ""},
 	{DataCentresOut, slog.LevelInfo, "data centres that get no work", ""},
 	{HostFlapping, slog.LevelWarn, "host repeatedly failed and returned; excluded from groups for a while", "Check the host named."},
 	{HostStraggling, slog.LevelWarn, "host joins its group too slowly and is replaced", "Check the host named."},
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -270,6 +270,7 @@
 			provisionalFingerprints.Set(float64(d.state.ProvisionalFingerprints()))
 			limitedHosts.Set(float64(d.state.LimitedHosts()))
 			cutServices.Set(float64(d.state.CutServices()))
+			setModelStats(d.state.ModelStats())
 		case step.SiteConfig:
 			d.config.Store(d.state.Config())
 		}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -1,8 +1,11 @@
 package gateway
 
 import (
+	"strconv"
+
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/fabric"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
 )
 
@@ -26,6 +29,37 @@
 	refusedForMemory = metrics.NewCounter("rhubarbswitch_refused_for_memory_total")
 )
 
+// maxModelGauges bounds the models that have gauges.
+const maxModelGauges = 16
+
+// modelGauges are the gauges of one model, by its position in the configuration.
+type modelGauges struct{ offered, need, hosts, groups *metrics.Gauge }
+
+var modelGaugesByPosition []modelGauges
+
+// setModelStats sets the gauges of models. Only the lease holder knows the values; they are zero at any
+// other daemon. It is called by one goroutine.
+func setModelStats(stats []fabric.ModelStats) {
+	stats = stats[:min(len(stats), maxModelGauges)]
+	for i := len(modelGaugesByPosition); i < len(stats); i++ {
+		label := `{model="` + strconv.Itoa(i) + `"}`
+		modelGaugesByPosition = append(modelGaugesByPosition, modelGauges{
+			offered: metrics.GetOrCreateGauge("rhubarbswitch_model_offered_requests"+label, nil), need: metrics.GetOrCreateGauge("rhubarbswitch_model_needed_hosts"+label, nil),
+			hosts: metrics.GetOrCreateGauge("rhubarbswitch_model_hosts"+label, nil), groups: metrics.GetOrCreateGauge("rhubarbswitch_model_groups"+label, nil),
+		})
+	}
+	for i, g := range modelGaugesByPosition {
+		var s fabric.ModelStats
+		if i < len(stats) {
+			s = stats[i]
+		}
+		g.offered.Set(s.Offered)
+		g.need.Set(s.Need)
+		g.hosts.Set(float64(s.Hosts))
+		g.groups.Set(float64(s.Groups))
+	}
+}
+
 // countAttemptEnd counts the end of an attempt by how it ended.
 func countAttemptEnd(e step.Ending) {
 	metrics.GetOrCreateCounter(`rhubarbswitch_attempts_ended_total{ending="` + e.String() + `"}`).Inc()
