fabric: groups keep their demand when the configuration changes

Cause: groups were compared with their model by pointer, which a new version of the configuration replaces; the first holder of the trial measured nothing.

--- a/internal/core/fabric/demand.go
+++ b/internal/core/fabric/demand.go
@@ -154,7 +154,7 @@
 func (p *Pool) measure(now time.Duration, m *site.Model) {
 	groups, reported, sum := 0, 0, 0
 	for _, g := range p.groups {
-		if g.model != m || g.stage != serving && g.stage != opening {
+		if g.model.Name != m.Name || g.stage != serving && g.stage != opening {
 			continue
 		}
 		groups++
@@ -231,7 +231,7 @@
 	}
 	for _, g := range p.groups {
 		for i := range stats {
-			if g.stage == serving && g.model == &p.engine.Models[i] {
+			if g.stage == serving && g.model.Name == p.engine.Models[i].Name {
 				stats[i].Groups++
 			}
 		}
--- a/internal/core/fabric/rebalance.go
+++ b/internal/core/fabric/rebalance.go
@@ -183,7 +183,7 @@
 				staging++
 			}
 		}
-		if g.model != from || g.stage != serving && g.stage != closing {
+		if g.model.Name != from.Name || g.stage != serving && g.stage != closing {
 			continue
 		}
 		groups++
--- /dev/null
+++ b/internal/core/fabric/rebalance_test.go
@@ -0,0 +1,254 @@
+package fabric
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/site"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
+)
+
+// hostsOf returns the hosts that serve each model.
+func (w *simulation) hostsOf() map[string]int {
+	hosts := make(map[string]int)
+	for i := range w.engine.Models {
+		m := &w.engine.Models[i]
+		hosts[m.Name] = w.open(m.Name) * m.GroupSize
+	}
+	return hosts
+}
+
+// offer sets the work that callers offer for a model: the slots of so many groups.
+func (w *simulation) offer(model string, groups float64) {
+	if w.concurrency == nil {
+		w.concurrency = make(map[string]float64)
+	}
+	w.concurrency[model] = groups * float64(w.engine.Slots)
+}
+
+// twoSizes returns a deployment of models of 8 and 2 hosts with equal shares, before its first request.
+func twoSizes(domains, pools int) *simulation {
+	w := newSimulation(domains, 18, 0)
+	w.engine.Models[0].GroupSize, w.engine.Models[0].Share = 8, 0.5
+	w.engine.Models[1].GroupSize, w.engine.Models[1].Share = 2, 0.5
+	w.engine.MaxLoadsPerSecond, w.engine.MaxConcurrentLoads = 14, 20
+	for range pools {
+		w.addPool()
+	}
+	w.pools[0].TakeControl(0, 1<<20, nil, 0)
+	w.pools[0].SetInitialDeployment(true)
+	w.run(12 * time.Second)
+	w.pools[0].SetInitialDeployment(false)
+	w.loadStarts = nil
+	return w
+}
+
+// decisions counts the decisions to move that the pools have logged.
+func (w *simulation) decisions() int {
+	n := 0
+	for _, line := range w.poolLog {
+		var at, id string
+		var pool int
+		if _, err := fmt.Sscan(line, &at, &pool, &id); err == nil && id == "RS4040" {
+			n++
+		}
+	}
+	return n
+}
+
+// TestHostsFollowAShiftThatLasts guards against hosts that stay with the model that the configuration
+// favours: one model is offered three times the work of its groups' share, the other next to none. Hosts
+// that had both models at hand must move without a load, and no group may serve incomplete or twice.
+func TestHostsFollowAShiftThatLasts(t *testing.T) {
+	w := twoSizes(9, 1)
+	before := w.hostsOf()
+	w.offer("m0", 1.5)
+	w.offer("m1", 30)
+	w.run(16 * time.Second)
+	after := w.hostsOf()
+	t.Log(before, after, w.decisions())
+	require.GreaterOrEqual(t, after["m1"], before["m1"]+16)
+	require.GreaterOrEqual(t, w.open("m0"), 3, "the other model keeps what it needs")
+	require.Empty(t, w.loadStarts, "its weights were on the hosts")
+	require.Empty(t, w.violations)
+}
+
+// TestNewConfigurationKeepsTheDemand guards against groups that are not counted any more once a new version of
+// the configuration describes their model.
+func TestNewConfigurationKeepsTheDemand(t *testing.T) {
+	w := twoSizes(9, 1)
+	engine := *w.engine
+	engine.Models = slices.Clone(engine.Models)
+	w.pools[0].SetEngine(&engine)
+	w.offer("m0", 1.5)
+	w.offer("m1", 30)
+	w.run(16 * time.Second)
+	require.Positive(t, w.decisions())
+	require.InDelta(t, 30, w.pools[0].ModelStats()[1].Offered/float64(engine.Slots), 5)
+}
+
+// TestShiftTowardsLargeGroups guards against a shortage of the model of large groups that only several
+// small groups of one domain can end.
+func TestShiftTowardsLargeGroups(t *testing.T) {
+	w := twoSizes(9, 1)
+	before := w.hostsOf()
+	w.offer("m0", 11)
+	w.offer("m1", 2)
+	w.run(20 * time.Second)
+	require.GreaterOrEqual(t, w.hostsOf()["m0"], before["m0"]+16)
+	require.Empty(t, w.violations)
+}
+
+// TestDemandAsTheSharesMovesNothing guards against moves that the work does not call for, with steady
+// work and with a wave of two seconds.
+func TestDemandAsTheSharesMovesNothing(t *testing.T) {
+	w := twoSizes(9, 1)
+	hosts := w.hostsOf()
+	for second := range 20 {
+		wave := 1.0
+		if second%4 < 2 {
+			wave = 1.3
+		}
+		w.offer("m0", 0.5*wave*float64(w.open("m0")))
+		w.offer("m1", 0.5*(2.3-wave)*float64(w.open("m1")))
+		w.run(time.Second)
+	}
+	require.Equal(t, hosts, w.hostsOf())
+	require.Zero(t, w.decisions())
+}
+
+// TestWorkBeyondAllHosts guards against a model that is left without a group when both are offered more
+// than all hosts can do.
+func TestWorkBeyondAllHosts(t *testing.T) {
+	w := twoSizes(6, 1)
+	w.offer("m0", 20)
+	w.offer("m1", 80)
+	w.run(40 * time.Second)
+	require.Positive(t, w.open("m0"))
+	require.Positive(t, w.open("m1"))
+	require.Empty(t, w.violations)
+}
+
+// TestRefusedWorkCounts guards against a model whose requests are refused and so are in no report.
+func TestRefusedWorkCounts(t *testing.T) {
+	p := New(Settings{}, nil)
+	p.SetEngine(testEngine())
+	p.demand.known = true
+	d := p.demand.model("m1")
+	d.follow(0, 10)
+	for i := range 40 {
+		p.RecordOffered(0, "m1", i%2 == 0)
+	}
+	require.InDelta(t, 0.5, d.admittedShare(0), 0.01)
+	require.InDelta(t, 1, p.demand.model("m0").admittedShare(0), 0, "too few requests say nothing")
+}
+
+// TestGroupsThatAreLostKeepTheirDemand guards against a demand of zero where only the groups are gone.
+func TestGroupsThatAreLostKeepTheirDemand(t *testing.T) {
+	w := twoSizes(4, 1)
+	w.offer("m0", 2)
+	w.offer("m1", 8)
+	w.run(6 * time.Second)
+	p := w.pools[0]
+	before := p.need(&w.engine.Models[0])
+	for _, id := range w.ids {
+		if f := w.engines[id]; f.model == "m0" {
+			w.crash(id)
+		}
+	}
+	w.run(10 * time.Second)
+	require.InDelta(t, before, p.need(&w.engine.Models[0]), 0.2*before)
+}
+
+// TestNoMoveBeginsWithoutTheStore guards against moves that the next holder can't learn of.
+func TestNoMoveBeginsWithoutTheStore(t *testing.T) {
+	w := twoSizes(9, 1)
+	w.pools[0].SetMovesBlocked(true)
+	w.offer("m0", 1)
+	w.offer("m1", 40)
+	w.run(12 * time.Second)
+	require.Zero(t, w.decisions())
+	w.pools[0].SetMovesBlocked(false)
+	w.run(8 * time.Second)
+	require.Positive(t, w.decisions())
+}
+
+// TestHolderDiesInAMove guards against hosts that a move leaves in no group when its holder is gone: the
+// next one must end the move or undo it.
+func TestHolderDiesInAMove(t *testing.T) {
+	for _, after := range []time.Duration{0, 100 * time.Millisecond, 400 * time.Millisecond, time.Second, 2 * time.Second} {
+		w := twoSizes(9, 2)
+		w.offer("m0", 1)
+		w.offer("m1", 40)
+		for w.decisions() == 0 {
+			w.run(50 * time.Millisecond)
+		}
+		w.run(after)
+		w.pools[0].DropControl()
+		w.run(time.Second)
+		w.pools[1].TakeControl(w.now, 2<<20, nil, 0)
+		w.run(20 * time.Second)
+		require.Empty(t, w.violations, after)
+		serving := 0
+		for _, n := range w.hostsOf() {
+			serving += n
+		}
+		require.GreaterOrEqual(t, serving, 9*16, after)
+	}
+}
+
+// TestMovesEnd guards against hosts that go back and forth at constant work, with lost and late orders and
+// losses of hosts in between, and against a model without a group although hosts would allow one.
+func TestMovesEnd(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		w := twoSizes(rapid.IntRange(2, 6).Draw(rt, "domains"), 1)
+		for _, m := range []string{"m0", "m1"} {
+			w.offer(m, rapid.Float64Range(0, 30).Draw(rt, m))
+		}
+		faults := rapid.IntRange(0, 3).Draw(rt, "losses")
+		share := rapid.IntRange(0, 20).Draw(rt, "lost orders in 100")
+		n := 0
+		w.lose = func() bool { n++; return n%100 < share }
+		w.delay = func() time.Duration { return time.Duration(n%5) * time.Second }
+		for range faults {
+			w.run(3 * time.Second)
+			w.crash(w.ids[rapid.IntRange(0, len(w.ids)-1).Draw(rt, "host")])
+		}
+		w.lose = func() bool { return false }
+		w.run(60 * time.Second)
+		before := w.decisions()
+		w.run(20 * time.Second)
+		require.Equal(rt, before, w.decisions(), "moves at constant work: %v", w.hostsOf())
+		require.Empty(rt, w.violations)
+		require.Positive(rt, w.open("m0"))
+		require.Positive(rt, w.open("m1"))
+	})
+}
+
+// BenchmarkTickAtSize is one tick of the holder of 730 hosts that measures the work and decides on a move.
+func BenchmarkTickAtSize(b *testing.B) {
+	w := newSimulation(41, 18, 0)
+	w.engine.Models[0].GroupSize, w.engine.Models[1].GroupSize = 8, 2
+	w.engine.MaxLoadsPerSecond, w.engine.MaxConcurrentLoads = 14, 20
+	w.addPool()
+	p := w.pools[0]
+	p.TakeControl(0, 1<<20, nil, 0)
+	p.SetInitialDeployment(true)
+	w.run(12 * time.Second)
+	p.SetInitialDeployment(false)
+	w.offer("m0", 3)
+	w.offer("m1", 80)
+	w.run(5 * time.Second)
+	var from, to *site.Model = &w.engine.Models[0], &w.engine.Models[1]
+	b.ResetTimer()
+	for b.Loop() {
+		p.updateDemand(w.now, &step.Out{})
+		p.plannedByModel()
+		p.groupsToMove(w.now, from, to)
+	}
+}
--- a/internal/core/fabric/simulation_test.go
+++ b/internal/core/fabric/simulation_test.go
@@ -78,6 +78,8 @@
 	// order is carried out.
 	lose  func() bool
 	delay func() time.Duration
+	// concurrency are the requests that callers have at the groups of each model, if these have room.
+	concurrency map[string]float64
 }
 
 func newSimulation(domains, perDomain, pools int) *simulation {
@@ -183,10 +185,20 @@
 		w.after(300*time.Millisecond, func() { w.toPool(p, step.ReportAnswered{Host: e.Host, Sent: sent}) })
 		return
 	}
-	r := site.Report{Incarnation: f.incarnation, OrderCount: f.orders, Model: f.model, Staged: slices.Clone(f.staged), Member: f.member}
+	running, queued := w.requestsAt(f)
+	r := site.Report{Running: running, Queued: queued, Incarnation: f.incarnation, OrderCount: f.orders, Model: f.model, Staged: slices.Clone(f.staged), Member: f.member}
 	w.after(orderLatency, func() { w.toPool(p, step.ReportAnswered{Host: e.Host, OK: true, Report: r, Sent: sent}) })
 }
 
+// requestsAt returns the requests that run and wait at an engine: an equal part of those for its model.
+func (w *simulation) requestsAt(f *fakeEngine) (running, queued int) {
+	if f.member.Phase != site.Open {
+		return 0, 0
+	}
+	n := int(w.concurrency[f.model] / float64(max(1, w.open(f.model))))
+	return min(n, w.engine.Slots), min(max(0, n-w.engine.Slots), w.engine.Slots)
+}
+
 func (w *simulation) toPool(p *Pool, ev step.Event) {
 	out := &step.Out{}
 	switch e := ev.(type) {
