gateway: requests yield by rank when a model has too little room; estimates learn

Cause: in overload nearly all requests were admitted and nearly all were late, since the estimate saw no wait at engines, a head of which nothing was heard always had room, and the priority decided nothing.

--- a/internal/core/gateway/calls.go
+++ b/internal/core/gateway/calls.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/overload"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/place"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/quarantine"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/rendezvous"
@@ -25,8 +26,8 @@
 	// maxUnsentAttempts bounds the attempts of one request that could not reach their target.
 	// It is higher, since such an attempt costs only the time of a dial.
 	maxUnsentAttempts = 12
-	// firstByteTimeoutFactor times the estimated time to the first event, plus firstByteGrace,
-	// is how long a stream may take to its first bytes before the attempt is considered stalled.
+	// firstByteTimeoutFactor times the time to the first event by the step model, plus firstByteGrace and
+	// what the target's pool has lately needed beyond it, is how long a stream may take to its first bytes before the attempt is considered stalled.
 	firstByteTimeoutFactor = 3
 	firstByteGrace         = 250 * time.Millisecond
 	// eventGapTimeoutFactor times the estimated time between two events, plus eventGapGrace, is
@@ -94,6 +95,7 @@
 	// interrupted is set while a stream that has begun waits for a target.
 	interrupted *interrupted
 	prints      []quarantine.Fingerprint // see fingerprints
+	ranking
 }
 
 func (s *State) onCall(now time.Duration, r step.Call, out *step.Out) {
@@ -182,6 +184,7 @@
 		s.limits.RecordDemand(now, c.service)
 	}
 	s.countForBudget(now, c)
+	s.rankRequest(now, c, first)
 	request := s.placement(now, c)
 	decision := s.quarantineDecision(now, c, c.attempts == 0)
 	if decision.RetryAfter > 0 {
@@ -189,7 +192,7 @@
 		return
 	}
 	choice := s.targets.Choose(now, request)
-	if p := s.pools[c.service]; p != nil && first && !c.req.HandedOver {
+	if p := s.pools[c.service]; p != nil && first && !c.req.HandedOver && !c.returned {
 		p.RecordOffered(now, request.Model, choice.Target != nil)
 	}
 	if choice.Target == nil {
@@ -201,9 +204,10 @@
 	t := choice.Target
 	c.beginAttempt(now)
 	c.host, c.address, c.incarnation = t.Host.ID, t.Host.Address, t.Host.Incarnation
+	c.modelTime, c.estimated = choice.ModelTime, choice.TimeToFirstEvent
 	f := step.Forward{
 		ID: c.req.ID, Attempt: c.attempt, Host: t.Host.ID, Address: t.Host.Address, Service: c.service,
-		Team: c.team, Urgency: c.urgency, Deadline: c.deadline,
+		Team: c.team, Urgency: c.engineUrgency(request.Model != ""), Deadline: c.deadline, Late: c.rank == overload.Late, Estimated: choice.TimeToFirstEvent,
 		Stream: c.route.Kind == site.Stream, MayRepeat: c.route.MayRepeat(),
 	}
 	if f.MayRepeat {
@@ -211,7 +215,7 @@
 	}
 	s.targets.StartRequest(c.host, c.req.PromptTokens)
 	out.Log(event.RequestSent, event.F("request", c.req.CallerID), event.F("attempt", c.attempt), event.F("route", c.route.Name),
-		event.F("version", s.config.Version), event.F("team", c.team), event.F("host", c.host), event.F("inFlight", t.InFlight()),
+		event.F("version", s.config.Version), event.F("team", c.team), event.F("rank", c.rank.String()), event.F("host", c.host), event.F("inFlight", t.InFlight()),
 		event.F("firstByMillis", choice.TimeToFirstEvent.Milliseconds()), event.F("leftMillis", request.TimeLeft.Milliseconds()))
 	if len(decision.Tried) > 0 {
 		out.Log(event.RequestTried, event.F("request", c.req.CallerID), event.F("host", c.host), event.F("fingerprints", names(decision.Tried)))
@@ -235,14 +239,19 @@
 	c.attempts++
 	c.attempt = step.AttemptID(string(c.req.ID) + "." + strconv.Itoa(c.attempts))
 	c.host, c.address, c.incarnation, c.daemon = "", "", 0, ""
-	c.answerBegan, c.moving = false, false
+	c.answerBegan, c.moving, c.waited = false, false, false
 	c.sentAt, c.eventsBefore, c.firstEventAt = now, c.events, 0
 }
 
 // placement describes the next attempt of a request to the table of targets.
 func (s *State) placement(now time.Duration, c *call) place.Request {
+	waiting := 0
+	if engine, _ := s.engineOf(c); engine != nil && c.objectiveAt > 0 {
+		waiting = maxWaiting(engine)
+	}
 	return place.Request{
-		Service: c.service, Model: s.model(c), PromptTokens: c.req.PromptTokens,
+		MaxWaiting: waiting,
+		Service:    c.service, Model: s.model(c), PromptTokens: c.req.PromptTokens,
 		Spread:   rendezvous.Mix(rendezvous.Hash(string(c.req.ID)) + uint64(c.attempts)),
 		TimeLeft: c.deadline - now, AvoidHosts: c.failedHosts, HandedOver: c.req.HandedOver, Begun: c.events > 0,
 	}
@@ -261,7 +270,7 @@
 	if c.route.Kind != site.Stream {
 		return time.Duration(plainTimeoutShare * float64(c.deadline-now)), 0
 	}
-	return firstByteTimeoutFactor*choice.TimeToFirstEvent + firstByteGrace, eventGapTimeoutFactor*choice.Target.EventInterval(now) + eventGapGrace
+	return firstByteTimeoutFactor*choice.ModelTime + firstByteGrace + choice.StallAllowance, eventGapTimeoutFactor*choice.Target.EventInterval(now) + eventGapGrace
 }
 
 // endWithoutTarget ends a request that no target can take.
@@ -341,6 +350,7 @@
 		return
 	}
 	s.recordLimit(now, c, e.Limit, out)
+	c.waited = e.Load.Slots > 0 && (e.Load.Waiting > 0 || e.Load.Running >= e.Load.Slots)
 	s.targets.AnswerBegan(now, c.host, c.req.PromptTokens, e.Load)
 	s.recordAnswer(now, c.service, e.NewConnection, out)
 }
--- a/internal/core/gateway/crashes.go
+++ b/internal/core/gateway/crashes.go
@@ -142,9 +142,10 @@
 	return true
 }
 
-func (s *State) onStreamStarted(now time.Duration, e step.StreamStarted) {
+func (s *State) onStreamStarted(now time.Duration, e step.StreamStarted, out *step.Out) {
 	if c := s.calls[e.ID]; c != nil && c.attempt == e.Attempt {
 		c.firstEventAt = now
+		s.recordFirstEvent(now, c, out)
 	}
 }
 
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/fabric"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/handover"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/hostlimit"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/overload"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/place"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/quiet"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/reach"
@@ -90,13 +91,16 @@
 	crashes  crashWatch // requests that crash hosts
 	verdicts verdictStore
 
-	targets       *place.Table             // the targets and their load
-	budget        *retry.Window            // this daemon's part of the retry budget
-	budgetDaemons int                      // daemons over which the retry budget is divided
-	calls         map[step.RequestID]*call // requests in progress
-	lease         *fabric.Lease            // this daemon's part in the election of the lease holder
-	pools         map[string]*fabric.Pool  // by service, for services with engines
-	holdsControl  bool                     // whether the pools have control
+	targets  *place.Table         // the targets and their load
+	overload *overload.Controller // which requests yield
+	// nextWrongEstimateLog is when the next wrong estimate may be logged.
+	nextWrongEstimateLog time.Duration
+	budget               *retry.Window            // this daemon's part of the retry budget
+	budgetDaemons        int                      // daemons over which the retry budget is divided
+	calls                map[step.RequestID]*call // requests in progress
+	lease                *fabric.Lease            // this daemon's part in the election of the lease holder
+	pools                map[string]*fabric.Pool  // by service, for services with engines
+	holdsControl         bool                     // whether the pools have control
 	// lastPassAt is when the pools last had a tick.
 	lastPassAt  time.Duration
 	requestSeen bool // a request has come
@@ -117,6 +121,7 @@
 		entries:         newEntryHistory(),
 		daemonNames:     make(map[string]bool),
 		targets:         place.New(set.Daemon, set.DataCentre),
+		overload:        overload.New(),
 		calls:           make(map[step.RequestID]*call),
 		pools:           make(map[string]*fabric.Pool),
 		limits:          hostlimit.New(set.Daemon),
@@ -169,7 +174,7 @@
 	case step.AnswerBegan:
 		s.onBegan(now.Mono, e, out)
 	case step.StreamStarted:
-		s.onStreamStarted(now.Mono, e)
+		s.onStreamStarted(now.Mono, e, out)
 	case step.AnswerStalled:
 		s.onStalled(now.Mono, e, out)
 	case step.ForwardEnded:
--- /dev/null
+++ b/internal/core/gateway/rank.go
@@ -0,0 +1,119 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/overload"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/place"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/rendezvous"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/site"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/event"
+)
+
+const (
+	// objectiveMargin is taken off a request's objective for the way to its caller and back.
+	objectiveMargin = 10 * time.Millisecond
+	// waitingShare is the share of an engine's slots that may wait there when a new request is sent. Up to
+	// it the order of the engine's queue decides; beyond it the queue may refuse urgent requests too.
+	waitingShare = 0.5
+	// An estimate is logged if the first event came later by wrongEstimateFactor and by at least
+	// wrongEstimateTime; at most one in wrongEstimateInterval.
+	wrongEstimateFactor   = 3
+	wrongEstimateTime     = 300 * time.Millisecond
+	wrongEstimateInterval = time.Second
+)
+
+// ranking is what decides on a request of an engine while there is too little room.
+type ranking struct {
+	rank overload.Rank
+	// objectiveAt is when its first event is late; zero if its route declares no objective.
+	objectiveAt time.Duration
+	returned    bool // its caller has come back after a refusal
+	// modelTime and estimated are the estimates for the last attempt; waited is set if its head had no
+	// free slot, or waiting requests.
+	modelTime, estimated time.Duration
+	waited               bool
+}
+
+// engineOf returns the engine and the model of a request; nil for a plain service.
+func (s *State) engineOf(c *call) (*site.Engine, *site.Model) {
+	service := s.config.Services[c.service]
+	if service == nil || service.Engine == nil {
+		return nil, nil
+	}
+	return service.Engine, service.Engine.Model(c.req.Model)
+}
+
+func poolOf(c *call) overload.Pool { return overload.Pool{Service: c.service, Model: c.req.Model} }
+
+// rankRequest ranks a request that is about to be sent to an engine. One that is sent again keeps its
+// rank unless its objective has passed.
+func (s *State) rankRequest(now time.Duration, c *call, first bool) {
+	engine, model := s.engineOf(c)
+	if model == nil {
+		return
+	}
+	if !first {
+		if c.objectiveAt > 0 && now >= c.objectiveAt {
+			c.rank = overload.Late
+		}
+		return
+	}
+	stated := time.Duration(0)
+	if c.req.Deadline > 0 {
+		stated = c.req.Deadline - c.arrivedAt
+	}
+	elapsed := s.overload.Elapsed(now, c.route.Name, stated)
+	c.returned = overload.HasReturned(elapsed, stated)
+	if c.route.Goal > 0 {
+		c.objectiveAt = max(1, c.arrivedAt+c.route.Goal-elapsed-objectiveMargin)
+	}
+	tokens := float64(c.req.MaxTokens)
+	if tokens == 0 {
+		tokens = engine.MeanAnswerTokens
+	}
+	events := tokens/float64(max(engine.StepsPerEvent, 1)) + 1
+	c.rank = s.overload.Rank(now, overload.Request{
+		Pool: poolOf(c), Priority: c.urgency, ObjectiveLeft: c.objectiveAt - now, HasObjective: c.objectiveAt > 0,
+		Work:   engine.PromptTime(model, c.req.PromptTokens) + time.Duration(events*float64(engine.EventInterval(model, engine.Slots))),
+		Spread: rendezvous.Mix(rendezvous.Hash("rank " + string(c.req.ID))),
+	})
+}
+
+// maxWaiting is how many requests may wait at an engine for one more to be sent there.
+func maxWaiting(engine *site.Engine) int { return max(1, int(waitingShare*float64(engine.Slots))) }
+
+// engineUrgency is the urgency under which a request is sent. The lowest one is left to those that are late.
+func (c *call) engineUrgency(isEngine bool) int {
+	switch {
+	case !isEngine:
+		return c.urgency
+	case c.rank == overload.Late:
+		return lowestUrgency
+	}
+	return min(c.urgency, lowestUrgency-1)
+}
+
+// recordFirstEvent learns from the first event of a stream.
+func (s *State) recordFirstEvent(now time.Duration, c *call, out *step.Out) {
+	if _, model := s.engineOf(c); model == nil || c.daemon != "" || c.eventsBefore > 0 {
+		return
+	}
+	measured := now - c.sentAt
+	s.targets.RecordFirstEvent(now, place.Sample{Service: c.service, Model: c.req.Model, Host: c.host, Estimated: c.modelTime, Measured: measured, Waited: c.waited})
+	if measured > wrongEstimateFactor*c.estimated && measured > c.estimated+wrongEstimateTime && now >= s.nextWrongEstimateLog {
+		s.nextWrongEstimateLog = now + wrongEstimateInterval
+		out.Log(event.EstimateWrong, event.F("request", c.req.CallerID), event.F("host", c.host), event.F("estimatedMillis", c.estimated.Milliseconds()),
+			event.F("measuredMillis", measured.Milliseconds()), event.F("waited", c.waited))
+	}
+	if c.rank != overload.InTime || c.attempts > 1 || c.objectiveAt == 0 {
+		return
+	}
+	if s.overload.FirstEvent(now, poolOf(c), now <= c.objectiveAt, c.waited) {
+		out.Log(event.PressureChanged, event.F("service", c.service), event.F("model", c.req.Model), event.F("pressure", s.overload.Pressure(now, poolOf(c))))
+	}
+}
+
+// Pressure returns the greatest share of the requests for any model that has to yield.
+func (s *State) Pressure(now time.Duration) float64 { return s.overload.MaxPressure(now) }
--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -47,6 +47,9 @@
 	// remoteDataCentreCost is what a target in another data centre adds: the round trip and the
 	// transfer of the bytes.
 	remoteDataCentreCost = time.Millisecond
+	// reportHalfLife is the time in which the weight of a report in the mean load of a pool halves. A
+	// burst fills engines within a second.
+	reportHalfLife = 700 * time.Millisecond
 	// loadHalfLife is the time in which the weight of a load report halves, about the time of
 	// a request. With many daemons each gets a report from a target only every few seconds,
 	// and otherwise all of them would follow the same old report.
@@ -92,6 +95,9 @@
 	// HandedOver is set if another daemon has handed the request over. It leaves the places in which
 	// requests wait to this daemon's own callers.
 	HandedOver bool
+	// MaxWaiting is how many requests may wait at an engine for one more to be sent there; 0 stands for
+	// maxWaitingAtEngine, and a negative value for none.
+	MaxWaiting int
 	// Begun is set if the request goes on with a stream of which its caller has a part.
 	Begun bool
 }
@@ -102,6 +108,10 @@
 	Reason Reason
 	// TimeToFirstEvent is the estimated time to the first event or the answer.
 	TimeToFirstEvent time.Duration
+	// ModelTime is the part of it that follows from the published step times.
+	ModelTime time.Duration
+	// StallAllowance is what to add to a timeout that was derived from ModelTime.
+	StallAllowance time.Duration
 	// RetryAfter is the time after which a retry can succeed, for NoHost, Full, Quiet and Limited.
 	RetryAfter time.Duration
 }
@@ -126,13 +136,14 @@
 	// none ever does.
 	limits           *hostlimit.Limits
 	limitsGeneration uint64
+	learned          map[poolKey]*learned
 }
 
 // New returns an empty table of one daemon.
 func New(self, dataCentre string) *Table {
 	return &Table{
 		self: self, dataCentre: dataCentre, targets: make(map[string]*Target), pools: make(map[poolKey][]*Target),
-		unreachedByDomain: make(map[string]*unreachedHosts),
+		unreachedByDomain: make(map[string]*unreachedHosts), learned: make(map[poolKey]*learned),
 	}
 }
 
@@ -262,6 +273,9 @@
 func (tbl *Table) Choose(now time.Duration, a Request) Choice {
 	c := tbl.Peek(now, a)
 	if t := c.Target; t != nil {
+		if t.engine != nil && t.estimatedLoad(now) >= t.capacityFor(a) {
+			tbl.learnedOf(poolKey{a.Service, a.Model}).probeAt = now + fullMaxAge
+		}
 		if rate, limited := tbl.ownRate(now, t, a.Service); limited {
 			t.spacer.take(now, rate)
 		}
@@ -301,7 +315,7 @@
 // request. A suspect target is returned only if there is no other, and none is full.
 func (tbl *Table) Peek(now time.Duration, a Request) Choice {
 	pool := tbl.pools[poolKey{a.Service, a.Model}]
-	var best, suspect *Target
+	var best, suspect, fullest *Target // fullest is the full one of which nothing was heard for longest
 	var bestCost, suspectCost, shortestQuiet, shortestWait time.Duration
 	full, limited, meanLoad := false, false, meanOthersLoad(pool)
 	tbl.linkLimits()
@@ -325,6 +339,9 @@
 		}
 		if t.estimatedLoad(now) >= t.capacityFor(a) {
 			full = true
+			if t.engine != nil && now >= t.suspectUntil && (fullest == nil || t.loadReceivedAt < fullest.loadReceivedAt) {
+				fullest = t
+			}
 			continue
 		}
 		cost := tbl.cost(now, t, a)
@@ -341,19 +358,23 @@
 	if best == nil && !full && !limited {
 		best = suspect
 	}
+	l := tbl.learnedOf(poolKey{a.Service, a.Model})
+	if best == nil && fullest != nil && now >= l.probeAt && now-fullest.loadReceivedAt > fullMaxAge {
+		best = fullest // one request finds out whether it has room again
+	}
 	if best == nil {
 		return refuse(full, limited, shortestQuiet, shortestWait, a)
 	}
-	first := best.TimeToFirstEvent(now, a.PromptTokens)
-	if first > a.TimeLeft {
+	first := best.ModelTime(now, a.PromptTokens)
+	if first+l.correction > a.TimeLeft {
 		return Choice{Reason: TooLate}
 	}
-	return Choice{Target: best, TimeToFirstEvent: first}
+	return Choice{Target: best, ModelTime: first, TimeToFirstEvent: first + l.correction + l.recentWait(now), StallAllowance: l.stallAllowance(now)}
 }
 
 // cost is the estimated time by which Choose ranks a target.
 func (tbl *Table) cost(now time.Duration, t *Target, a Request) time.Duration {
-	cost := t.TimeToFirstEvent(now, a.PromptTokens) + time.Duration(t.recentFailureWeight(now)*float64(failureCost))
+	cost := time.Duration(t.slownessNow(now)*float64(t.ModelTime(now, a.PromptTokens))) + t.coldConnectionCost(now) + time.Duration(t.recentFailureWeight(now)*float64(failureCost))
 	if t.Host.DataCentre != tbl.dataCentre {
 		cost += remoteDataCentreCost
 	}
@@ -398,6 +419,7 @@
 	if t := tbl.targets[host]; t != nil {
 		t.inFlight++
 		t.promptTokensAhead += prompt
+		t.idleConnection = false
 	}
 }
 
@@ -443,6 +465,7 @@
 		t.promptTokensAhead = max(0, t.promptTokensAhead-o.PromptTokens)
 	}
 	t.recordLoad(now, o.Load)
+	t.idleConnection, t.idleSince = o.AnswerBegan && !o.Failed, now
 	switch {
 	case o.Unreached:
 		tbl.recordUnreached(now, &t.Host)
--- a/internal/core/place/target.go
+++ b/internal/core/place/target.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"cmp"
 	"math"
 	"time"
 
@@ -29,6 +30,12 @@
 	loadReported      bool          // the target has reported its load at least once
 	meanOthersLoad    float64       // mean othersLoad of the targets in its pool that reported
 
+	slowness   float64 // measured against estimated time to a first event, as of slownessAt; 0 before any
+	slownessAt time.Duration
+	// idleConnection is set if a connection to the engine has been idle since idleSince.
+	idleConnection bool
+	idleSince      time.Duration
+
 	suspectUntil  time.Duration // until then it is a last resort; see Choose
 	suspicions    int           // in a row
 	failureWeight float64       // as of lastFailureAt
@@ -40,31 +47,43 @@
 
 // estimatedLoad is the estimated number of requests at the target. The reported load of other
 // daemons approaches the pool's mean with time, so that daemons with an old report don't all
-// follow it. A full target that gets no requests sends no new report, so it is tried with one
-// request after fullMaxAge.
+// follow it. A full target of a plain service that gets no requests sends no new report, so it is
+// tried with one request after fullMaxAge; for engines see Table.probe.
 func (t *Target) estimatedLoad(now time.Duration) int {
 	others := int(math.Round(t.meanOthersLoad + (float64(t.othersLoad)-t.meanOthersLoad)*math.Exp2(-float64(now-t.loadReceivedAt)/float64(loadHalfLife))))
-	if t.inFlight == 0 && now-t.loadReceivedAt > fullMaxAge {
-		return min(others, t.capacity()-1)
+	if t.engine == nil && t.inFlight == 0 && now-t.loadReceivedAt > fullMaxAge {
+		return min(others, t.capacity(0)-1)
 	}
 	return t.inFlight + others
 }
 
-// meanOthersLoad is the mean of the load of other daemons that the targets of a pool reported.
+// meanOthersLoad is the mean of the load of other daemons that the targets of a pool reported. The
+// weight of a report halves with each reportHalfLife that it is older than the newest one, so that the
+// mean follows a burst.
 func meanOthersLoad(pool []*Target) float64 {
-	sum, n := 0, 0
+	var newest time.Duration
 	for _, t := range pool {
 		if t.loadReported {
-			sum, n = sum+t.othersLoad, n+1
+			newest = max(newest, t.loadReceivedAt)
 		}
 	}
-	return float64(sum) / float64(max(n, 1))
+	sum, weights := 0.0, 0.0
+	for _, t := range pool {
+		if t.loadReported {
+			w := math.Exp2(-float64(newest-t.loadReceivedAt) / float64(reportHalfLife))
+			sum, weights = sum+w*float64(t.othersLoad), weights+w
+		}
+	}
+	if weights == 0 {
+		return 0
+	}
+	return sum / weights
 }
 
-// capacity is the number of requests at which the target gets no more.
-func (t *Target) capacity() int {
+// capacity is the number of requests at which the target gets no more, if so many may wait at an engine.
+func (t *Target) capacity(waiting int) int {
 	if t.engine != nil {
-		return t.engine.Slots + maxWaitingAtEngine
+		return t.engine.Slots + waiting
 	}
 	return t.Host.Slots * plainRequestsPerSlot
 }
@@ -73,18 +92,18 @@
 func (t *Target) capacityFor(a Request) int {
 	switch {
 	case a.Begun && t.engine != nil:
-		return t.capacity() + maxBegunAtEngine
+		return t.capacity(max(a.MaxWaiting, maxWaitingAtEngine)) + maxBegunAtEngine
 	case !a.HandedOver:
-		return t.capacity()
+		return t.capacity(max(cmp.Or(a.MaxWaiting, maxWaitingAtEngine), 0))
 	case t.engine != nil:
 		return t.engine.Slots
 	}
 	return t.Host.Slots * (plainRequestsPerSlot - 1)
 }
 
-// TimeToFirstEvent estimates the time until the first event, or the answer, of one more
+// ModelTime estimates, by the published step times alone, the time until the first event, or the answer, of one more
 // request with a prompt of so many tokens.
-func (t *Target) TimeToFirstEvent(now time.Duration, prompt int) time.Duration {
+func (t *Target) ModelTime(now time.Duration, prompt int) time.Duration {
 	if t.engine == nil {
 		return time.Duration(float64(plainRequestTime) * float64(t.estimatedLoad(now)+1) / float64(max(t.Host.Slots, 1)))
 	}
--- a/internal/core/step/gateway.go
+++ b/internal/core/step/gateway.go
@@ -71,9 +71,13 @@
 	LeavingHosts []LeavingHost
 	Team         string
 	// Urgency ranks the request in the target's queue; 0 is served first.
-	Urgency  int
-	Deadline time.Duration // monotonic; the attempt ends with EndedTimeout here
-	Stream   bool
+	Urgency int
+	// Late is set if the request can't begin within its objective, or yields to those that can.
+	Late bool
+	// Estimated is the estimated time to the first event.
+	Estimated time.Duration
+	Deadline  time.Duration // monotonic; the attempt ends with EndedTimeout here
+	Stream    bool
 	// MayRepeat is set if the request may run more than once. One that may not is sent over a
 	// connection that no other request uses.
 	MayRepeat bool
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -28,6 +28,8 @@
 	HandoverRefused        ID = 2015
 	RequestAborted         ID = 2016
 	RefusedForMemory       ID = 2017
+	EstimateWrong          ID = 2018
+	PressureChanged        ID = 2019
 	ClaimOwnerUnresponsive ID = 3001
 	ClaimUnreachable       ID = 3002
 	GroupFormed            ID = 4001
@@ -115,6 +117,8 @@
 	{HandoverRefused, slog.LevelInfo, "another daemon did not take a request", ""},
 	{RequestAborted, slog.LevelWarn, "connection closed without a complete answer to a request", "See the reason; a stream that has begun and can't go on is closed so. Report any other."},
 	{RefusedForMemory, slog.LevelWarn, "request refused: bodies or answers of other requests hold the memory that there is for them", "If frequent, give the gateway more memory (memoryMiB) or lower the limit for bodies in the configuration."},
+	{EstimateWrong, slog.LevelInfo, "first event of a request came much later than estimated", "If frequent for one host, check the host named."},
+	{PressureChanged, slog.LevelInfo, "a part of the requests for a model yields to others, or no longer", "If it lasts, add hosts; see docs/OPERATIONS.md."},
 	{ClaimOwnerUnresponsive, slog.LevelInfo, "daemon asked to write a claim did not answer; claim is written here", ""},
 	{ClaimUnreachable, slog.LevelWarn, "call refused: its claim could not be written", "Check the platform; callers retry with the same key."},
 	{GroupFormed, slog.LevelInfo, "group assigned to hosts", ""},
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -72,12 +72,13 @@
 	conn       atomic.Pointer[net.Conn]
 	resumes    bool // the attempt goes on with a stream after the event that the caller has
 	started    bool // an event of this attempt's stream has been delivered
+	beganAt    time.Duration
 }
 
 // run sends the request and processes the answer. It returns how the attempt ended.
 func (a *attempt) run() step.Ending {
 	a.startStallTimer(a.forward.FirstByteTimeout)
-	began := a.exchange.daemon.clock()
+	a.beganAt = a.exchange.daemon.clock()
 	resp, err := a.exchange.daemon.targets.transport(a.forward, a.exchange.callerID).RoundTrip(a.request())
 	if err != nil {
 		return a.classifyError(err)
@@ -85,7 +86,7 @@
 	defer func() { _ = resp.Body.Close() }()
 	now := a.exchange.daemon.clock()
 	if a.forward.Daemon == "" {
-		answerBeginSeconds.Update((now - began).Seconds())
+		answerBeginSeconds.Update((now - a.beganAt).Seconds())
 	}
 	a.targetActiveAt.Store(int64(now))
 	if t := a.stallTimer.Load(); t != nil {
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -271,6 +271,7 @@
 			limitedHosts.Set(float64(d.state.LimitedHosts()))
 			cutServices.Set(float64(d.state.CutServices()))
 			setModelStats(d.state.ModelStats())
+			pressure.Set(d.state.Pressure(d.clock()))
 		case step.SiteConfig:
 			d.config.Store(d.state.Config())
 		}
@@ -288,6 +289,7 @@
 	case step.Forward:
 		if e.Daemon == "" {
 			loop.Attempts.Inc()
+			countRanked(e.Late)
 		}
 		d.calls.Send(e.ID, e)
 	case step.Cancel:
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -23,6 +23,13 @@
 	limitedHosts = metrics.NewGauge("rhubarbswitch_limited_hosts", nil)
 	// cutServices is the number of services whose hosts are out of this daemon's reach.
 	cutServices = metrics.NewGauge("rhubarbswitch_cut_services", nil)
+	// pressure is the greatest share of the requests for any model that has to yield.
+	pressure = metrics.NewGauge("rhubarbswitch_overload_pressure", nil)
+	// attemptsInTime and attemptsLate count the attempts at hosts by the rank of their requests.
+	attemptsInTime = metrics.NewCounter(`rhubarbswitch_ranked_attempts_total{rank="in time"}`)
+	attemptsLate   = metrics.NewCounter(`rhubarbswitch_ranked_attempts_total{rank="late"}`)
+	// estimateRatio is the measured time to the first event of a stream over the estimated one.
+	estimateRatio = metrics.NewHistogram("rhubarbswitch_first_event_estimate_ratio")
 	// takenOver counts requests that other daemons have handed over to this one.
 	takenOver = metrics.NewCounter("rhubarbswitch_taken_over_total")
 	// refusedForMemory counts requests that were refused since bodies or answers of others hold the memory.
@@ -60,6 +67,14 @@
 	}
 }
 
+func countRanked(late bool) {
+	if late {
+		attemptsLate.Inc()
+	} else {
+		attemptsInTime.Inc()
+	}
+}
+
 // countAttemptEnd counts the end of an attempt by how it ended.
 func countAttemptEnd(e step.Ending) {
 	metrics.GetOrCreateCounter(`rhubarbswitch_attempts_ended_total{ending="` + e.String() + `"}`).Inc()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -111,6 +111,9 @@
 	x.eventsDelivered++
 	if !a.started {
 		a.started = true
+		if a.forward.Estimated > 0 && !a.resumes {
+			estimateRatio.Update(float64(x.daemon.clock()-a.beganAt) / float64(a.forward.Estimated))
+		}
 		x.daemon.Post(step.StreamStarted{ID: a.forward.ID, Attempt: a.forward.Attempt})
 	}
 	return x.control.Flush()
