--- a/internal/core/gateway/rank.go
+++ b/internal/core/gateway/rank.go
@@ -65,7 +65,7 @@
 		stated = c.req.Deadline - c.arrivedAt
 	}
 	elapsed := s.overload.Elapsed(now, c.route.Name, stated)
-	c.returned = overload.HasReturned(elapsed, stated)
+	c.returned = elapsed > 0
 	if c.route.Goal > 0 {
 		c.objectiveAt = max(1, c.arrivedAt+c.route.Goal-elapsed-objectiveMargin)
 	}
--- a/internal/core/overload/overload.go
+++ b/internal/core/overload/overload.go
@@ -38,10 +38,10 @@
 	// fullTimeMaxAge is how long the longest time that callers stated counts as the time that they have
 	// at their first attempt.
 	fullTimeMaxAge = 30 * time.Second
-	// returnShare and returnTime are how much of its full time, and how long, the caller of a request has
-	// waited at least if it has come back.
-	returnShare = 0.1
-	returnTime  = 150 * time.Millisecond
+	// returnedShare is the share of the longest stated time at or below which a caller has come back.
+	// Callers of one route don't all give the same time at first, but those that are refused wait for a
+	// fifth of it at least (place.RetryAfter).
+	returnedShare = 0.8
 )
 
 // Pool names the targets that serve a model of a service.
@@ -110,7 +110,7 @@
 }
 
 // Elapsed returns how long ago the first attempt of a request's caller was, judged by the time left that
-// it states: callers of a route give the same time at first. It returns zero if none is stated.
+// it states. It returns zero for a first attempt, and if no time is stated.
 func (c *Controller) Elapsed(now time.Duration, route string, stated time.Duration) time.Duration {
 	if stated <= 0 {
 		return 0
@@ -120,14 +120,12 @@
 		c.fullTimes[route] = fullTime{longest: stated, statedAt: now}
 		return 0
 	}
+	if float64(stated) > returnedShare*float64(f.longest) {
+		return 0
+	}
 	return f.longest - stated
 }
 
-// HasReturned reports whether the caller of a request has tried before, as far as the elapsed time shows.
-func HasReturned(elapsed, stated time.Duration) bool {
-	return elapsed > returnTime && float64(elapsed) > returnShare*float64(elapsed+stated)
-}
-
 func (c *Controller) pool(name Pool) *pool {
 	p := c.pools[name]
 	if p == nil {
