--- a/internal/core/place/learned.go
+++ b/internal/core/place/learned.go
@@ -26,6 +26,9 @@
 	slownessWeight   = 1.0 / 4
 	slownessHalfLife = 5 * time.Second
 	maxSlowness      = 8
+	// minSlowness is the slowness below which a head counts as others do. Single samples differ by more than
+	// the load of a head does, and would else decide where requests go.
+	minSlowness = 1.6
 	// connectionIdleTime is how long a connection to an engine can be used again. Hosts close idle ones
 	// after about 1.5 s.
 	connectionIdleTime = 1200 * time.Millisecond
@@ -88,10 +91,15 @@
 
 // slownessNow is by how much the target has lately been slower than estimated; 1 is as estimated.
 func (t *Target) slownessNow(now time.Duration) float64 {
-	if t.slowness <= 1 {
-		return 1
+	return 1 + max(0, t.slowness-1)*math.Exp2(-float64(now-t.slownessAt)/float64(slownessHalfLife))
+}
+
+// slowFactor multiplies the estimate by which the target is ranked.
+func (t *Target) slowFactor(now time.Duration) float64 {
+	if s := t.slownessNow(now); s >= minSlowness {
+		return s
 	}
-	return 1 + (t.slowness-1)*math.Exp2(-float64(now-t.slownessAt)/float64(slownessHalfLife))
+	return 1
 }
 
 // coldConnectionCost is what a new connection to an engine adds to its cost.
--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -374,7 +374,7 @@
 
 // cost is the estimated time by which Choose ranks a target.
 func (tbl *Table) cost(now time.Duration, t *Target, a Request) time.Duration {
-	cost := time.Duration(t.slownessNow(now)*float64(t.ModelTime(now, a.PromptTokens))) + t.coldConnectionCost(now) + time.Duration(t.recentFailureWeight(now)*float64(failureCost))
+	cost := time.Duration(t.slowFactor(now)*float64(t.ModelTime(now, a.PromptTokens))) + t.coldConnectionCost(now) + time.Duration(t.recentFailureWeight(now)*float64(failureCost))
 	if t.Host.DataCentre != tbl.dataCentre {
 		cost += remoteDataCentreCost
 	}
