--- a/internal/core/fabric/form.go
+++ b/internal/core/fabric/form.go
@@ -48,7 +48,7 @@
 	slices.Sort(names)
 	for _, m := range p.byHostsPerShare() {
 		for _, d := range names {
-			for staged := p.stagedWith(domains[d], m.Name); len(staged) >= m.GroupSize; staged = p.stagedWith(domains[d], m.Name) {
+			for staged := p.stagedWith(now, domains[d], m.Name); len(staged) >= m.GroupSize; staged = p.stagedWith(now, domains[d], m.Name) {
 				domains[d] = without(domains[d], p.beginFormation(now, d, m, staged[:m.GroupSize], out))
 			}
 		}
@@ -119,10 +119,11 @@
 	return released || h.group == site.GroupID{}
 }
 
-func (p *Pool) stagedWith(hosts []string, model string) []string {
+// stagedWith returns the hosts that can join a group of a model now without loading its weights.
+func (p *Pool) stagedWith(now time.Duration, hosts []string, model string) []string {
 	var staged []string
 	for _, name := range hosts {
-		if h := p.hosts[name]; h.hasWeights(model) && (p.orderable(name) || h.lastModel == model && p.orderableWhileStaging(name)) {
+		if h := p.hosts[name]; h.hasWeights(model) && h.mayServe(now, model) && (p.orderable(name) || h.lastModel == model && p.orderableWhileStaging(name)) {
 			staged = append(staged, name)
 		}
 	}
@@ -153,6 +154,7 @@
 	}
 	for _, name := range hosts {
 		h := p.hosts[name]
+		h.reservedFor = ""
 		g.members = append(g.members, member{id: name, incarnation: h.entry.Incarnation})
 		if !h.hasWeights(m.Name) {
 			p.loadStarts = append(p.loadStarts, now)
--- a/internal/core/fabric/pool.go
+++ b/internal/core/fabric/pool.go
@@ -229,6 +229,10 @@
 	// lastModel is the model of the host's last group in this incarnation, as far as it is known. It is
 	// still in memory, and the host rejoins a group of it without loading weights.
 	lastModel string
+	// reservedFor is the model for which the host's last group was closed. Until reservedUntil no group of
+	// another model gets it: a group of reservedFor may need the hosts of several that close one by one.
+	reservedFor   string
+	reservedUntil time.Duration
 	// mayJoinAt is when the host may join a group again. Until then the unreachable head of its
 	// last group may still serve with it.
 	mayJoinAt time.Duration
@@ -242,6 +246,11 @@
 	return h.lastModel == model || h.entry.StagedWith(model)
 }
 
+// mayServe reports whether no move reserves the host for another model.
+func (h *host) mayServe(now time.Duration, model string) bool {
+	return h.reservedFor == "" || h.reservedFor == model || now >= h.reservedUntil
+}
+
 // pendingOrder is an order without an answer.
 type pendingOrder struct {
 	host   string
--- a/internal/core/fabric/rebalance.go
+++ b/internal/core/fabric/rebalance.go
@@ -36,6 +36,9 @@
 	// maxStagingMoves bounds the moves for which weights are loaded first. More of them would only
 	// share the rate of loads.
 	maxStagingMoves = 2
+	// moveReserveTime is how long the hosts of a closed group are kept for the model that they go to. The
+	// other groups of the same move close within moveCloseTimeout, and then leave.
+	moveReserveTime = moveCloseTimeout + 2*time.Second
 )
 
 // moves is the state of the moves between models.
@@ -269,6 +272,15 @@
 	}
 }
 
+// reserveMembers keeps the hosts of a group for the model that they move to.
+func (p *Pool) reserveMembers(now time.Duration, g *group) {
+	for _, m := range g.members {
+		if h := p.hosts[m.id]; h != nil {
+			h.reservedFor, h.reservedUntil = g.moveTo.Name, now+moveReserveTime
+		}
+	}
+}
+
 // cancelPlans gives up the moves whose groups still serve.
 func (p *Pool) cancelPlans() {
 	for _, g := range p.groups {
--- a/internal/core/fabric/rebalance_test.go
+++ b/internal/core/fabric/rebalance_test.go
@@ -104,6 +104,21 @@
 	require.Empty(t, w.violations)
 }
 
+// TestGroupsOfAMoveCloseOneByOne guards against hosts that go back to their former model while the other groups of
+// the same move still finish their requests.
+func TestGroupsOfAMoveCloseOneByOne(t *testing.T) {
+	w := twoSizes(9, 1)
+	before := w.hostsOf()
+	n := 0
+	w.closeTime = func() time.Duration { n++; return time.Duration(n%5) * 700 * time.Millisecond }
+	w.offer("m0", 11)
+	w.offer("m1", 2)
+	w.run(25 * time.Second)
+	require.GreaterOrEqual(t, w.hostsOf()["m0"], before["m0"]+16)
+	require.LessOrEqual(t, w.decisions(), before["m1"]/8, "no host may move twice")
+	require.Empty(t, w.violations)
+}
+
 // TestDemandAsTheSharesMovesNothing guards against moves that the work does not call for, with steady
 // work and with a wave of two seconds.
 func TestDemandAsTheSharesMovesNothing(t *testing.T) {
--- a/internal/core/fabric/simulation_test.go
+++ b/internal/core/fabric/simulation_test.go
@@ -80,12 +80,14 @@
 	delay func() time.Duration
 	// concurrency are the requests that callers have at the groups of each model, if these have room.
 	concurrency map[string]float64
+	// closeTime returns how long a head that closes takes to finish its requests.
+	closeTime func() time.Duration
 }
 
 func newSimulation(domains, perDomain, pools int) *simulation {
 	w := &simulation{
 		engine: testEngine(), engines: make(map[string]*fakeEngine), readyFormations: make(map[string]map[string]bool),
-		lose: func() bool { return false }, delay: func() time.Duration { return 0 },
+		lose: func() bool { return false }, delay: func() time.Duration { return 0 }, closeTime: func() time.Duration { return 0 },
 	}
 	for d := range domains {
 		for h := range perDomain {
@@ -279,6 +281,16 @@
 		return step.OrderRejected
 	}
 	f.orders++
+	if d := w.closeTime(); o.Kind == step.OrderClose && f.member.Phase == site.Open && d > 0 {
+		f.member.Phase = site.Closing
+		incarnation, group := f.incarnation, f.member.Group
+		w.after(d, func() {
+			if f.up && f.incarnation == incarnation && f.member.Group == group && f.member.Phase == site.Closing {
+				f.member.Phase, f.stalledSince = site.Ready, 0
+			}
+		})
+		return step.OrderAccepted
+	}
 	f.member.Phase, f.stalledSince = site.Ready, 0
 	return step.OrderAccepted
 }
--- a/internal/core/gateway/rank.go
+++ b/internal/core/gateway/rank.go
@@ -64,7 +64,7 @@
 	if c.req.Deadline > 0 {
 		stated = c.req.Deadline - c.arrivedAt
 	}
-	elapsed := s.overload.Elapsed(now, c.route.Name, stated)
+	elapsed := s.overload.Elapsed(now, c.route.Name, c.route.Timeout, stated)
 	c.returned = elapsed > 0
 	if c.route.Goal > 0 {
 		c.objectiveAt = max(1, c.arrivedAt+c.route.Goal-elapsed-objectiveMargin)
--- a/internal/core/overload/overload.go
+++ b/internal/core/overload/overload.go
@@ -38,6 +38,9 @@
 	// fullTimeMaxAge is how long the longest time that callers stated counts as the time that they have
 	// at their first attempt.
 	fullTimeMaxAge = 30 * time.Second
+	// fullTimeSamples is the number of requests of a route from which on the longest time that they stated
+	// replaces the route's timeout.
+	fullTimeSamples = 8
 	// returnedShare is the share of the longest stated time at or below which a caller has come back.
 	// Callers of one route don't all give the same time at first, but those that are refused wait for a
 	// fifth of it at least (place.RetryAfter).
@@ -107,17 +110,25 @@
 type fullTime struct {
 	longest  time.Duration
 	statedAt time.Duration
+	seen     int // requests, up to fullTimeSamples
 }
 
 // Elapsed returns how long ago the first attempt of a request's caller was, judged by the time left that
-// it states. It returns zero for a first attempt, and if no time is stated.
-func (c *Controller) Elapsed(now time.Duration, route string, stated time.Duration) time.Duration {
+// it states. It returns zero for a first attempt, and if no time is stated. timeout is the route's.
+func (c *Controller) Elapsed(now time.Duration, route string, timeout, stated time.Duration) time.Duration {
 	if stated <= 0 {
 		return 0
 	}
+	stated = min(stated, timeout)
 	f := c.fullTimes[route]
+	if f.seen < fullTimeSamples {
+		// After a restart, most of the first requests may be of callers that have come back.
+		f.seen, f.statedAt, f.longest = f.seen+1, now, max(f.longest, stated)
+		c.fullTimes[route] = f
+		f.longest = timeout
+	}
 	if stated >= f.longest || now-f.statedAt > fullTimeMaxAge {
-		c.fullTimes[route] = fullTime{longest: stated, statedAt: now}
+		c.fullTimes[route] = fullTime{longest: stated, statedAt: now, seen: fullTimeSamples}
 		return 0
 	}
 	if float64(stated) > returnedShare*float64(f.longest) {
