--- a/internal/core/fabric/lease.go
+++ b/internal/core/fabric/lease.go
@@ -31,6 +31,9 @@
 	// freeRetryDelay is the same delay while it does not hold the lease. These delays bound
 	// how often a store that is down is called.
 	freeRetryDelay = time.Second
+	// takeReadAge is the age up to which the last read decides whether to take the lease. Others may have
+	// taken it since an older one; a read costs a tenth of a write that fails.
+	takeReadAge = 200 * time.Millisecond
 	// answerTimeout is how long to wait for the store's answer to a call. After that the next
 	// call may be sent, and a later answer to this one is ignored.
 	answerTimeout = 2 * time.Second
@@ -76,6 +79,8 @@
 	pendingWrite bool          // the pending call is a write, of writtenLease
 	writtenLease step.ControlLease
 	nextReadAt   time.Duration // when the next read is due
+	readAt       time.Duration // when the last read that was answered was sent; valid if hasRead
+	hasRead      bool
 	retryAt      time.Duration // no call is sent before, because the last one failed
 	renewNow     bool          // renew before renewInterval is over
 	releasing    bool          // the lease is being released, or has been
@@ -182,6 +187,8 @@
 		}
 	case !l.known:
 		l.tickUnknown(now, out)
+	case l.mayTake(now+takeReadAge/2) && !l.holdsAsSeen() && !l.readLately(now):
+		l.readOnce(now, out)
 	case l.mayTake(now):
 		l.write(now, l.takeoverLease(), out)
 	case now >= l.nextReadAt:
@@ -199,6 +206,8 @@
 		}
 	}
 	switch {
+	case now+takeReadAge/2 >= l.createAt && !l.Avoiding(now) && !l.readLately(now):
+		l.readOnce(now, out)
 	case now >= l.createAt && !l.Avoiding(now):
 		l.createAt = now + readInterval
 		lease := l.firstContents
@@ -212,10 +221,26 @@
 // read reads the lease. A stale answer is good enough, as every write is conditional.
 func (l *Lease) read(now time.Duration, out *step.Out) {
 	l.nextReadAt = now + readInterval
+	l.readOnce(now, out)
+}
+
+// readOnce reads the lease without a change of the times of the regular reads: these decide when a daemon
+// sees a renewal, and so which one takes the lease first.
+func (l *Lease) readOnce(now time.Duration, out *step.Out) {
 	l.pending, l.sentAt, l.pendingWrite = l.nextOp(), now, false
 	out.Add(step.ReadLease{Op: l.pending, Era: l.era, AllowStale: true})
 }
 
+// readLately reports whether the last read that was answered shows who holds the lease now.
+func (l *Lease) readLately(now time.Duration) bool {
+	return l.hasRead && now-l.readAt <= takeReadAge
+}
+
+// holdsAsSeen reports whether the lease as last seen is this incarnation's.
+func (l *Lease) holdsAsSeen() bool {
+	return l.current.Holder == l.self && l.current.Incarnation == l.incarnation
+}
+
 // takeoverLease keeps what the last holder recorded about join delays and loads.
 func (l *Lease) takeoverLease() step.ControlLease {
 	lease := l.current
@@ -228,7 +253,7 @@
 	if l.Avoiding(now) {
 		return false
 	}
-	if l.current.Holder == l.self && l.current.Incarnation == l.incarnation {
+	if l.holdsAsSeen() {
 		return true // held by this incarnation: it has expired, or the answer to its write was lost
 	}
 	wait := l.takeoverTurn()
@@ -260,6 +285,9 @@
 	if a.Era != l.era {
 		return true, false // the answer of a copy that the store has left, or the first one of a new era
 	}
+	if !l.pendingWrite && (a.Status == step.ReplyOK || a.Status == step.ReplyAbsent) {
+		l.readAt, l.hasRead = l.sentAt, true
+	}
 	own := a.Lease.Holder == l.self && a.Lease.Incarnation == l.incarnation
 	switch {
 	case l.pendingWrite && a.Status == step.ReplyOK:
--- a/internal/core/fabric/lease_test.go
+++ b/internal/core/fabric/lease_test.go
@@ -103,6 +103,39 @@
 	}
 }
 
+// TestFewDaemonsWriteAtATakeover guards against a write of every daemon when the holder is lost: those whose turn
+// comes later must see that another one has taken the lease.
+func TestFewDaemonsWriteAtATakeover(t *testing.T) {
+	x := newLeases(8, 105)
+	x.run(t, 5*time.Second)
+	require.LessOrEqual(t, x.writes, 24, "at the start")
+	x.writes = 0
+	x.dead[x.held[0]] = true
+	x.run(t, takeoverDelay+2*time.Second)
+	require.Len(t, x.held, 1)
+	require.LessOrEqual(t, x.writes, 16)
+}
+
+// TestNoWriteWhileReadsFail guards against writes of all daemons to a store that is away.
+func TestNoWriteWhileReadsFail(t *testing.T) {
+	var ops step.OpID
+	l := NewLease("d0", "r", 1, func() step.OpID { ops++; return ops })
+	answer := step.LeaseAnswered{Status: step.ReplyOK, Revision: 9, Lease: step.ControlLease{Holder: "d1", Incarnation: "r"}}
+	for now := time.Duration(0); now < 10*time.Second; now += leaseStep {
+		out := &step.Out{}
+		l.Tick(now, func() step.ControlLease { return step.ControlLease{} }, out)
+		for _, e := range out.Effects {
+			read, ok := e.(step.ReadLease)
+			require.True(t, ok, "%T at %v", e, now)
+			answer.Op = read.Op
+			if now > time.Second {
+				answer = step.LeaseAnswered{Op: read.Op, Status: step.ReplyUnsent}
+			}
+			l.OnAnswer(now, answer, out)
+		}
+	}
+}
+
 // TestReleasedLeaseIsTakenAtOnce releases the lease, as a daemon does when it stops.
 func TestReleasedLeaseIsTakenAtOnce(t *testing.T) {
 	x := newLeases(8, 54)
--- a/internal/core/gateway/gateway_test.go
+++ b/internal/core/gateway/gateway_test.go
@@ -86,10 +86,17 @@
 func (x *harness) setLeaseHolder(holder string) {
 	for ; ; x.now += 50 * time.Millisecond {
 		for _, e := range x.reduce(step.Tick{}) {
-			if w, ok := e.(step.WriteLease); ok {
-				x.reduce(step.LeaseAnswered{Op: w.Op, Status: step.ReplyConflict, Revision: 7, Lease: step.ControlLease{Holder: holder, Incarnation: "r"}})
-				return
+			answer := step.LeaseAnswered{Revision: 7, Lease: step.ControlLease{Holder: holder, Incarnation: "r"}}
+			switch e := e.(type) {
+			case step.ReadLease:
+				answer.Op, answer.Status = e.Op, step.ReplyOK
+			case step.WriteLease:
+				answer.Op, answer.Status = e.Op, step.ReplyConflict
+			default:
+				continue
 			}
+			x.reduce(answer)
+			return
 		}
 	}
 }
