--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -315,6 +315,9 @@
 // request. A suspect target is returned only if there is no other, and none is full.
 func (tbl *Table) Peek(now time.Duration, a Request) Choice {
 	pool := tbl.pools[poolKey{a.Service, a.Model}]
+	if len(pool) == 0 {
+		return refuse(false, false, 0, 0, a) // nothing is kept for models that only a caller names
+	}
 	var best, suspect, fullest *Target // fullest is the full one of which nothing was heard for longest
 	var bestCost, suspectCost, shortestQuiet, shortestWait time.Duration
 	full, limited, meanLoad := false, false, meanOthersLoad(pool)
--- a/internal/core/place/place_test.go
+++ b/internal/core/place/place_test.go
@@ -127,6 +127,15 @@
 	require.Equal(t, TooLate, b.Choose(0, late).Reason)
 }
 
+// TestModelsThatNobodyServesLeaveNothing guards against memory that callers take by naming models.
+func TestModelsThatNobodyServesLeaveNothing(t *testing.T) {
+	b := newTable(head("a", "m0"))
+	for i := range 100 {
+		require.Equal(t, NoHost, b.Choose(0, newRequest(fmt.Sprint("x", i))).Reason)
+	}
+	require.Empty(t, b.learned)
+}
+
 // TestSuspicionEnds keeps requests away from a suspect host, for longer each time, but sends
 // them there if there is no other. An answer must end the suspicion.
 func TestSuspicionEnds(t *testing.T) {
