overload: single callers and sizes no longer decide the rank of others

A caller that stated more time than others made all others count as retries, and so as late, while it sent one request in half a minute: the full time of a route is now the longest of the last 64 stated times but for a tenth. A caller that announced an answer of any length set the mean work: one request counts as at most eight times the mean. Under the greatest pressure, requests of more than 1.34 times the mean work always yielded: the share that yields is bounded by size too. Late first events at heads with free slots kept the pressure from falling: they are no samples now.

--- a/internal/core/overload/overload.go
+++ b/internal/core/overload/overload.go
@@ -23,7 +23,7 @@
 	// mean that capacity is left unused.
 	pressureRise = 0.06
 	pressureFall = 0.007
-	// maxPressure leaves every kind of request a quarter of what it would get without pressure.
+	// maxPressure leaves every kind and size of request a quarter of what it would get without pressure.
 	maxPressure = 0.75
 	// pressureFallPerSecond takes pressure off a pool that has no samples for sampleTimeout.
 	pressureFallPerSecond = 0.03
@@ -35,13 +35,19 @@
 	minWorkFactor, maxWorkFactor = 0.7, 1.4
 	// workWeight is the weight of a request in the mean work of a pool.
 	workWeight = 1.0 / 32
-	// fullTimeMaxAge is how long the longest time that callers stated counts as the time that they have
-	// at their first attempt.
-	fullTimeMaxAge = 30 * time.Second
-	// fullTimeSamples is the number of requests of a route from which on the longest time that they stated
-	// replaces the route's timeout.
+	// maxWorkSample is how many times the mean work one request may count as: callers announce any length of
+	// an answer.
+	maxWorkSample = 8
+	// The time that callers of a route have at their first attempt is taken from the times that its last
+	// fullTimeWindow requests stated, without those older than fullTimeMaxAge: it is the longest but for
+	// fullTimeOutliers of them. At most half of the requests come back, but single callers state any time.
+	fullTimeWindow   = 64
+	fullTimeMaxAge   = 30 * time.Second
+	fullTimeOutliers = 0.1
+	// fullTimeSamples is the number of requests of a route from which on the times that they stated replace
+	// the route's timeout. So many count at any age.
 	fullTimeSamples = 8
-	// returnedShare is the share of the longest stated time at or below which a caller has come back.
+	// returnedShare is the share of the full time at or below which a caller has come back.
 	// Callers of one route don't all give the same time at first, but those that are refused wait for a
 	// fifth of it at least (place.RetryAfter).
 	returnedShare = 0.8
@@ -78,13 +84,13 @@
 
 // Controller is the state of one daemon. It is not safe for concurrent use.
 type Controller struct {
-	pools     map[Pool]*pool
-	fullTimes map[string]fullTime // by route
+	pools  map[Pool]*pool
+	stated map[string]*statedTimes // by route
 }
 
 // New returns a controller that has seen no request.
 func New() *Controller {
-	return &Controller{pools: make(map[Pool]*pool), fullTimes: make(map[string]fullTime)}
+	return &Controller{pools: make(map[Pool]*pool), stated: make(map[string]*statedTimes)}
 }
 
 type pool struct {
@@ -107,10 +113,35 @@
 	return k.weight * math.Exp2(-float64(now-k.at)/float64(offeredHalfLife))
 }
 
-type fullTime struct {
-	longest  time.Duration
-	statedAt time.Duration
-	seen     int // requests, up to fullTimeSamples
+// statedTimes are the times left that the last requests of a route stated.
+type statedTimes struct {
+	times [fullTimeWindow]statedTime // a ring
+	n     int                        // requests so far
+}
+
+type statedTime struct{ left, at time.Duration }
+
+func (s *statedTimes) add(t statedTime) {
+	s.times[s.n%fullTimeWindow] = t
+	s.n++
+}
+
+// full returns the time that callers have at their first attempt, or false if too few requests have come.
+func (s *statedTimes) full(now time.Duration) (time.Duration, bool) {
+	if s.n < fullTimeSamples {
+		return 0, false
+	}
+	var recent [fullTimeWindow]time.Duration
+	n := 0
+	for ; n < min(s.n, fullTimeWindow); n++ {
+		t := s.times[(s.n-1-n)%fullTimeWindow]
+		if n >= fullTimeSamples && now-t.at > fullTimeMaxAge {
+			break
+		}
+		recent[n] = t.left
+	}
+	slices.Sort(recent[:n])
+	return recent[n-1-int(fullTimeOutliers*float64(n))], true
 }
 
 // Elapsed returns how long ago the first attempt of a request's caller was, judged by the time left that
@@ -120,21 +151,20 @@
 		return 0
 	}
 	stated = min(stated, timeout)
-	f := c.fullTimes[route]
-	if f.seen < fullTimeSamples {
-		// After a restart, most of the first requests may be of callers that have come back.
-		f.seen, f.statedAt, f.longest = f.seen+1, now, max(f.longest, stated)
-		c.fullTimes[route] = f
-		f.longest = timeout
-	}
-	if stated >= f.longest || now-f.statedAt > fullTimeMaxAge {
-		c.fullTimes[route] = fullTime{longest: stated, statedAt: now, seen: fullTimeSamples}
-		return 0
+	times := c.stated[route]
+	if times == nil {
+		times = &statedTimes{}
+		c.stated[route] = times
+	}
+	full, known := times.full(now)
+	times.add(statedTime{stated, now})
+	if !known {
+		full = timeout // after a restart, most of the first requests may be of callers that have come back
 	}
-	if float64(stated) > returnedShare*float64(f.longest) {
+	if float64(stated) > returnedShare*float64(full) {
 		return 0
 	}
-	return f.longest - stated
+	return full - stated
 }
 
 func (c *Controller) pool(name Pool) *pool {
@@ -176,7 +206,7 @@
 		return Late
 	}
 	p.count(now, r.Priority)
-	share := p.yieldShare(now, r.Priority) * work
+	share := min(p.yieldShare(now, r.Priority)*work, maxPressure)
 	if share > 0 && float64(r.Spread>>11)/(1<<53) < share {
 		return Late
 	}
@@ -191,7 +221,7 @@
 	if !p.workKnown {
 		p.meanWork, p.workKnown = float64(work), true
 	}
-	p.meanWork += workWeight * (float64(work) - p.meanWork)
+	p.meanWork += workWeight * (min(float64(work), maxWorkSample*p.meanWork) - p.meanWork)
 	return min(max(float64(work)/p.meanWork, minWorkFactor), maxWorkFactor)
 }
 
@@ -239,6 +269,8 @@
 		pressure = max(0, pressure-pressureFall)
 	case waited:
 		pressure = min(maxPressure, pressure+pressureRise)
+	default:
+		return false // no sample: the pressure keeps falling with time
 	}
 	p.pressure, p.sampledAt = pressure, now
 	// A little pressure comes and goes with single late requests.
