place: bound what is learned, and probe pools that only old reports refuse

The table kept an entry for each name of a model that callers sent. A correction learned in a slow spell, and reports of waiting requests, refused all callers with little time as too late, and without requests nothing newer was learned: corrections fade in 10 s, and one request of a pool and second finds out.

Each has a test that failed before.

--- a/internal/core/place/learned.go
+++ b/internal/core/place/learned.go
@@ -13,6 +13,9 @@
 	// the correction: a longer time is a wait or a fault and no fixed part.
 	correctionWeight = 1.0 / 16
 	maxCorrection    = 500 * time.Millisecond
+	// correctionHalfLife is the time in which a correction without new samples halves. Requests that it
+	// makes too late for their callers are no samples.
+	correctionHalfLife = 10 * time.Second
 	// waitWeight is the weight of a new sample in a pool's recent wait, waitHalfLife the time in which
 	// the wait halves without samples, and maxWait bounds it.
 	waitWeight   = 1.0 / 4
@@ -39,10 +42,16 @@
 
 // learned is what a pool's requests have met. It outlives changes of the pool's targets.
 type learned struct {
-	correction time.Duration // fixed part that the step model lacks
-	wait       time.Duration // recent wait beyond the estimate, as of waitAt
-	waitAt     time.Duration
-	probeAt    time.Duration // when a request may next be sent although all targets seem full
+	correction  time.Duration // fixed part that the step model lacks, as of correctedAt
+	correctedAt time.Duration
+	wait        time.Duration // recent wait beyond the estimate, as of waitAt
+	waitAt      time.Duration
+	probeAt     time.Duration // when a request may next be sent although all targets seem full
+}
+
+// correctionNow is the fixed part that the step model lacks.
+func (l *learned) correctionNow(now time.Duration) time.Duration {
+	return time.Duration(float64(l.correction) * math.Exp2(-float64(now-l.correctedAt)/float64(correctionHalfLife)))
 }
 
 func (l *learned) recentWait(now time.Duration) time.Duration {
@@ -51,7 +60,7 @@
 
 // stallAllowance is what corrections add to the time after which a request counts as stalled.
 func (l *learned) stallAllowance(now time.Duration) time.Duration {
-	return min(l.correction+2*l.recentWait(now), maxStallAllowance)
+	return min(l.correctionNow(now)+2*l.recentWait(now), maxStallAllowance)
 }
 
 // learnedOf returns what a pool's requests have met.
@@ -78,13 +87,15 @@
 func (tbl *Table) RecordFirstEvent(now time.Duration, s Sample) {
 	l := tbl.learnedOf(poolKey{s.Service, s.Model})
 	beyond := s.Measured - s.Estimated
+	correction := l.correctionNow(now)
 	if !s.Waited {
-		l.correction += time.Duration(correctionWeight * float64(min(max(beyond, 0), maxCorrection)-l.correction))
+		correction += time.Duration(correctionWeight * float64(min(max(beyond, 0), maxCorrection)-correction))
+		l.correction, l.correctedAt = correction, now
 	}
-	wait := min(max(beyond-l.correction, 0), maxWait)
+	wait := min(max(beyond-correction, 0), maxWait)
 	l.wait, l.waitAt = l.recentWait(now)+time.Duration(waitWeight*float64(wait-l.recentWait(now))), now
 	if t := tbl.targets[s.Host]; t != nil && t.engine != nil {
-		ratio := float64(s.Measured) / float64(max(s.Estimated+l.correction, time.Millisecond))
+		ratio := float64(s.Measured) / float64(max(s.Estimated+correction, time.Millisecond))
 		t.slowness, t.slownessAt = t.slownessNow(now)+slownessWeight*(min(max(ratio, 1), maxSlowness)-t.slownessNow(now)), now
 	}
 }
--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -114,6 +114,7 @@
 	StallAllowance time.Duration
 	// RetryAfter is the time after which a retry can succeed, for NoHost, Full, Quiet and Limited.
 	RetryAfter time.Duration
+	probe      bool // see mayProbe
 }
 
 // poolKey names a pool: the targets that serve a model of a service. The model of a plain
@@ -273,7 +274,7 @@
 func (tbl *Table) Choose(now time.Duration, a Request) Choice {
 	c := tbl.Peek(now, a)
 	if t := c.Target; t != nil {
-		if t.engine != nil && t.estimatedLoad(now) >= t.capacityFor(a) {
+		if c.probe {
 			tbl.learnedOf(poolKey{a.Service, a.Model}).probeAt = now + fullMaxAge
 		}
 		if rate, limited := tbl.ownRate(now, t, a.Service); limited {
@@ -358,18 +359,28 @@
 	if best == nil && !full && !limited {
 		best = suspect
 	}
-	l := tbl.learnedOf(poolKey{a.Service, a.Model})
-	if best == nil && fullest != nil && now >= l.probeAt && now-fullest.loadReceivedAt > fullMaxAge {
-		best = fullest // one request finds out whether it has room again
+	probe := best == nil && fullest != nil && tbl.mayProbe(now, fullest, a)
+	if probe {
+		best = fullest
 	}
 	if best == nil {
 		return refuse(full, limited, shortestQuiet, shortestWait, a)
 	}
-	first := best.ModelTime(now, a.PromptTokens)
-	if first+l.correction > a.TimeLeft {
-		return Choice{Reason: TooLate}
+	l := tbl.learnedOf(poolKey{a.Service, a.Model})
+	first, correction := best.ModelTime(now, a.PromptTokens), l.correctionNow(now)
+	if first+correction > a.TimeLeft && !probe {
+		if probe = tbl.mayProbe(now, best, a); !probe {
+			return Choice{Reason: TooLate}
+		}
 	}
-	return Choice{Target: best, ModelTime: first, TimeToFirstEvent: first + l.correction + l.recentWait(now), StallAllowance: l.stallAllowance(now)}
+	return Choice{Target: best, ModelTime: first, TimeToFirstEvent: first + correction + l.recentWait(now), StallAllowance: l.stallAllowance(now), probe: probe}
+}
+
+// mayProbe reports whether a request may find out whether an engine, of which nothing was heard for
+// fullMaxAge, has room by now although the estimate says otherwise. Without that a pool whose requests are all
+// refused would get no newer reports. One request of a pool may do so in fullMaxAge.
+func (tbl *Table) mayProbe(now time.Duration, t *Target, a Request) bool {
+	return t.engine != nil && now >= tbl.learnedOf(poolKey{a.Service, a.Model}).probeAt && now-t.loadReceivedAt > fullMaxAge && t.idleTime(a.PromptTokens) <= a.TimeLeft
 }
 
 // cost is the estimated time by which Choose ranks a target.
--- a/internal/core/place/place_test.go
+++ b/internal/core/place/place_test.go
@@ -359,3 +359,52 @@
 		})
 	}
 }
+
+// TestNamesOfModelsTakeNoMemory guards against a table that grows with the names of models that callers
+// choose: nothing is learned of a model that no target serves.
+func TestNamesOfModelsTakeNoMemory(t *testing.T) {
+	b := newTable(head("a", "m0"))
+	for i := range 1000 {
+		require.Nil(t, b.Choose(0, newRequest(fmt.Sprint("unknown", i))).Target)
+	}
+	require.LessOrEqual(t, len(b.learned), 1)
+}
+
+// TestCorrectionFadesWithoutSamples guards against a pool that refuses all callers with little time for a
+// correction from a slow spell: refused requests are no samples, so nothing else lowers it.
+func TestCorrectionFadesWithoutSamples(t *testing.T) {
+	b := newTable(head("a", "m0"))
+	for range 200 {
+		b.RecordFirstEvent(time.Second, Sample{Service: "llm", Model: "m0", Host: "a", Estimated: 50 * time.Millisecond, Measured: 2 * time.Second})
+	}
+	r := newRequest("m0")
+	r.TimeLeft = 400 * time.Millisecond
+	b.StartRequest("a", 0)
+	for _, now := range []time.Duration{2 * time.Second, time.Minute} {
+		b.AnswerBegan(now, "a", 0, site.Load{Running: 1, Slots: 26}) // else one request a second is a probe
+		require.Equal(t, now > 30*time.Second, b.Choose(now, r).Target != nil)
+	}
+}
+
+// TestOldReportsDontRefuseForEver guards against a pool in which no target is ever tried again: all heads
+// reported waiting requests, all callers have less time than those would take, and so no answer brings a
+// newer report.
+func TestOldReportsDontRefuseForEver(t *testing.T) {
+	for _, load := range []site.Load{{Running: 26, Waiting: 30, Slots: 26}, {Running: 26, Waiting: 8, Slots: 26}} {
+		b := newTable(head("a", "m0"), head("b", "m0"))
+		for _, id := range []string{"a", "b"} {
+			b.StartRequest(id, 0)
+			b.EndRequest(time.Second, id, Outcome{AnswerBegan: true, Load: load})
+		}
+		r := newRequest("m0")
+		r.TimeLeft, r.MaxWaiting = 250*time.Millisecond, 13
+		require.Nil(t, b.Choose(time.Second, r).Target)
+		sent := 0
+		for i := range 100 {
+			if b.Choose(10*time.Second+time.Duration(i)*20*time.Millisecond, r).Target != nil {
+				sent++
+			}
+		}
+		require.Equal(t, 2, sent, "one probe a second")
+	}
+}
--- a/internal/core/place/target.go
+++ b/internal/core/place/target.go
@@ -48,7 +48,7 @@
 // estimatedLoad is the estimated number of requests at the target. The reported load of other
 // daemons approaches the pool's mean with time, so that daemons with an old report don't all
 // follow it. A full target of a plain service that gets no requests sends no new report, so it is
-// tried with one request after fullMaxAge; for engines see Table.probe.
+// tried with one request after fullMaxAge; for engines see Table.mayProbe.
 func (t *Target) estimatedLoad(now time.Duration) int {
 	others := int(math.Round(t.meanOthersLoad + (float64(t.othersLoad)-t.meanOthersLoad)*math.Exp2(-float64(now-t.loadReceivedAt)/float64(loadHalfLife))))
 	if t.engine == nil && t.inFlight == 0 && now-t.loadReceivedAt > fullMaxAge {
@@ -118,6 +118,11 @@
 	return first
 }
 
+// idleTime estimates the time to the first event at an engine without any other request.
+func (t *Target) idleTime(prompt int) time.Duration {
+	return t.engine.PromptTime(t.model, prompt) + 3*t.engine.EventInterval(t.model, 1)/2
+}
+
 // EventInterval estimates the time between two events of a stream at the target; zero for a
 // plain service.
 func (t *Target) EventInterval(now time.Duration) time.Duration {
