gateway: begun streams don't yield, and all requests of a pool get the same places

A stream that broke after its objective was sent on with the lowest priority and waited behind all new requests. Requests of routes without a goal found no room where more than two requests waited, which is the rule under load. Callers who state less time than any answer needs raised the measured demand up to four times.

--- a/internal/core/fabric/demand.go
+++ b/internal/core/fabric/demand.go
@@ -238,3 +238,8 @@
 	}
 	return stats
 }
+
+// AdmittedShare returns the share of this daemon's own callers' requests for a model that found a target.
+func (p *Pool) AdmittedShare(now time.Duration, model string) float64 {
+	return p.demand.model(model).admittedShare(now)
+}
--- a/internal/core/gateway/calls.go
+++ b/internal/core/gateway/calls.go
@@ -192,7 +192,7 @@
 		return
 	}
 	choice := s.targets.Choose(now, request)
-	if p := s.pools[c.service]; p != nil && first && !c.req.HandedOver && !c.returned {
+	if p := s.pools[c.service]; p != nil && first && !c.req.HandedOver && !c.returned && choice.Reason != place.TooLate {
 		p.RecordOffered(now, request.Model, choice.Target != nil)
 	}
 	if choice.Target == nil {
@@ -246,7 +246,7 @@
 // placement describes the next attempt of a request to the table of targets.
 func (s *State) placement(now time.Duration, c *call) place.Request {
 	waiting := 0
-	if engine, _ := s.engineOf(c); engine != nil && c.objectiveAt > 0 {
+	if engine, _ := s.engineOf(c); engine != nil {
 		waiting = maxWaiting(engine)
 	}
 	return place.Request{
--- a/internal/core/gateway/rank.go
+++ b/internal/core/gateway/rank.go
@@ -54,7 +54,11 @@
 	if model == nil {
 		return
 	}
-	if !first {
+	switch {
+	case c.events > 0:
+		c.rank = overload.InTime // its caller has a part of the answer, and can't be refused any more
+		return
+	case !first:
 		if c.objectiveAt > 0 && now >= c.objectiveAt {
 			c.rank = overload.Late
 		}
