fabric: moves survive lost groups and removed models, and know what hosts hold in memory

A planned move closed the last serving group of its model if the others were lost while weights were loaded, or were only forming. A group with a planned move that was lost for another reason reserved its hosts for a model whose weights they lack. A model that a new configuration removed ended the lease holder's process while a group moved to it. A host that had begun to join a group of another model still counted as holding its former one, so that a load was not counted. Weights of alternatives were ordered in the order of a map.

Each but the last has a test that failed before.

--- a/internal/core/fabric/group.go
+++ b/internal/core/fabric/group.go
@@ -296,7 +296,9 @@
 	}
 }
 
+// startClosing closes a group. A move that was only planned for it is given up: its hosts lack the weights.
 func (p *Pool) startClosing(now time.Duration, g *group, reason string, out *step.Out) {
+	g.moveTo = nil
 	g.closeReason, g.lastHeadOrderAt, g.lastHeadOrder = reason, 0, ""
 	g.enterStage(now, closing)
 	out.Log(event.GroupClosing, event.F("group", g.id.Name), event.F("epoch", g.id.Epoch), event.F("model", g.model.Name),
--- a/internal/core/fabric/pool.go
+++ b/internal/core/fabric/pool.go
@@ -271,7 +271,14 @@
 }
 
 // SetEngine sets the engines' published behaviour.
-func (p *Pool) SetEngine(e *site.Engine) { p.engine = e }
+func (p *Pool) SetEngine(e *site.Engine) {
+	p.engine = e
+	for _, g := range p.groups {
+		if g.moveTo != nil {
+			g.moveTo = e.Model(g.moveTo.Name) // nil if it has been removed
+		}
+	}
+}
 
 // SetEngineStall sets how long a head that has lost a member stays open before it becomes broken.
 func (p *Pool) SetEngineStall(stall time.Duration) { p.settings.EngineStall = stall }
@@ -305,10 +312,10 @@
 		if h.entry.Incarnation != e.Incarnation {
 			*h = host{lastAnswerAt: now, mayJoinAt: h.mayJoinAt} // another incarnation
 		}
-		h.entry, h.listed = *e, true
-		if e.Model != "" {
-			h.lastModel = e.Model
+		if h.entry.Model != e.Model || h.entry.Member.Group != e.Member.Group {
+			p.recordModel(h, e)
 		}
+		h.entry, h.listed = *e, true
 		if h.stagingModel != "" && e.StagedWith(h.stagingModel) {
 			h.stagingModel = ""
 		}
@@ -316,6 +323,18 @@
 	p.names = slices.Sorted(maps.Keys(p.hosts))
 }
 
+// recordModel records by a changed entry which model a host holds in memory. A host that joins a group names no
+// model, and loses the last one if the group is of another.
+func (p *Pool) recordModel(h *host, e *site.Host) {
+	if e.Model != "" {
+		h.lastModel = e.Model
+		return
+	}
+	if g := p.groups[e.Member.Group]; e.Member.Phase == site.Joining && (g == nil || g.model.Name != h.lastModel) {
+		h.lastModel = ""
+	}
+}
+
 // TakeControl begins this daemon's control. Epochs of its term are greater than base. Hosts
 // in joinDelays join no group for the time given. The loads that the previous lease holder may
 // have begun count for loadsEnd from now.
@@ -458,6 +477,9 @@
 		return true
 	}
 	h.pendingOp = 0
+	if op.order.Kind == step.OrderJoin && op.order.Model != h.lastModel && a.Outcome != step.OrderRejected && a.Outcome != step.OrderNotSent {
+		h.lastModel = ""
+	}
 	switch {
 	case a.Outcome == step.OrderAccepted:
 		h.orderCount++
--- a/internal/core/fabric/rebalance.go
+++ b/internal/core/fabric/rebalance.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -174,10 +175,10 @@
 
 // groupsToMove returns the groups of one domain that are best closed for another model: those that have
 // its weights, then those that leave no hosts over, then those with the fewest requests. It returns nil if
-// as many as allowed are moving.
+// as many as allowed are moving, or no other group of the model serves.
 func (p *Pool) groupsToMove(now time.Duration, from, to *site.Model) []*group {
 	byDomain := make(map[string][]*group)
-	groups, moving, staging := 0, 0, 0
+	groups, moving, staging, staying := 0, 0, 0, 0
 	for _, id := range p.groupIDs() {
 		g := p.groups[id]
 		if g.moveTo != nil {
@@ -190,12 +191,15 @@
 			continue
 		}
 		groups++
+		if g.stage == serving && g.moveTo == nil {
+			staying++
+		}
 		if h := p.hosts[g.head().id]; g.stage == serving && g.moveTo == nil && h != nil && h.listed {
 			byDomain[h.entry.Domain] = append(byDomain[h.entry.Domain], g)
 		}
 	}
 	n := groupsPerMove(from, to)
-	if moving+n > max(n, int(maxMovingShare*float64(groups))) {
+	if moving+n > max(n, int(maxMovingShare*float64(groups))) || staying <= n {
 		return nil
 	}
 	type candidate struct {
@@ -231,6 +235,17 @@
 	return best.groups
 }
 
+// servingGroups is the number of a model's groups that serve.
+func (p *Pool) servingGroups(m *site.Model) int {
+	n := 0
+	for _, g := range p.groups {
+		if g.stage == serving && g.model.Name == m.Name {
+			n++
+		}
+	}
+	return n
+}
+
 // lackingWeights is the number of members of some groups that would have to load a model's weights.
 func (p *Pool) lackingWeights(groups []*group, m *site.Model) int {
 	n := 0
@@ -263,9 +278,14 @@
 			g.moveTo = nil // the work has changed while its weights were loaded
 			continue
 		}
+		if p.servingGroups(g.model) <= 1 {
+			g.moveTo = nil // the others were lost since
+			continue
+		}
 		if p.lackingWeights([]*group{g}, g.moveTo) == 0 {
-			g.plannedClose = true
+			to := g.moveTo
 			p.startClosing(now, g, "its hosts are needed for another model", out)
+			g.plannedClose, g.moveTo = true, to
 			continue
 		}
 		p.stageModel(now, g.moveTo, p.stageable(g), g.model.GroupSize, out)
@@ -317,8 +337,11 @@
 			byDomain[key] = append(byDomain[key], g)
 		}
 	}
-	for key, groups := range byDomain {
-		other := p.alternativeTo(key.model)
+	keys := slices.SortedFunc(maps.Keys(byDomain), func(a, b domainModel) int {
+		return cmp.Or(cmp.Compare(a.domain, b.domain), cmp.Compare(a.model, b.model))
+	})
+	for _, key := range keys {
+		other, groups := p.alternativeTo(key.model), byDomain[key]
 		for _, g := range groups[:(len(groups)+1)/2] {
 			p.stageModel(now, other, p.stageable(g), g.model.GroupSize, out)
 		}
--- a/internal/core/fabric/rebalance_test.go
+++ b/internal/core/fabric/rebalance_test.go
@@ -267,3 +267,129 @@
 		p.groupsToMove(w.now, from, to)
 	}
 }
+
+// planMove puts a plan on the first serving group of a model whose members lack the weights of another.
+func (w *simulation) planMove(from, to string) *group {
+	p := w.pools[0]
+	for _, id := range p.groupIDs() {
+		if g := p.groups[id]; g.model.Name == from && g.stage == serving && p.lackingWeights([]*group{g}, w.engine.Model(to)) == len(g.members) {
+			g.moveTo = w.engine.Model(to)
+			return g
+		}
+	}
+	return nil
+}
+
+// TestModelOfAMoveIsRemoved guards against a daemon that ends because a new version of the configuration has
+// no model to which a group is moving.
+func TestModelOfAMoveIsRemoved(t *testing.T) {
+	w := twoSizes(9, 1)
+	w.offer("m0", 1)
+	w.offer("m1", 40)
+	for w.decisions() == 0 {
+		w.run(50 * time.Millisecond)
+	}
+	p := w.pools[0]
+	without := *w.engine
+	without.Models = without.Models[:1]
+	p.SetEngine(&without)
+	p.Tick(w.now, &step.Out{})
+}
+
+// TestLostGroupOfAPlanIsRepaired guards against hosts that are kept for the model of a move that was planned
+// only, when their group is lost for another reason: they have the weights of their own model, and not those.
+func TestLostGroupOfAPlanIsRepaired(t *testing.T) {
+	w := twoSizes(4, 1)
+	w.offer("m0", 2)
+	w.offer("m1", 8)
+	w.run(5 * time.Second)
+	g := w.planMove("m0", "m1")
+	require.NotNil(t, g)
+	w.engines[g.members[3].id].up = false
+	w.pools[0].startClosing(w.now, g, "a member is lost", &step.Out{})
+	w.run(1500 * time.Millisecond)
+	require.NotContains(t, w.pools[0].groups, g.id)
+	for _, m := range g.members {
+		require.True(t, w.pools[0].hosts[m.id].mayServe(w.now, "m0"), m.id)
+	}
+}
+
+// TestLastGroupIsNotMoved guards against a planned move that closes the only group of its model because the
+// others were lost while the weights were loaded, or are only forming.
+func TestLastGroupIsNotMoved(t *testing.T) {
+	w := twoSizes(4, 1)
+	w.offer("m0", 0.5)
+	w.offer("m1", 30)
+	w.run(3100 * time.Millisecond)
+	p := w.pools[0]
+	var g *group
+	for _, id := range p.groupIDs() {
+		if p.groups[id].model.Name == "m0" && p.groups[id].stage == serving {
+			g = p.groups[id]
+		}
+	}
+	require.NotNil(t, g)
+	for _, id := range w.ids {
+		if f := w.engines[id]; f.model == "m0" && f.member.Group != g.id {
+			w.crash(id)
+		}
+	}
+	for _, id := range p.groupIDs() {
+		if other := p.groups[id]; other != g && other.model.Name == "m0" {
+			other.stage = closing
+		}
+	}
+	p.recount(w.now)
+	g.moveTo = w.engine.Model("m1")
+	for _, m := range g.members {
+		p.hosts[m.id].entry.Staged = []string{"m1"}
+	}
+	p.continuePlans(w.now, &step.Out{})
+	require.Equal(t, serving, g.stage)
+	require.Nil(t, p.groupsToMove(w.now, w.engine.Model("m0"), w.engine.Model("m1")), "nor planned")
+}
+
+// TestInterruptedJoinLosesTheModelInMemory guards against a load that isn't counted: a host that began to join a
+// group of another model no longer holds its last one in memory, though it was never ready in the new group.
+func TestInterruptedJoinLosesTheModelInMemory(t *testing.T) {
+	in := func(group string, phase site.Phase, model string) *site.Host {
+		h := &site.Host{ID: "a", Service: "llm", Incarnation: 1, Model: model}
+		if group != "" {
+			h.Member = site.Membership{Group: site.GroupID{Name: group, Epoch: uint64(len(group))}, Phase: phase}
+		}
+		return h
+	}
+	ready, out := in("g", site.Ready, "m0"), in("", site.Absent, "")
+	newPool := func() *Pool {
+		p := New(Settings{}, nil)
+		p.SetEngine(testEngine())
+		p.SetHosts(0, []*site.Host{ready})
+		require.True(t, p.hosts["a"].hasWeights("m0"))
+		return p
+	}
+	t.Run("seen by any daemon", func(t *testing.T) {
+		p := newPool()
+		p.SetHosts(1, []*site.Host{out})
+		require.True(t, p.hosts["a"].hasWeights("m0"))
+		p.SetHosts(2, []*site.Host{in("gg", site.Joining, "")})
+		p.SetHosts(3, []*site.Host{out})
+		require.False(t, p.hosts["a"].hasWeights("m0"))
+	})
+	t.Run("ordered by this one", func(t *testing.T) {
+		for _, outcome := range []step.OrderOutcome{step.OrderAccepted, step.OrderLost} {
+			p := newPool()
+			p.hosts["a"].pendingOp = 1
+			p.pendingOrders[1] = pendingOrder{host: "a", order: step.GroupOrder{Kind: step.OrderJoin, Group: site.GroupID{Name: "gg", Epoch: 2}, Model: "m1"}}
+			p.OnOrderAnswered(1, step.GroupOrderAnswered{Op: 1, Host: "a", Outcome: outcome}, &step.Out{})
+			p.SetHosts(2, []*site.Host{ready}) // the entry is older than the order
+			require.False(t, p.hosts["a"].hasWeights("m0"))
+		}
+	})
+	t.Run("same model", func(t *testing.T) {
+		p := newPool()
+		id := site.GroupID{Name: "gg", Epoch: 2}
+		p.groups[id] = &group{id: id, model: p.engine.Model("m0"), members: make([]member, 4)}
+		p.SetHosts(2, []*site.Host{in("gg", site.Joining, "")})
+		require.True(t, p.hosts["a"].hasWeights("m0"))
+	})
+}
