fabric: a planned move is given up once its model would be the shorter one

A move whose weights were being loaded closed its group although the giving model had lost groups since, and had less headroom than the receiving one. It is compared again before the group closes. The test failed before.

--- a/internal/core/fabric/rebalance.go
+++ b/internal/core/fabric/rebalance.go
@@ -278,8 +278,8 @@
 			g.moveTo = nil // the work has changed while its weights were loaded
 			continue
 		}
-		if p.servingGroups(g.model) <= 1 {
-			g.moveTo = nil // the others were lost since
+		if p.servingGroups(g.model) <= 1 || p.headroom(p.plannedByModel()[g.model.Name], g.model) < p.headroom(p.totals.activeHosts[g.moveTo.Name], g.moveTo) {
+			g.moveTo = nil // the others were lost since, or so many that its own model would be the shorter one
 			continue
 		}
 		if p.lackingWeights([]*group{g}, g.moveTo) == 0 {
--- a/internal/core/fabric/rebalance_test.go
+++ b/internal/core/fabric/rebalance_test.go
@@ -393,3 +393,32 @@
 		require.True(t, p.hosts["a"].hasWeights("m0"))
 	})
 }
+
+// TestPlanIsGivenUpWhenItsModelLosesHosts guards against a planned move that takes a group from the model that is
+// shorter of hosts by then: it lost groups while the weights were loaded.
+func TestPlanIsGivenUpWhenItsModelLosesHosts(t *testing.T) {
+	w := twoSizes(9, 1)
+	w.offer("m0", 1)
+	w.offer("m1", 25)
+	w.run(2900 * time.Millisecond)
+	p := w.pools[0]
+	g := w.planMove("m0", "m1")
+	require.NotNil(t, g)
+	left := 2 // groups of the model that serve
+	for _, id := range p.groupIDs() {
+		if other := p.groups[id]; other != g && other.model.Name == "m0" && other.stage == serving {
+			if left--; left <= 0 {
+				other.stage = closing
+			}
+		}
+	}
+	for _, m := range g.members {
+		p.hosts[m.id].entry.Staged = []string{"m1"}
+	}
+	p.recount(w.now)
+	require.Less(t, p.headroom(p.totals.activeHosts["m1"], w.engine.Model("m1")), wantedHeadroom)
+	require.Less(t, p.headroom(p.totals.activeHosts["m0"], w.engine.Model("m0")), p.headroom(p.totals.activeHosts["m1"], w.engine.Model("m1")))
+	p.continuePlans(w.now, &step.Out{})
+	require.Equal(t, serving, g.stage)
+	require.Nil(t, g.moveTo)
+}
