--- a/internal/core/fabric/demand.go
+++ b/internal/core/fabric/demand.go
@@ -19,6 +19,13 @@
 	// targetUtilisation is the share of a group's slots that its model's need is computed with. Each
 	// daemon knows only a part of the load, so above it requests begin to wait at some heads.
 	targetUtilisation = 0.65
+	// maxReadingShare is the share of a group's time that reading prompts may take. Requests that run pause for
+	// it: at this share their events take 1.7 times as long, with most slots still free.
+	maxReadingShare = 0.4
+	// promptWeight is the weight of a request in the mean sizes of a model's requests.
+	promptWeight = 1.0 / 32
+	// maxSizeSample is how many times the published mean one request may count as: callers state any size.
+	maxSizeSample = 8
 	// reserveGroups are the groups that a model needs beyond its work: one may be lost while another
 	// is under repair.
 	reserveGroups = 2
@@ -63,6 +70,9 @@
 	// admitted and counted weigh this daemon's own callers' requests, as of countedAt.
 	admitted, counted float64
 	countedAt         time.Duration
+	// prompt and answer are the mean tokens of own callers' requests, valid if sized.
+	prompt, answer float64
+	sized          bool
 }
 
 func (d *demand) model(name string) *modelDemand {
@@ -114,14 +124,16 @@
 }
 
 // RecordOffered counts the first attempt of a request of this daemon's own callers. It must not be
-// called for requests that come back after a refusal or were handed over: they would count twice.
-func (p *Pool) RecordOffered(now time.Duration, model string, admitted bool) {
+// called for requests that come back after a refusal or were handed over: they would count twice. answer is
+// the longest answer that the caller takes, in tokens; 0 if it states none.
+func (p *Pool) RecordOffered(now time.Duration, model string, admitted bool, prompt, answer int) {
 	if p.engine == nil || p.engine.Model(model) == nil {
 		return
 	}
 	m := p.demand.model(model)
 	m.ageCounts(now)
 	m.counted++
+	m.recordSize(p.engine, float64(prompt), float64(answer))
 	if admitted {
 		m.admitted++
 	}
@@ -185,14 +197,42 @@
 	out.Log(event.DemandKnown, fields...)
 }
 
-// need is the number of hosts that a model needs for the work offered. It is valid while demand is
-// known.
+func (m *modelDemand) recordSize(e *site.Engine, prompt, answer float64) {
+	if answer == 0 {
+		answer = e.MeanAnswerTokens
+	}
+	if !m.sized {
+		m.prompt, m.answer, m.sized = e.MeanPromptTokens, e.MeanAnswerTokens, true
+	}
+	m.prompt += promptWeight * (min(prompt, maxSizeSample*e.MeanPromptTokens) - m.prompt)
+	m.answer += promptWeight * (min(answer, maxSizeSample*e.MeanAnswerTokens) - m.answer)
+}
+
+// readingGroups is the number of groups that a model needs so that reading prompts takes at most
+// maxReadingShare of their time, if so many requests are at its groups at once.
+func (p *Pool) readingGroups(m *site.Model, d *modelDemand) float64 {
+	prompt, answer := p.engine.MeanPromptTokens, p.engine.MeanAnswerTokens
+	if d.sized {
+		prompt, answer = d.prompt, d.answer
+	}
+	reading := p.engine.PromptTime(m, int(prompt))
+	events := answer/float64(max(p.engine.StepsPerEvent, 1)) + 1
+	running := time.Duration(events * float64(p.engine.EventInterval(m, max(1, int(targetUtilisation*float64(p.engine.Slots))))))
+	if reading <= 0 || running <= 0 {
+		return 0
+	}
+	return d.offered * float64(reading) / float64(reading+running) / maxReadingShare
+}
+
+// need is the number of hosts that a model needs for the work offered: for the slots that its requests take, or for
+// reading their prompts, whichever is more. It is valid while demand is known.
 func (p *Pool) need(m *site.Model) float64 {
 	d := p.demand.models[m.Name]
 	if d == nil || !d.seen || d.offered == 0 {
 		return float64(m.GroupSize)
 	}
-	return float64(m.GroupSize) * (d.offered/(float64(max(p.engine.Slots, 1))*targetUtilisation) + reserveGroups)
+	bySlots := d.offered / (float64(max(p.engine.Slots, 1)) * targetUtilisation)
+	return float64(m.GroupSize) * (max(bySlots, p.readingGroups(m, d)) + reserveGroups)
 }
 
 // share is a model's part of the hosts: by the work offered or, while that is unknown, by the
--- a/internal/core/fabric/form.go
+++ b/internal/core/fabric/form.go
@@ -277,7 +277,9 @@
 func (p *Pool) stagedOrStaging(hosts []string, model string) int {
 	n := 0
 	for _, name := range hosts {
-		if h := p.hosts[name]; h.stagingModel == model || h.lastModel == model || h.stagingModel == "" && h.entry.StagedWith(model) {
+		h := p.hosts[name]
+		hasWeights := h.stagingModel == model || h.lastModel == model || h.stagingModel == "" && h.entry.StagedWith(model)
+		if hasWeights && h.mayServe(p.tickAt, model) {
 			n++
 		}
 	}
--- a/internal/core/fabric/group.go
+++ b/internal/core/fabric/group.go
@@ -445,9 +445,7 @@
 func (p *Pool) releaseGroup(now time.Duration, g *group, reason string, out *step.Out) {
 	delete(p.groups, g.id)
 	p.released[g.id] = now
-	if g.moveTo != nil {
-		p.reserveMembers(now, g)
-	}
+	p.reserveMembers(now, g)
 	out.Log(event.GroupDissolved, event.F("group", g.id.Name), event.F("epoch", g.id.Epoch), event.F("model", g.model.Name),
 		event.F("reason", reason), event.F("stage", stageNames[g.stage]), event.F("millis", (now-g.stageSince).Milliseconds()))
 }
--- a/internal/core/fabric/pool.go
+++ b/internal/core/fabric/pool.go
@@ -152,6 +152,7 @@
 	// totals are the counts over hosts and groups as of the last recount.
 	totals totals
 	demand demand
+	tickAt time.Duration // of the last tick
 	moves  moves
 
 	// active is whether this daemon holds control.
@@ -422,6 +423,7 @@
 	if !p.active || p.engine == nil {
 		return
 	}
+	p.tickAt = now
 	p.recount(now)
 	p.updatePartitions(now)
 	p.requestReports(now, out)
--- a/internal/core/fabric/rebalance.go
+++ b/internal/core/fabric/rebalance.go
@@ -165,8 +165,9 @@
 		if from.Name == to.Name || left < from.GroupSize {
 			continue
 		}
+		// One loss more must leave it no worse off: each takes a large part of a model with few large groups.
 		after := p.headroom(hosts[to.Name]+moved/to.GroupSize*to.GroupSize, to)
-		if h := p.headroom(left, from); h >= moveMargin*after && (best == nil || h > most) {
+		if h := p.headroom(left, from); h >= moveMargin*after && p.headroom(left-from.GroupSize, from) >= after && (best == nil || h > most) {
 			best, most = from, h
 		}
 	}
@@ -292,11 +293,20 @@
 	}
 }
 
-// reserveMembers keeps the hosts of a group for the model that they move to.
+// reserveMembers keeps the hosts of a group for the model that they move to or, if the group was lost, for its own
+// one as long as that has no hosts to give: small groups of another model would else take hosts of which a large
+// group can't be formed again.
 func (p *Pool) reserveMembers(now time.Duration, g *group) {
+	model := g.model
+	switch {
+	case g.moveTo != nil:
+		model = g.moveTo
+	case p.demand.known && p.engine.Model(model.Name) != nil && p.headroom(p.plannedByModel()[model.Name], model) >= wantedHeadroom:
+		return
+	}
 	for _, m := range g.members {
 		if h := p.hosts[m.id]; h != nil {
-			h.reservedFor, h.reservedUntil = g.moveTo.Name, now+moveReserveTime
+			h.reservedFor, h.reservedUntil = model.Name, now+moveReserveTime
 		}
 	}
 }
--- a/internal/core/fabric/rebalance_test.go
+++ b/internal/core/fabric/rebalance_test.go
@@ -157,12 +157,41 @@
 	d := p.demand.model("m1")
 	d.follow(0, 10)
 	for i := range 40 {
-		p.RecordOffered(0, "m1", i%2 == 0)
+		p.RecordOffered(0, "m1", i%2 == 0, 1000, 180)
 	}
 	require.InDelta(t, 0.5, d.admittedShare(0), 0.01)
 	require.InDelta(t, 1, p.demand.model("m0").admittedShare(0), 0, "too few requests say nothing")
 }
 
+// TestLongPromptsNeedHosts guards against a model whose engines spend their time on reading prompts while most of
+// their slots are free.
+func TestLongPromptsNeedHosts(t *testing.T) {
+	p := New(Settings{}, nil)
+	p.SetEngine(testEngine())
+	m := &p.engine.Models[0]
+	d := p.demand.model(m.Name)
+	d.follow(0, 40)
+	usual := p.need(m)
+	for range 200 {
+		p.RecordOffered(0, m.Name, true, 3000, 28)
+	}
+	require.Greater(t, p.need(m), 2*usual)
+}
+
+// TestLostLargeGroupFormsAgain guards against hosts of a lost group that small groups of the other model take one by
+// one: the large one could not be formed again.
+func TestLostLargeGroupFormsAgain(t *testing.T) {
+	w := twoSizes(9, 1)
+	w.offer("m0", 5.5)
+	w.offer("m1", 20)
+	w.run(6 * time.Second)
+	before := w.open("m0")
+	w.crash(w.member("m0", false))
+	w.run(4 * time.Second)
+	require.Equal(t, before, w.open("m0"))
+	require.Empty(t, w.violations)
+}
+
 // TestGroupsThatAreLostKeepTheirDemand guards against a demand of zero where only the groups are gone.
 func TestGroupsThatAreLostKeepTheirDemand(t *testing.T) {
 	w := twoSizes(4, 1)
--- a/internal/core/gateway/calls.go
+++ b/internal/core/gateway/calls.go
@@ -193,7 +193,7 @@
 	}
 	choice := s.targets.Choose(now, request)
 	if p := s.pools[c.service]; p != nil && first && !c.req.HandedOver && !c.returned && choice.Reason != place.TooLate {
-		p.RecordOffered(now, request.Model, choice.Target != nil)
+		p.RecordOffered(now, request.Model, choice.Target != nil, c.req.PromptTokens, c.req.MaxTokens)
 	}
 	if choice.Target == nil {
 		if !s.waitForTarget(now, c, choice, fallback) {
