--- a/internal/core/fabric/demand.go
+++ b/internal/core/fabric/demand.go
@@ -20,8 +20,8 @@
 	// daemon knows only a part of the load, so above it requests begin to wait at some heads.
 	targetUtilisation = 0.65
 	// maxReadingShare is the share of a group's time that reading prompts may take. Requests that run pause for
-	// it: at this share their events take 1.7 times as long, with most slots still free.
-	maxReadingShare = 0.4
+	// it: at this share their events take 1.4 times as long, with most slots still free.
+	maxReadingShare = 0.3
 	// promptWeight is the weight of a request in the mean sizes of a model's requests.
 	promptWeight = 1.0 / 32
 	// maxSizeSample is how many times the published mean one request may count as: callers state any size.
