--- a/internal/stub/site/server.go
+++ b/internal/stub/site/server.go
@@ -87,6 +87,8 @@
 	// NoEvents before the first one. 0 and false end no stream.
 	BreakInEvent int
 	NoEvents     bool
+	// Padding is how many bytes are added to each plain answer and to each event of a stream.
+	Padding int
 	// OrderDelay is the time from the arrival of an order until it is carried out, without an
 	// answer. 0 carries out and answers orders at once.
 	OrderDelay time.Duration
@@ -484,6 +486,7 @@
 		w.WriteHeader(faults.Status)
 	case v.Domain == "":
 		_, _ = fmt.Fprintf(w, "%s ran %s for %s", v.ID, id, r.Header.Get("X-Tenant"))
+		_ = writePadding(w, faults.Padding) // fails if the caller has left
 	default:
 		v.stream(w, r, m, id, faults)
 	}
--- a/internal/stub/site/stream.go
+++ b/internal/stub/site/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -38,12 +39,29 @@
 			_, _ = fmt.Fprintf(w, "id: %d\ndata: %s.", next, id)
 			return
 		}
+		if faults.Padding > 0 {
+			_, _ = io.WriteString(w, "data: ")
+			_ = writePadding(w, faults.Padding) // the next write fails as well
+			_, _ = io.WriteString(w, "\n")
+		}
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s.%d\n\n", next, id, next); err != nil || out.Flush() != nil {
 			return
 		}
 	}
 }
 
+// writePadding writes n bytes without meaning.
+func writePadding(w io.Writer, n int) error {
+	for n > 0 {
+		piece := endlessChunk[:min(n, len(endlessChunk))]
+		if _, err := io.WriteString(w, piece); err != nil {
+			return err
+		}
+		n -= len(piece)
+	}
+	return nil
+}
+
 // finishStream records the end of a stream. A closing head is ready again after its last
 // stream.
 func (v *Server) finishStream(m *Membership) {
