gateway: bounds on what untrusted callers make a daemon hold

Cause: each connection takes memory, whatever the budgets for bodies say. With memoryMiB 96, 3,500 callers with bodies that stop short, or with headers that never end, took a daemon to 108 to 280 MiB.

- maxConnections (0: a quarter of memoryMiB at 32 KiB each, at most descriptors minus 256).
At the bound the least useful connection is closed: no whole header for 0.5 s, a body without progress for 0.5 s, a refused request, an idle one, then younger headers and bodies.
One that is being answered is not; if all are, the newest is closed.
The states connBody, connAnswering and connRefused decide by compare-and-swap, so a request whose connection was closed does not run.
- minBodyRate (1 KiB/s) over 2 s while more than half of the connections or of the memory for bodies is in use: 408.
A body that is alone is exempt.
- Small bodies and answers of known length are reserved and allocated as they arrive.
- Headers share 5 % of memoryMiB; beyond it the connection with the largest one is closed.
- At most an eighth of the connections (at least 64) discard refused bodies at a time.
- A write without progress ends after 10 s, 3 s in a crowd, and resets the connection.
Progress is what the caller's kernel acknowledges, since a full send buffer hides a slow reader.
- While more than half of the connections are open, half of the memory for large bodies stays free.
- Metrics rhubarbswitch_caller_cuts_total, _caller_connections, _caller_connections_limit; event RS1006, at most one line a second.

With -race it passes in 58 s, the build of the programs included. Reading a small body (BenchmarkReadSmallBody) takes as many allocations as before up to 2 KiB, one more at 8 KiB and two more at 60,000 bytes; times differed more between runs beside other load than between the two.

--- a/internal/config/gateway.go
+++ b/internal/config/gateway.go
@@ -37,6 +37,12 @@
 	Cores float64 `json:"cores" bounds:"0.01..1024"`
 	// MemoryMiB is the memory in MiB that this process may use.
 	MemoryMiB int `json:"memoryMiB" bounds:"32..1048576"`
+	// MaxConnections is the most connections of callers that this process holds. 0 chooses what a
+	// quarter of MemoryMiB and the process's descriptors allow.
+	MaxConnections int `json:"maxConnections" bounds:"0..1048576"`
+	// MinBodyRate is the least rate, in bytes a second, of a request's body while more than half
+	// of the connections or of the memory for bodies is in use. 0 allows any.
+	MinBodyRate int `json:"minBodyRate" bounds:"0..1048576"`
 	// RetryShare and RetrySlack set the retry budget of all daemons together: within any
 	// RetryWindow, the retries are at most RetryShare times the requests plus RetrySlack.
 	RetryShare float64 `json:"retryShare" bounds:"0..10"`
@@ -59,7 +65,7 @@
 // default.
 func DefaultGateway() *Gateway {
 	return &Gateway{
-		Cores: 1, MemoryMiB: 256, RetryShare: 0.1, RetrySlack: 50, RetryWindow: Duration(10 * time.Second),
+		Cores: 1, MemoryMiB: 256, MinBodyRate: 1 << 10, RetryShare: 0.1, RetrySlack: 50, RetryWindow: Duration(10 * time.Second),
 		EngineStall: Duration(5 * time.Second), MaxPropagation: Duration(2 * time.Second), ShutdownTimeout: Duration(8 * time.Second), Log: Default().Log,
 	}
 }
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -11,6 +11,7 @@
 	DaemonDraining         ID = 1003
 	DaemonStopped          ID = 1004
 	SettingsRead           ID = 1005
+	CallersCut             ID = 1006
 	RequestAnswered        ID = 2001
 	RequestRetried         ID = 2002
 	AnswerDropped          ID = 2003
@@ -100,6 +101,7 @@
 	{DaemonDraining, slog.LevelInfo, "daemon stopping: finishes the requests in flight", ""},
 	{DaemonStopped, slog.LevelInfo, "daemon stopped", ""},
 	{SettingsRead, slog.LevelInfo, "settings file read again", ""},
+	{CallersCut, slog.LevelWarn, "connections of callers closed, or bodies ended, to keep within memory and descriptors", "See docs/operations/hostile-clients.md."},
 	{RequestAnswered, slog.LevelInfo, "request answered", ""},
 	{RequestRetried, slog.LevelInfo, "request sent to another target", "If frequent, check the target named."},
 	{AnswerDropped, slog.LevelWarn, "answer dropped: incomplete, late or not for this attempt", "Check the target named: it mixes up or truncates answers."},
--- a/internal/gateway/buffer.go
+++ b/internal/gateway/buffer.go
@@ -20,6 +20,10 @@
 	// bufferGrowth is how much memory a growing buffer takes for each byte that it holds, until the
 	// copies that it has outgrown are collected.
 	bufferGrowth = 3
+	// firstSmallBytes is what a small answer or body of known length is first given, and smallGrowth the
+	// factor by which that grows. Most bodies need one or two allocations.
+	firstSmallBytes = 2 << 10
+	smallGrowth     = 6
 )
 
 var (
@@ -31,14 +35,17 @@
 type bufferBudget struct {
 	small atomic.Int64 // left for small ones
 	large atomic.Int64 // left for large ones
-	// smallTotal is small of an unused budget.
-	smallTotal int64
+	// smallTotal and largeTotal are small and large of an unused budget.
+	smallTotal, largeTotal int64
+	// spare reports whether half of the memory for large ones has to stay free, since much else is in use;
+	// nil if never.
+	spare func() bool
 }
 
 func newBufferBudget(memoryMiB int, largeShare float64) *bufferBudget {
-	b := &bufferBudget{smallTotal: shareOf(memoryMiB, smallShare)}
+	b := &bufferBudget{smallTotal: shareOf(memoryMiB, smallShare), largeTotal: shareOf(memoryMiB, largeShare)}
 	b.small.Store(b.smallTotal)
-	b.large.Store(shareOf(memoryMiB, largeShare))
+	b.large.Store(b.largeTotal)
 	return b
 }
 
@@ -51,6 +58,11 @@
 // nearlyFull reports whether small answers hold so much that those of requests under way may need the rest.
 func (b *bufferBudget) nearlyFull() bool { return b.small.Load() < b.smallTotal/2 }
 
+// halfUsed reports whether more than half of the memory for small ones, or of that for large ones, is taken.
+func (b *bufferBudget) halfUsed() bool {
+	return b.small.Load() < b.smallTotal/2 || b.large.Load() < b.largeTotal/2
+}
+
 func shareOf(memoryMiB int, share float64) int64 {
 	return int64(share * float64(memoryMiB) * (1 << 20))
 }
@@ -71,8 +83,11 @@
 	if isLarge {
 		from, taken = &b.budget.large, &b.large
 	}
-	need := max(0, n*copies-*taken)
-	if !take(from, need) {
+	need, keepFree := max(0, n*copies-*taken), int64(0)
+	if isLarge && b.budget.spare != nil && b.budget.spare() {
+		keepFree = b.budget.largeTotal / 2
+	}
+	if !take(from, need, keepFree) {
 		return errBuffersFull
 	}
 	*taken += need
@@ -83,9 +98,12 @@
 	return nil
 }
 
-// take takes n bytes of what is left, or none if there are fewer.
-func take(left *atomic.Int64, n int64) bool {
-	if left.Add(-n) < 0 {
+// take takes n bytes of what is left, or none if fewer than keepFree bytes would remain.
+func take(left *atomic.Int64, n, keepFree int64) bool {
+	if n == 0 {
+		return true
+	}
+	if left.Add(-n) < keepFree {
 		left.Add(n)
 		return false
 	}
@@ -111,6 +129,9 @@
 		b.settle(int64(cap(body)))
 		return body, err
 	}
+	if length <= smallBytes {
+		return b.readSmall(r, int(length))
+	}
 	if err := b.reserve(length, 1); err != nil {
 		return nil, err
 	}
@@ -119,6 +140,28 @@
 	return body[:n], err
 }
 
+// readSmall reads n bytes into memory that grows as they arrive, since bytes that are announced may never come.
+func (b *buffer) readSmall(r io.Reader, n int) ([]byte, error) {
+	var body []byte
+	read := 0
+	for size := min(n, firstSmallBytes); ; size = min(n, size*smallGrowth) {
+		if err := b.reserve(int64(size), 1); err != nil {
+			return nil, err
+		}
+		grown := make([]byte, size)
+		copy(grown, body)
+		body = grown
+		more, err := io.ReadFull(r, body[read:])
+		read += more
+		if err != nil {
+			return body[:read], err
+		}
+		if read == n {
+			return body, nil
+		}
+	}
+}
+
 // budgetedReader reads an answer or a body into a buffer.
 type budgetedReader struct {
 	io.Reader
--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -26,27 +26,51 @@
 
 // The states of a connection.
 const (
-	connNew     int32 = iota // no byte has been read
-	connIdle                 // no byte of a next request has been read
-	connReading              // a part of the header of a request has been read
-	connBusy                 // a request is being answered, its body may still arrive
-	connClosed               // closed before all of the header of a request had been read
+	connNew       int32 = iota // no byte has been read
+	connIdle                   // no byte of a next request has been read
+	connReading                // a part of the header of a request has been read
+	connBusy                   // the header of a request has been read, or was refused by net/http
+	connBody                   // the body of a request is being received
+	connAnswering              // a request with all of its body is being answered
+	connRefused                // a request was refused, and the rest of its body may still arrive
+	connClosed                 // closed before all of a request had been read, or after its refusal
 )
 
-// serverConn is an accepted connection that is closed only if none of a next request has been read, or if the
-// rest of its header does not arrive. A request that is read at that moment is not served.
+// serverConn is an accepted connection that is closed only if none of a next request has been read, if the
+// rest of its header does not arrive, or, at the bound on connections, before all of its body has been read. A
+// request that is read at that moment is not served.
 type serverConn struct {
 	*net.TCPConn
+	owner *serverConns // nil before its state is tracked
 	state atomic.Int32
 	since atomic.Int64 // when it entered that state, in nanoseconds of Unix time
+
+	lastRead      atomic.Int64 // when bytes were last read, in nanoseconds of Unix time
+	received      atomic.Int64 // bytes read so far
+	headBytes     atomic.Int64 // bytes read as the header of the current request
+	writeDeadline atomic.Int64 // in nanoseconds of Unix time; 0 for none
+
+	// samples are the values of received at the last two sweeps. They are guarded by serverConns.mu.
+	samples [2]int64
+
+	bodyMu  sync.Mutex // guards bodyCut, and the end of a body against a cut
+	bodyCut bool       // the body was too slow
 }
 
 // Read reads from the connection. It fails if the connection has been closed meanwhile.
 func (c *serverConn) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
-	if n > 0 && !c.begin(connReading) {
+	if n == 0 {
+		return n, err
+	}
+	if !c.begin(connReading) {
 		return 0, net.ErrClosed
 	}
+	c.lastRead.Store(time.Now().UnixNano())
+	c.received.Add(int64(n))
+	if c.owner != nil && c.state.Load() == connReading {
+		c.owner.countHead(c, int64(n))
+	}
 	return n, err
 }
 
@@ -105,6 +129,11 @@
 type serverConns struct {
 	// keep is how long a stop leaves connections without a request open.
 	keep keepTimes
+	// bounds limit what callers hold. They are set before the first connection.
+	bounds connBounds
+
+	headBytes atomic.Int64 // of all requests whose headers are being read or kept
+	openCount atomic.Int64 // the length of open
 
 	mu   sync.Mutex
 	open map[*serverConn]bool
@@ -133,12 +162,20 @@
 			s.open = make(map[*serverConn]bool)
 		}
 		s.open[c] = true
+		c.owner = s
+		s.openCount.Store(int64(len(s.open)))
+		s.makeRoom(c)
 	case http.StateActive:
 		c.begin(connBusy)
 	case http.StateIdle:
-		c.enter(connBusy, connIdle)
+		s.releaseHead(c)
+		if !c.enter(connAnswering, connIdle) {
+			c.enter(connBusy, connIdle) // the handler does not receive bodies as an exchange does
+		}
 	case http.StateClosed, http.StateHijacked:
+		s.releaseHead(c)
 		delete(s.open, c)
+		s.openCount.Store(int64(len(s.open)))
 	}
 }
 
@@ -149,16 +186,23 @@
 	return context.WithValue(ctx, serverConnKey{}, conn)
 }
 
+// connOf returns the connection of a request, or nil if it is not tracked.
+func connOf(r *http.Request) *serverConn {
+	c, _ := r.Context().Value(serverConnKey{}).(*serverConn)
+	return c
+}
+
 // closedAsIdle reports whether the connection of a request was closed before the request was served. Such a
 // request must not run.
 func closedAsIdle(r *http.Request) bool {
-	c, ok := r.Context().Value(serverConnKey{}).(*serverConn)
-	return ok && c.state.Load() == connClosed
+	c := connOf(r)
+	return c != nil && c.state.Load() == connClosed
 }
 
-// closeExpired closes connections that have been idle for longer than a limit, until the context ends.
-// limit returns the current one, which may change while a connection is idle; 0 closes none.
-func (s *serverConns) closeExpired(ctx context.Context, limit func() time.Duration) {
+// closeExpired closes connections that have been idle for longer than a limit, and ends bodies that are too slow,
+// until the context ends. limit returns the current one, which may change while a connection is idle; 0 closes none. swept is
+// called after each check.
+func (s *serverConns) closeExpired(ctx context.Context, limit func() time.Duration, swept func()) {
 	ticks := time.NewTicker(idleSweepInterval)
 	defer ticks.Stop()
 	for {
@@ -170,6 +214,8 @@
 		if after := limit(); after > 0 {
 			s.closeExpiredNow(keepTimes{unused: headerTimeout, idle: after})
 		}
+		s.cutSlowBodies()
+		swept()
 	}
 }
 
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -94,6 +94,8 @@
 	notifier       *relay.Notifier
 	answers        *bufferBudget // memory of targets' answers that are held
 	bodies         *bufferBudget // memory of requests' bodies
+	discards       atomic.Int64  // refused bodies that are being discarded
+	cuts           cutRecord     // of callers' connections and bodies
 	background     sync.WaitGroup
 	callers, links listeningServer // links has no listener if the settings name no address
 	// draining is cancelled once the connections are to be closed.
@@ -114,6 +116,13 @@
 		targets: newTargets(clock), notifier: relay.NewNotifier(clock), answers: newAnswerBudget(set.MemoryMiB), bodies: newBodyBudget(set.MemoryMiB),
 	}
 	d.callers.conns.keep = keepTimes{unused: firstRequestTime, idle: keptIdleTime}
+	connections := maxConnections(set.MaxConnections, set.MemoryMiB)
+	d.callers.conns.bounds = connBounds{
+		connections: connections, headBytes: shareOf(set.MemoryMiB, headShare), minBodyRate: int64(set.MinBodyRate),
+		crowded: func() bool { return d.bodies.halfUsed() || d.answers.nearlyFull() }, recordCut: d.cuts.add,
+	}
+	d.bodies.spare = d.callers.conns.halfOpen
+	connectionsLimit.Set(float64(connections))
 	d.links.conns.keep = keepTimes{unused: firstRequestTime} // other daemons repeat their messages
 	d.draining, d.startDraining = context.WithCancel(context.Background())
 	d.state = core.New(core.Settings{
@@ -160,7 +169,7 @@
 		d.platform.Follow(ctx, Subscriber{Post: d.Post, NeedsPromptHosts: d.isLeaseHolder.Load})
 		return nil
 	})
-	g.Go(func() error { d.callers.conns.closeExpired(ctx, d.idleTimeout); return nil })
+	g.Go(func() error { d.callers.conns.closeExpired(ctx, d.idleTimeout, d.logCuts); return nil })
 	d.runReducer(ctx)
 	cancel()
 	finalCtx, cancelFinal := context.WithTimeout(context.Background(), finalWriteTimeout)
@@ -270,6 +279,7 @@
 			provisionalFingerprints.Set(float64(d.state.ProvisionalFingerprints()))
 			limitedHosts.Set(float64(d.state.LimitedHosts()))
 			cutServices.Set(float64(d.state.CutServices()))
+			callerConnections.Set(float64(d.callers.conns.openCount.Load()))
 			setModelStats(d.state.ModelStats())
 			pressure.Set(d.state.Pressure(d.clock()))
 		case step.SiteConfig:
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -53,7 +54,7 @@
 		daemon: d, w: w, r: r, control: http.NewResponseController(w), callerID: callHeader.ID, handedOver: origin.HandedOver,
 		id: step.RequestID(strconv.FormatUint(d.lastRequestNumber.Add(1), 36)), ended: make(chan step.ForwardEnded, 1),
 	}
-	if closedAsIdle(r) {
+	if closedAsIdle(r) || !connOf(r).beginBody() {
 		panic(http.ErrAbortHandler) // its caller may have sent it elsewhere
 	}
 	x.setKeepAlive()
@@ -162,6 +163,13 @@
 	default:
 		x.body, err = x.bodyMemory.readWhole(http.MaxBytesReader(x.w, x.r.Body, limit), x.r.ContentLength)
 	}
+	arrived := connOf(x.r).endBody()
+	if closedAsIdle(x.r) {
+		panic(http.ErrAbortHandler) // at the bound on connections; its caller gets no answer, so it must not run
+	}
+	if err == nil && !arrived {
+		err = os.ErrDeadlineExceeded // cut as the last bytes arrived
+	}
 	if err == nil {
 		if x.r.ContentLength != 0 {
 			_ = x.control.SetReadDeadline(time.Time{})
@@ -180,13 +188,21 @@
 	}
 	x.w.Header().Set("Connection", "close")
 	x.sendError(a)
+	connOf(x.r).refused()
 	x.discardBody()
 	return false
 }
 
 // discardBody reads the rest of a body after its refusal: a connection that is closed with unread bytes is
-// reset, and the caller may lose the answer.
+// reset, and the caller may lose the answer. Only some connections do so at a time.
 func (x *exchange) discardBody() {
+	d := x.daemon
+	defer d.discards.Add(-1)
+	if d.discards.Add(1) > maxDiscards(d.callers.conns.bounds.connections) {
+		d.cuts.add(cutDiscard)
+		_ = x.control.SetReadDeadline(time.Now()) // net/http would read on
+		return
+	}
 	_ = x.control.SetReadDeadline(time.Now().Add(discardTimeout))
 	_, _ = io.Copy(io.Discard, x.r.Body) // an error means that the caller has left, or sends too long
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -34,6 +34,9 @@
 	takenOver = metrics.NewCounter("rhubarbswitch_taken_over_total")
 	// refusedForMemory counts requests that were refused since bodies or answers of others hold the memory.
 	refusedForMemory = metrics.NewCounter("rhubarbswitch_refused_for_memory_total")
+	// callerConnections is the number of callers' connections, and connectionsLimit the bound on it.
+	callerConnections = metrics.NewGauge("rhubarbswitch_caller_connections", nil)
+	connectionsLimit  = metrics.NewGauge("rhubarbswitch_caller_connections_limit", nil)
 )
 
 // maxModelGauges bounds the models that have gauges.
