--- a/internal/core/fabric/demand.go
+++ b/internal/core/fabric/demand.go
@@ -22,8 +22,10 @@
 	// maxReadingShare is the share of a group's time that reading prompts may take. Requests that run pause for
 	// it: at this share their events take 1.4 times as long, with most slots still free.
 	maxReadingShare = 0.3
-	// promptWeight is the weight of a request in the mean sizes of a model's requests.
-	promptWeight = 1.0 / 32
+	// sizeSamples is the number of requests over which the mean sizes of a model's requests are taken. The
+	// published means, of all models together, count as sizePrior of them.
+	sizeSamples = 32
+	sizePrior   = 1
 	// maxSizeSample is how many times the published mean one request may count as: callers state any size.
 	maxSizeSample = 8
 	// reserveGroups are the groups that a model needs beyond its work: one may be lost while another
@@ -72,7 +74,7 @@
 	countedAt         time.Duration
 	// prompt and answer are the mean tokens of own callers' requests, valid if sized.
 	prompt, answer float64
-	sized          bool
+	sized          int // requests counted, with sizePrior
 }
 
 func (d *demand) model(name string) *modelDemand {
@@ -201,18 +203,20 @@
 	if answer == 0 {
 		answer = e.MeanAnswerTokens
 	}
-	if !m.sized {
-		m.prompt, m.answer, m.sized = e.MeanPromptTokens, e.MeanAnswerTokens, true
+	if m.sized == 0 {
+		m.prompt, m.answer, m.sized = e.MeanPromptTokens, e.MeanAnswerTokens, sizePrior
 	}
-	m.prompt += promptWeight * (min(prompt, maxSizeSample*e.MeanPromptTokens) - m.prompt)
-	m.answer += promptWeight * (min(answer, maxSizeSample*e.MeanAnswerTokens) - m.answer)
+	m.sized = min(m.sized+1, sizeSamples)
+	weight := 1 / float64(m.sized)
+	m.prompt += weight * (min(prompt, maxSizeSample*e.MeanPromptTokens) - m.prompt)
+	m.answer += weight * (min(answer, maxSizeSample*e.MeanAnswerTokens) - m.answer)
 }
 
 // readingGroups is the number of groups that a model needs so that reading prompts takes at most
 // maxReadingShare of their time, if so many requests are at its groups at once.
 func (p *Pool) readingGroups(m *site.Model, d *modelDemand) float64 {
 	prompt, answer := p.engine.MeanPromptTokens, p.engine.MeanAnswerTokens
-	if d.sized {
+	if d.sized > 0 {
 		prompt, answer = d.prompt, d.answer
 	}
 	reading := p.engine.PromptTime(m, int(prompt))
