--- a/internal/core/fabric/demand.go
+++ b/internal/core/fabric/demand.go
@@ -18,7 +18,7 @@
 const (
 	// targetUtilisation is the share of a group's slots that its model's need is computed with. Each
 	// daemon knows only a part of the load, so above it requests begin to wait at some heads.
-	targetUtilisation = 0.65
+	targetUtilisation = 0.8
 	// maxReadingShare is the share of a group's time that reading prompts may take. Requests that run pause for
 	// it: at this share their events take 1.4 times as long, with most slots still free.
 	maxReadingShare = 0.3
@@ -66,9 +66,11 @@
 
 // modelDemand is the work offered for one model.
 type modelDemand struct {
-	offered   float64 // requests that run, wait or would run had they been admitted; smoothed
-	updatedAt time.Duration
-	seen      bool // offered is valid
+	// offered are the requests that run, wait or would run had they been admitted, smoothed; it falls slowly.
+	// present is the same without memory of a recent peak.
+	offered, present float64
+	updatedAt        time.Duration
+	seen             bool // offered and present are valid
 	// admitted and counted weigh this daemon's own callers' requests, as of countedAt.
 	admitted, counted float64
 	countedAt         time.Duration
@@ -114,15 +116,19 @@
 // follow moves the smoothed value towards a measured one.
 func (m *modelDemand) follow(now time.Duration, measured float64) {
 	if !m.seen {
-		m.offered, m.updatedAt, m.seen = measured, now, true
+		m.offered, m.present, m.updatedAt, m.seen = measured, measured, now, true
 		return
 	}
+	keep := func(halfLife time.Duration) float64 {
+		return math.Exp2(-float64(now-m.updatedAt) / float64(halfLife))
+	}
 	halfLife := offeredRiseHalfLife
 	if measured < m.offered {
 		halfLife = offeredFallHalfLife
 	}
-	keep := math.Exp2(-float64(now-m.updatedAt) / float64(halfLife))
-	m.offered, m.updatedAt = measured+(m.offered-measured)*keep, now
+	m.offered = measured + (m.offered-measured)*keep(halfLife)
+	m.present = measured + (m.present-measured)*keep(offeredRiseHalfLife)
+	m.updatedAt = now
 }
 
 // RecordOffered counts the first attempt of a request of this daemon's own callers. It must not be
@@ -213,8 +219,8 @@
 }
 
 // readingGroups is the number of groups that a model needs so that reading prompts takes at most
-// maxReadingShare of their time, if so many requests are at its groups at once.
-func (p *Pool) readingGroups(m *site.Model, d *modelDemand) float64 {
+// maxReadingShare of their time, if so many requests are offered at once.
+func (p *Pool) readingGroups(m *site.Model, d *modelDemand, offered float64) float64 {
 	prompt, answer := p.engine.MeanPromptTokens, p.engine.MeanAnswerTokens
 	if d.sized > 0 {
 		prompt, answer = d.prompt, d.answer
@@ -225,18 +231,27 @@
 	if reading <= 0 || running <= 0 {
 		return 0
 	}
-	return d.offered * float64(reading) / float64(reading+running) / maxReadingShare
+	return offered * float64(reading) / float64(reading+running) / maxReadingShare
 }
 
-// need is the number of hosts that a model needs for the work offered: for the slots that its requests take, or for
-// reading their prompts, whichever is more. It is valid while demand is known.
+// need is the number of hosts that a model needs for the work offered, and presentNeed the same without memory of
+// a recent peak. They are valid while demand is known.
 func (p *Pool) need(m *site.Model) float64 {
+	return p.needFor(m, func(d *modelDemand) float64 { return d.offered })
+}
+
+func (p *Pool) presentNeed(m *site.Model) float64 {
+	return p.needFor(m, func(d *modelDemand) float64 { return d.present })
+}
+
+// needFor is the number of hosts for the slots that requests take, or for reading their prompts, whichever is more.
+func (p *Pool) needFor(m *site.Model, offered func(*modelDemand) float64) float64 {
 	d := p.demand.models[m.Name]
 	if d == nil || !d.seen || d.offered == 0 {
 		return float64(m.GroupSize)
 	}
-	bySlots := d.offered / (float64(max(p.engine.Slots, 1)) * targetUtilisation)
-	return float64(m.GroupSize) * (max(bySlots, p.readingGroups(m, d)) + reserveGroups)
+	bySlots := offered(d) / (float64(max(p.engine.Slots, 1)) * targetUtilisation)
+	return float64(m.GroupSize) * (max(bySlots, p.readingGroups(m, d, offered(d))) + reserveGroups)
 }
 
 // share is a model's part of the hosts: by the work offered or, while that is unknown, by the
--- a/internal/core/fabric/rebalance.go
+++ b/internal/core/fabric/rebalance.go
@@ -19,7 +19,7 @@
 const (
 	// wantedHeadroom is how many times its need a model should have in hosts, so that bursts and losses
 	// leave enough. A model above it gets none by a move.
-	wantedHeadroom = 1.4
+	wantedHeadroom = 1.2
 	// moveMargin is how many times the headroom of the receiving model the giving one must have after a
 	// move. With it, constant demand moves no host back.
 	moveMargin = 1.1
@@ -102,7 +102,7 @@
 		names[i] = g.id.Name
 	}
 	out.Log(event.HostsMoving, event.F("groups", names), event.F("from", from.Name), event.F("to", to.Name),
-		event.F("fromHosts", hosts[from.Name]), event.F("toHosts", hosts[to.Name]), event.F("fromNeed", math.Round(p.need(from))), event.F("toNeed", math.Round(p.need(to))),
+		event.F("fromHosts", hosts[from.Name]), event.F("toHosts", hosts[to.Name]), event.F("fromNeed", math.Round(p.need(from))), event.F("toNeed", math.Round(p.presentNeed(to))),
 		event.F("staged", p.lackingWeights(groups, to) == 0), event.F("reportAgeMillis", p.demand.oldestReport.Milliseconds()))
 }
 
@@ -135,12 +135,18 @@
 // headroom is how many times its need a model has in hosts.
 func (p *Pool) headroom(hosts int, m *site.Model) float64 { return float64(hosts) / p.need(m) }
 
-// leastHeadroom returns the model that is shortest of hosts, or nil if none is short.
+// presentHeadroom is the same for its need without memory of a recent peak.
+func (p *Pool) presentHeadroom(hosts int, m *site.Model) float64 {
+	return float64(hosts) / p.presentNeed(m)
+}
+
+// leastHeadroom returns the model that is shortest of hosts for its present work, or nil if none is short.
+// Work that has gone by gets no hosts, while the model that gives them keeps what its recent peak needs.
 func (p *Pool) leastHeadroom(hosts map[string]int) *site.Model {
 	var least *site.Model
 	for i := range p.engine.Models {
 		m := &p.engine.Models[i]
-		if h := p.headroom(hosts[m.Name], m); h < wantedHeadroom && (least == nil || h < p.headroom(hosts[least.Name], least)) {
+		if h := p.presentHeadroom(hosts[m.Name], m); h < wantedHeadroom && (least == nil || h < p.presentHeadroom(hosts[least.Name], least)) {
 			least = m
 		}
 	}
@@ -166,7 +172,7 @@
 			continue
 		}
 		// One loss more must leave it no worse off: each takes a large part of a model with few large groups.
-		after := p.headroom(hosts[to.Name]+moved/to.GroupSize*to.GroupSize, to)
+		after := p.presentHeadroom(hosts[to.Name]+moved/to.GroupSize*to.GroupSize, to)
 		if h := p.headroom(left, from); h >= moveMargin*after && p.headroom(left-from.GroupSize, from) >= after && (best == nil || h > most) {
 			best, most = from, h
 		}
@@ -275,7 +281,7 @@
 		if g.moveTo == nil || g.stage != serving {
 			continue
 		}
-		if p.headroom(p.totals.activeHosts[g.moveTo.Name], g.moveTo) >= wantedHeadroom {
+		if p.presentHeadroom(p.totals.activeHosts[g.moveTo.Name], g.moveTo) >= wantedHeadroom {
 			g.moveTo = nil // the work has changed while its weights were loaded
 			continue
 		}
