--- a/internal/core/fabric/rebalance.go
+++ b/internal/core/fabric/rebalance.go
@@ -337,7 +337,7 @@
 	return names
 }
 
-// stageAlternatives stages another model on the members of half of the groups of each domain, before the
+// stageAlternatives stages another model on the members of up to half of the groups of each domain, before the
 // first request of a new deployment, when loads are cheap: a move then needs no load. Members of a group
 // hold its own model in memory. The other half keeps its weights on its hosts, for a domain that loses
 // its power and comes back.
@@ -358,7 +358,7 @@
 	})
 	for _, key := range keys {
 		other, groups := p.alternativeTo(key.model), byDomain[key]
-		for _, g := range groups[:(len(groups)+1)/2] {
+		for _, g := range groups[:len(groups)/2] {
 			p.stageModel(now, other, p.stageable(g), g.model.GroupSize, out)
 		}
 	}
