--- a/internal/core/fabric/rebalance.go
+++ b/internal/core/fabric/rebalance.go
@@ -18,7 +18,7 @@
 
 const (
 	// wantedHeadroom is how many times its need a model should have in hosts, so that bursts and losses
-	// leave enough. A model above it gets none by a move.
+	// leave enough. A model above it gets none by a move, and one that gives hosts keeps it.
 	wantedHeadroom = 1.2
 	// moveMargin is how many times the headroom of the receiving model the giving one must have after a
 	// move. With it, constant demand moves no host back.
@@ -173,7 +173,7 @@
 		}
 		// One loss more must leave it no worse off: each takes a large part of a model with few large groups.
 		after := p.presentHeadroom(hosts[to.Name]+moved/to.GroupSize*to.GroupSize, to)
-		if h := p.headroom(left, from); h >= moveMargin*after && p.headroom(left-from.GroupSize, from) >= after && (best == nil || h > most) {
+		if h := p.headroom(left, from); h >= moveMargin*after && p.headroom(left-from.GroupSize, from) >= after && p.headroom(left, from) >= wantedHeadroom && (best == nil || h > most) {
 			best, most = from, h
 		}
 	}
@@ -303,16 +303,16 @@
 // one as long as that has no hosts to give: small groups of another model would else take hosts of which a large
 // group can't be formed again.
 func (p *Pool) reserveMembers(now time.Duration, g *group) {
-	model := g.model
+	model, reserve := g.model, g.model.LoadTime+moveReserveTime // its missing members may have to load weights
 	switch {
 	case g.moveTo != nil:
-		model = g.moveTo
+		model, reserve = g.moveTo, moveReserveTime
 	case p.demand.known && p.engine.Model(model.Name) != nil && p.headroom(p.plannedByModel()[model.Name], model) >= wantedHeadroom:
 		return
 	}
 	for _, m := range g.members {
 		if h := p.hosts[m.id]; h != nil {
-			h.reservedFor, h.reservedUntil = model.Name, now+moveReserveTime
+			h.reservedFor, h.reservedUntil = model.Name, now+reserve
 		}
 	}
 }
--- a/internal/core/fabric/rebalance_test.go
+++ b/internal/core/fabric/rebalance_test.go
@@ -192,6 +192,23 @@
 	require.Empty(t, w.violations)
 }
 
+// TestGivingModelKeepsHeadroom guards against a model that gives so many hosts that its own callers wait: both models are
+// short of hosts, one more than the other.
+func TestGivingModelKeepsHeadroom(t *testing.T) {
+	w := twoSizes(9, 1)
+	w.offer("m0", 2)
+	w.offer("m1", 80)
+	for range 40 {
+		w.run(500 * time.Millisecond)
+		p := w.pools[0]
+		m0 := &w.engine.Models[0]
+		if p.demand.known {
+			require.GreaterOrEqual(t, p.headroom(p.plannedByModel()["m0"], m0), wantedHeadroom)
+		}
+	}
+	require.Positive(t, w.decisions())
+}
+
 // TestGroupsThatAreLostKeepTheirDemand guards against a demand of zero where only the groups are gone.
 func TestGroupsThatAreLostKeepTheirDemand(t *testing.T) {
 	w := twoSizes(4, 1)
