Clean-up: one piece of code for the time of an answer, the own lease and a request's engine

The time of an answer of so many tokens stood in site.Engine.RequestTime, in the demand and in the rank; whether a lease is this incarnation's stood twice; State.model repeated engineOf; halfUsed repeated nearlyFull. Reservations use the time of the tick in both places, and the conditions on a giving model are told apart. Behaviour is unchanged.

--- a/internal/core/fabric/demand.go
+++ b/internal/core/fabric/demand.go
@@ -52,7 +52,7 @@
 
 // demand is the work offered for the models of one service.
 type demand struct {
-	// models are by name. A model is missing until heads of it have reported.
+	// models are by name. A model is missing until a head of it has reported, or a caller has asked for it.
 	models map[string]*modelDemand
 	// measuredSince is when the first report was counted since this daemon took control or, in a new
 	// deployment, since the first request; valid if measuring.
@@ -226,8 +226,7 @@
 		prompt, answer = d.prompt, d.answer
 	}
 	reading := p.engine.PromptTime(m, int(prompt))
-	events := answer/float64(max(p.engine.StepsPerEvent, 1)) + 1
-	running := time.Duration(events * float64(p.engine.EventInterval(m, max(1, int(targetUtilisation*float64(p.engine.Slots))))))
+	running := p.engine.AnswerTime(m, answer, max(1, int(targetUtilisation*float64(p.engine.Slots))))
 	if reading <= 0 || running <= 0 {
 		return 0
 	}
--- a/internal/core/fabric/form.go
+++ b/internal/core/fabric/form.go
@@ -48,7 +48,7 @@
 	slices.Sort(names)
 	for _, m := range p.byHostsPerShare() {
 		for _, d := range names {
-			for staged := p.stagedWith(now, domains[d], m.Name); len(staged) >= m.GroupSize; staged = p.stagedWith(now, domains[d], m.Name) {
+			for staged := p.stagedWith(domains[d], m.Name); len(staged) >= m.GroupSize; staged = p.stagedWith(domains[d], m.Name) {
 				domains[d] = without(domains[d], p.beginFormation(now, d, m, staged[:m.GroupSize], out))
 			}
 		}
@@ -120,10 +120,10 @@
 }
 
 // stagedWith returns the hosts that can join a group of a model now without loading its weights.
-func (p *Pool) stagedWith(now time.Duration, hosts []string, model string) []string {
+func (p *Pool) stagedWith(hosts []string, model string) []string {
 	var staged []string
 	for _, name := range hosts {
-		if h := p.hosts[name]; h.hasWeights(model) && h.mayServe(now, model) && (p.orderable(name) || h.lastModel == model && p.orderableWhileStaging(name)) {
+		if h := p.hosts[name]; h.hasWeights(model) && h.mayServe(p.tickAt, model) && (p.orderable(name) || h.lastModel == model && p.orderableWhileStaging(name)) {
 			staged = append(staged, name)
 		}
 	}
--- a/internal/core/fabric/lease.go
+++ b/internal/core/fabric/lease.go
@@ -187,7 +187,7 @@
 		}
 	case !l.known:
 		l.tickUnknown(now, out)
-	case l.mayTake(now+takeReadAge/2) && !l.holdsAsSeen() && !l.readLately(now):
+	case l.mayTake(now+takeReadAge/2) && !l.isOwn(l.current) && !l.readLately(now):
 		l.readOnce(now, out)
 	case l.mayTake(now):
 		l.write(now, l.takeoverLease(), out)
@@ -236,9 +236,9 @@
 	return l.hasRead && now-l.readAt <= takeReadAge
 }
 
-// holdsAsSeen reports whether the lease as last seen is this incarnation's.
-func (l *Lease) holdsAsSeen() bool {
-	return l.current.Holder == l.self && l.current.Incarnation == l.incarnation
+// isOwn reports whether a lease is held by this incarnation.
+func (l *Lease) isOwn(lease step.ControlLease) bool {
+	return lease.Holder == l.self && lease.Incarnation == l.incarnation
 }
 
 // takeoverLease keeps what the last holder recorded about join delays and loads.
@@ -253,7 +253,7 @@
 	if l.Avoiding(now) {
 		return false
 	}
-	if l.holdsAsSeen() {
+	if l.isOwn(l.current) {
 		return true // held by this incarnation: it has expired, or the answer to its write was lost
 	}
 	wait := l.takeoverTurn()
@@ -288,7 +288,7 @@
 	if !l.pendingWrite && (a.Status == step.ReplyOK || a.Status == step.ReplyAbsent) {
 		l.readAt, l.hasRead = l.sentAt, true
 	}
-	own := a.Lease.Holder == l.self && a.Lease.Incarnation == l.incarnation
+	own := l.isOwn(a.Lease)
 	switch {
 	case l.pendingWrite && a.Status == step.ReplyOK:
 		l.created = l.created || l.revision == 0
--- a/internal/core/fabric/pool.go
+++ b/internal/core/fabric/pool.go
@@ -247,7 +247,7 @@
 	return h.lastModel == model || h.entry.StagedWith(model)
 }
 
-// mayServe reports whether no move reserves the host for another model.
+// mayServe reports whether the host is not reserved for another model.
 func (h *host) mayServe(now time.Duration, model string) bool {
 	return h.reservedFor == "" || h.reservedFor == model || now >= h.reservedUntil
 }
--- a/internal/core/fabric/rebalance.go
+++ b/internal/core/fabric/rebalance.go
@@ -173,7 +173,11 @@
 		}
 		// One loss more must leave it no worse off: each takes a large part of a model with few large groups.
 		after := p.presentHeadroom(hosts[to.Name]+moved/to.GroupSize*to.GroupSize, to)
-		if h := p.headroom(left, from); h >= moveMargin*after && p.headroom(left-from.GroupSize, from) >= after && p.headroom(left, from) >= wantedHeadroom && (best == nil || h > most) {
+		h := p.headroom(left, from)
+		if h < wantedHeadroom || h < moveMargin*after || p.headroom(left-from.GroupSize, from) < after {
+			continue
+		}
+		if best == nil || h > most {
 			best, most = from, h
 		}
 	}
--- a/internal/core/gateway/calls.go
+++ b/internal/core/gateway/calls.go
@@ -27,7 +27,8 @@
 	// It is higher, since such an attempt costs only the time of a dial.
 	maxUnsentAttempts = 12
 	// firstByteTimeoutFactor times the time to the first event by the step model, plus firstByteGrace and
-	// what the target's pool has lately needed beyond it, is how long a stream may take to its first bytes before the attempt is considered stalled.
+	// what the target's pool has lately needed beyond it, is how long a stream may take to its first bytes
+	// before the attempt is considered stalled.
 	firstByteTimeoutFactor = 3
 	firstByteGrace         = 250 * time.Millisecond
 	// eventGapTimeoutFactor times the estimated time between two events, plus eventGapGrace, is
@@ -258,7 +259,7 @@
 }
 
 func (s *State) model(c *call) string {
-	if service := s.config.Services[c.service]; service != nil && service.Engine != nil {
+	if engine, _ := s.engineOf(c); engine != nil {
 		return c.req.Model
 	}
 	return ""
--- a/internal/core/gateway/rank.go
+++ b/internal/core/gateway/rank.go
@@ -80,10 +80,9 @@
 	if tokens == 0 {
 		tokens = engine.MeanAnswerTokens
 	}
-	events := tokens/float64(max(engine.StepsPerEvent, 1)) + 1
 	c.rank = s.overload.Rank(now, overload.Request{
 		Pool: poolOf(c), Priority: c.urgency, ObjectiveLeft: c.objectiveAt - now, HasObjective: c.objectiveAt > 0,
-		Work:   engine.PromptTime(model, c.req.PromptTokens) + time.Duration(events*float64(engine.EventInterval(model, engine.Slots))),
+		Work:   engine.PromptTime(model, c.req.PromptTokens) + engine.AnswerTime(model, tokens, engine.Slots),
 		Spread: rendezvous.Mix(rendezvous.Hash("rank " + string(c.req.ID))),
 	})
 }
--- a/internal/core/site/engine.go
+++ b/internal/core/site/engine.go
@@ -76,6 +76,11 @@
 
 // RequestTime estimates how long a request of mean size runs in a batch of so many requests.
 func (e *Engine) RequestTime(m *Model, batch int) time.Duration {
-	events := e.MeanAnswerTokens/float64(max(e.StepsPerEvent, 1)) + 1
-	return time.Duration(events*float64(e.EventInterval(m, batch))) + e.PromptTime(m, int(e.MeanPromptTokens))
+	return e.AnswerTime(m, e.MeanAnswerTokens, batch) + e.PromptTime(m, int(e.MeanPromptTokens))
+}
+
+// AnswerTime estimates how long the events of an answer of so many tokens take in a batch of so many requests.
+func (e *Engine) AnswerTime(m *Model, tokens float64, batch int) time.Duration {
+	events := tokens/float64(max(e.StepsPerEvent, 1)) + 1
+	return time.Duration(events * float64(e.EventInterval(m, batch)))
 }
--- a/internal/gateway/buffer.go
+++ b/internal/gateway/buffer.go
@@ -60,7 +60,7 @@
 
 // halfUsed reports whether more than half of the memory for small ones, or of that for large ones, is taken.
 func (b *bufferBudget) halfUsed() bool {
-	return b.small.Load() < b.smallTotal/2 || b.large.Load() < b.largeTotal/2
+	return b.nearlyFull() || b.large.Load() < b.largeTotal/2
 }
 
 func shareOf(memoryMiB int, share float64) int64 {
