Log by what evidence a group is released, and which retries are budgeted

RS4006 names the evidence that a head has stopped, RS4042 a group that is taken over from what its hosts report, RS2002 and RS2007 the service and RS2002 whether the retry was taken from the budget; RS2020 says that the budget is spent. No decision changes.

--- a/internal/core/fabric/group.go
+++ b/internal/core/fabric/group.go
@@ -54,8 +54,22 @@
 	// if memberLeft.
 	memberLeftAt time.Duration
 	memberLeft   bool
+	leftEvidence releaseEvidence // how that became known
 }
 
+// releaseEvidence is why a head counts as stopped when its group is released. It is logged.
+type releaseEvidence string
+
+const (
+	headLeft        releaseEvidence = "head left by order"
+	headRestarted   releaseEvidence = "head restarted"
+	headNeverJoined releaseEvidence = "head never joined"
+	memberLeft      releaseEvidence = "member left by order"
+	memberRestarted releaseEvidence = "member restarted"
+	memberUnknown   releaseEvidence = "member unknown"
+	membersMissing  releaseEvidence = "members missing"
+)
+
 // member is one host of a formation.
 type member struct {
 	id          string // host ID; empty while the member of an adopted group is unknown
@@ -85,7 +99,7 @@
 
 // adoptGroups records the groups that hosts are registered in and that this daemon has not
 // formed.
-func (p *Pool) adoptGroups(now time.Duration) {
+func (p *Pool) adoptGroups(now time.Duration, out *step.Out) {
 	for _, name := range p.names {
 		h := p.hosts[name]
 		m := h.entry.Member
@@ -94,7 +108,7 @@
 		}
 		g := p.groups[m.Group]
 		if g == nil {
-			g = p.adoptGroup(now, h)
+			g = p.adoptGroup(now, h, out)
 			if g == nil {
 				continue
 			}
@@ -110,7 +124,7 @@
 
 // adoptGroup records a group that another daemon formed. adoptGroups fills in its members by
 // the ranks under which they are registered.
-func (p *Pool) adoptGroup(now time.Duration, h *host) *group {
+func (p *Pool) adoptGroup(now time.Duration, h *host, out *step.Out) *group {
 	m := p.engine.Model(h.entry.Model)
 	if m == nil {
 		// A member that is still joining names no model. Its group is adopted once a member
@@ -124,6 +138,8 @@
 	id := h.entry.Member.Group
 	g := &group{id: id, model: m, members: make([]member, m.GroupSize), stageSince: now, stage: opening}
 	p.groups[id] = g
+	out.Log(event.GroupAdopted, event.F("group", id.Name), event.F("epoch", id.Epoch), event.F("model", m.Name),
+		event.F("host", h.entry.ID), event.F("phase", h.entry.Member.Phase.String()), event.F("rank", h.entry.Member.Rank))
 	return g
 }
 
@@ -310,7 +326,7 @@
 func (p *Pool) advanceClosing(now time.Duration, g *group, s health, out *step.Out) {
 	switch {
 	case s.headRestarted:
-		p.releaseGroup(now, g, g.closeReason+"; its head has restarted", out)
+		p.releaseGroup(now, g, g.closeReason+"; its head has restarted", headRestarted, out)
 		return
 	case !s.headReachable:
 		p.enterHeadless(now, g, out)
@@ -326,8 +342,10 @@
 		phase = site.Absent
 	}
 	switch {
-	case g.headLeft || phase == site.Absent && !g.head().joinAccepted && head.pendingOp == 0:
-		p.releaseGroup(now, g, g.closeReason, out)
+	case g.headLeft:
+		p.releaseGroup(now, g, g.closeReason, headLeft, out)
+	case phase == site.Absent && !g.head().joinAccepted && head.pendingOp == 0:
+		p.releaseGroup(now, g, g.closeReason, headNeverJoined, out)
 	case phase != site.Open && phase != site.Closing:
 		p.orderHead(now, g, step.OrderLeave, out)
 	case g.plannedClose && now-g.stageSince < g.closeTimeout():
@@ -367,7 +385,7 @@
 func (p *Pool) advanceHeadless(now time.Duration, g *group, s health, out *step.Out) {
 	switch {
 	case s.headRestarted:
-		p.releaseGroup(now, g, "its head has restarted", out)
+		p.releaseGroup(now, g, "its head has restarted", headRestarted, out)
 		return
 	case s.headReachable:
 		g.enterStage(now, closing)
@@ -377,7 +395,7 @@
 		p.removeMember(now, g, out)
 	}
 	if g.memberLeft && now-g.memberLeftAt > p.joinDelay(g) {
-		p.releaseGroup(now, g, "its head has been unreachable for longer than it serves", out)
+		p.releaseGroup(now, g, "its head has been unreachable for longer than it serves", g.leftEvidence, out)
 	}
 }
 
@@ -401,8 +419,12 @@
 	for rank := len(g.members) - 1; rank > 0; rank-- {
 		m := &g.members[rank]
 		h := p.hosts[m.id]
-		if h == nil || h.listed && h.entry.Incarnation != m.incarnation {
-			g.memberLeftAt, g.memberLeft = now, true // the member has restarted, or has been gone for long
+		if h == nil {
+			g.recordLeft(now, memberUnknown)
+			return
+		}
+		if h.listed && h.entry.Incarnation != m.incarnation {
+			g.recordLeft(now, memberRestarted)
 			return
 		}
 		if h.listed {
@@ -416,10 +438,15 @@
 		}
 	}
 	if gone {
-		g.memberLeftAt, g.memberLeft = now, true
+		g.recordLeft(now, membersMissing)
 	}
 }
 
+// recordLeft records that a member of a headless group has left it.
+func (g *group) recordLeft(now time.Duration, e releaseEvidence) {
+	g.memberLeftAt, g.memberLeft, g.leftEvidence = now, true, e
+}
+
 func (g *group) onOrderAnswer(now time.Duration, op pendingOrder, outcome step.OrderOutcome) {
 	rank := g.rank(op.host)
 	if rank < 0 {
@@ -436,16 +463,16 @@
 		if rank == 0 {
 			g.headLeft = g.headLeft || accepted
 		} else if outcome == step.OrderDone {
-			g.memberLeftAt, g.memberLeft = now, true
+			g.recordLeft(now, memberLeft)
 		}
 	}
 }
 
 // releaseGroup ends a formation: its members are free.
-func (p *Pool) releaseGroup(now time.Duration, g *group, reason string, out *step.Out) {
+func (p *Pool) releaseGroup(now time.Duration, g *group, reason string, e releaseEvidence, out *step.Out) {
 	delete(p.groups, g.id)
 	p.released[g.id] = now
 	p.reserveMembers(now, g)
 	out.Log(event.GroupDissolved, event.F("group", g.id.Name), event.F("epoch", g.id.Epoch), event.F("model", g.model.Name),
-		event.F("reason", reason), event.F("stage", stageNames[g.stage]), event.F("millis", (now-g.stageSince).Milliseconds()))
+		event.F("reason", reason), event.F("evidence", string(e)), event.F("stage", stageNames[g.stage]), event.F("millis", (now-g.stageSince).Milliseconds()))
 }
--- a/internal/core/fabric/pool.go
+++ b/internal/core/fabric/pool.go
@@ -427,7 +427,7 @@
 	p.recount(now)
 	p.updatePartitions(now)
 	p.requestReports(now, out)
-	p.adoptGroups(now)
+	p.adoptGroups(now, out)
 	p.updateDemand(now, out)
 	for _, id := range p.groupIDs() {
 		p.advance(now, p.groups[id], out)
--- a/internal/core/gateway/calls.go
+++ b/internal/core/gateway/calls.go
@@ -459,7 +459,11 @@
 			return
 		}
 	}
-	if !mayRetry || !exempt && !s.budget.Allow(now, c.reachedAttempts()) {
+	allowed := mayRetry && (exempt || s.budget.Allow(now, c.reachedAttempts()))
+	if mayRetry && !allowed {
+		out.Log(event.RetryBudgetSpent, event.F("request", c.req.CallerID), event.F("attempt", c.attempt), event.F("service", c.service), event.F("ending", e.Ending))
+	}
+	if !allowed {
 		if c.hasFailureAnswer {
 			s.deliverFailure(now, c, out)
 			return
@@ -468,7 +472,7 @@
 		return
 	}
 	out.Log(event.RequestRetried, event.F("request", c.req.CallerID), event.F("attempt", c.attempt), event.F("host", c.host), event.F("daemon", c.daemon),
-		event.F("ending", e.Ending), event.F("status", e.Status), event.F("events", c.events))
+		event.F("ending", e.Ending), event.F("status", e.Status), event.F("events", c.events), event.F("service", c.service), event.F("budgeted", !exempt))
 	s.sendToTarget(now, c, answer, out)
 }
 
--- a/internal/core/gateway/stall.go
+++ b/internal/core/gateway/stall.go
@@ -58,7 +58,7 @@
 	}
 	c.moving = true
 	out.Log(event.RequestMoved, event.F("request", c.req.CallerID), event.F("attempt", c.attempt), event.F("host", c.host),
-		event.F("begun", c.answerBegan), event.F("silentMillis", e.TargetSilence.Milliseconds()))
+		event.F("service", c.service), event.F("begun", c.answerBegan), event.F("silentMillis", e.TargetSilence.Milliseconds()))
 	out.Add(step.Cancel{ID: c.req.ID, Attempt: c.attempt})
 }
 
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -31,6 +31,7 @@
 	RefusedForMemory       ID = 2017
 	EstimateWrong          ID = 2018
 	PressureChanged        ID = 2019
+	RetryBudgetSpent       ID = 2020
 	ClaimOwnerUnresponsive ID = 3001
 	ClaimUnreachable       ID = 3002
 	GroupFormed            ID = 4001
@@ -67,6 +68,7 @@
 	HostLimitInvalid       ID = 4039
 	HostsMoving            ID = 4040
 	DemandKnown            ID = 4041
+	GroupAdopted           ID = 4042
 	HostRegistered         ID = 4015
 	HostDeregistered       ID = 4016
 	HostRestarted          ID = 4017
@@ -121,6 +123,7 @@
 	{RefusedForMemory, slog.LevelWarn, "request refused: bodies or answers of other requests hold the memory that there is for them", "If frequent, give the gateway more memory (memoryMiB) or lower the limit for bodies in the configuration."},
 	{EstimateWrong, slog.LevelInfo, "first event of a request came much later than estimated", "If frequent for one host, check the host named."},
 	{PressureChanged, slog.LevelInfo, "a part of the requests for a model yields to others, or no longer", "If it lasts, add hosts; see docs/OPERATIONS.md."},
+	{RetryBudgetSpent, slog.LevelInfo, "request not sent again: the retry budget is spent", "If frequent, check the hosts of the service named: many requests fail there."},
 	{ClaimOwnerUnresponsive, slog.LevelInfo, "daemon asked to write a claim did not answer; claim is written here", ""},
 	{ClaimUnreachable, slog.LevelWarn, "call refused: its claim could not be written", "Check the platform; callers retry with the same key."},
 	{GroupFormed, slog.LevelInfo, "group assigned to hosts", ""},
@@ -150,6 +153,7 @@
 	{HostLimitInvalid, slog.LevelWarn, "host named a limit that can't be read; ignored", "Correct the Server-Limit of the host's service."},
 	{HostsMoving, slog.LevelInfo, "groups are given up so that their hosts serve another model", "If it goes back and forth, see docs/operations/models.md."},
 	{DemandKnown, slog.LevelInfo, "the work offered for each model is known, or no longer", ""},
+	{GroupAdopted, slog.LevelInfo, "group that another daemon has formed, or that this one had given up, is known from its hosts", ""},
 	{DataCentresOut, slog.LevelInfo, "data centres that get no work", ""},
 	{HostFlapping, slog.LevelWarn, "host repeatedly failed and returned; excluded from groups for a while", "Check the host named."},
 	{HostStraggling, slog.LevelWarn, "host joins its group too slowly and is replaced", "Check the host named."},
