--- a/internal/core/gateway/budget_test.go
+++ b/internal/core/gateway/budget_test.go
@@ -86,3 +86,29 @@
 	}
 	return n
 }
+
+// TestRequestsOfOneServiceAllowNoRetriesAtAnother guards against retries at a small service that the requests of a large one pay for.
+func TestRequestsOfOneServiceAllowNoRetriesAtAnother(t *testing.T) {
+	x := startedWithSlack(t)
+	x.setHosts(openHead("e1"), plainHost("s1"), plainHost("s2"))
+	retries := 0
+	const chats, reads = 2000, 100
+	for i := range chats {
+		x.now += 10 * time.Second / chats
+		effects := x.reduce(step.Call{ID: step.RequestID(fmt.Sprint("chat", i)), Host: "h", Path: "/chat/1", Key: "key", Model: "m", PromptTokens: 500})
+		x.endAttempt(x.requireForward(effects), step.EndedComplete, 200)
+		if i%(chats/reads) > 0 {
+			continue
+		}
+		effects = x.reduce(step.Call{ID: step.RequestID(fmt.Sprint("read", i)), Host: "h", Path: "/read/1", Key: "key"})
+		for effects = x.endAttempt(x.requireForward(effects), step.EndedRefused, 503); len(effects) == 1; retries++ {
+			f, ok := effects[0].(step.Forward)
+			if !ok {
+				break
+			}
+			effects = x.endAttempt(f, step.EndedRefused, 503)
+		}
+	}
+	require.LessOrEqual(t, float64(retries), 0.2*reads+50)
+	require.Positive(t, retries)
+}
