retry: a budget for each service

Callers saw requests sent on to one server after the other although all of them refused, and servers in need got more arrivals than they are promised: rope-ledger 299 repeats in 10 s for 418 requests, of 220 allowed.

Cause: the promise is per service, but a daemon counted the requests and the retries of all services in one window. 130 requests a second of a large service allowed retries at a small one far beyond its bound. Class: a bound that is counted in a wider scope than the one promised.

Each service has a window of its own now; the slack is divided over daemons as before. Settings, the share and the slots stay.

--- a/internal/core/gateway/calls.go
+++ b/internal/core/gateway/calls.go
@@ -231,7 +231,7 @@
 func (s *State) countForBudget(now time.Duration, c *call) {
 	if !c.counted {
 		c.counted = true
-		s.budget.RecordRequest(now)
+		s.budget.RecordRequest(now, c.service)
 	}
 }
 
@@ -459,7 +459,7 @@
 			return
 		}
 	}
-	allowed := mayRetry && (exempt || s.budget.Allow(now, c.reachedAttempts()))
+	allowed := mayRetry && (exempt || s.budget.Allow(now, c.service, c.reachedAttempts()))
 	if mayRetry && !allowed {
 		out.Log(event.RetryBudgetSpent, event.F("request", c.req.CallerID), event.F("attempt", c.attempt), event.F("service", c.service), event.F("ending", e.Ending))
 	}
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -95,8 +95,8 @@
 	overload *overload.Controller // which requests yield
 	// nextWrongEstimateLog is when the next wrong estimate may be logged.
 	nextWrongEstimateLog time.Duration
-	budget               *retry.Window            // this daemon's part of the retry budget
-	budgetDaemons        int                      // daemons over which the retry budget is divided
+	budget               *retry.Windows           // this daemon's part of the retry budgets of services
+	budgetDaemons        int                      // daemons over which the retry budgets are divided
 	calls                map[step.RequestID]*call // requests in progress
 	lease                *fabric.Lease            // this daemon's part in the election of the lease holder
 	pools                map[string]*fabric.Pool  // by service, for services with engines
@@ -126,7 +126,7 @@
 		pools:           make(map[string]*fabric.Pool),
 		limits:          hostlimit.New(set.Daemon),
 		invalidLimits:   make(map[string]int64),
-		budget:          retry.NewWindow(0),
+		budget:          retry.NewWindows(0),
 		paths:           reach.New(set.Daemon),
 		stalled:         make(map[step.RequestID]step.AnswerStalled),
 		peers:           handover.New(set.DataCentre),
--- a/internal/core/gateway/paths_test.go
+++ b/internal/core/gateway/paths_test.go
@@ -186,7 +186,7 @@
 	for _, counted := range []bool{false, true} {
 		x := startedWithSlack(t)
 		slack := 0
-		for x.s.budget.Allow(x.now, 1) {
+		for x.s.budget.Allow(x.now, "plain", 1) {
 			slack++
 		}
 		x = startedWithSlack(t)
@@ -195,7 +195,7 @@
 			x.reduce(step.Call{ID: id, CallerID: string(id), Host: "h", Path: "/read/1", Key: "key", HandedOver: true, MaxRuns: 2, Counted: counted})
 		}
 		allowed := 0
-		for x.s.budget.Allow(x.now, 1) {
+		for x.s.budget.Allow(x.now, "plain", 1) {
 			allowed++
 		}
 		if counted {
--- a/internal/core/gateway/resume.go
+++ b/internal/core/gateway/resume.go
@@ -58,7 +58,7 @@
 		case c.callerGone:
 			s.endInterruption(c)
 			s.endGone(now, c, out)
-		case hasTarget && s.budget.Allow(now, c.reachedAttempts()):
+		case hasTarget && s.budget.Allow(now, c.service, c.reachedAttempts()):
 			s.endInterruption(c)
 			s.sendToTarget(now, c, i.fallback, out)
 		case now >= i.until:
--- a/internal/core/gateway/stall.go
+++ b/internal/core/gateway/stall.go
@@ -69,12 +69,12 @@
 		return false
 	}
 	if s.wantsHandover(c) {
-		return s.peers.Available(now, s.handoverRequest(c)) && s.budget.Allow(now, c.reachedAttempts())
+		return s.peers.Available(now, s.handoverRequest(c)) && s.budget.Allow(now, c.service, c.reachedAttempts())
 	}
 	if s.quarantineDecision(now, c, false).RetryAfter > 0 {
 		return false
 	}
 	request := s.placement(now, c)
 	request.AvoidHosts = append(slices.Clone(c.failedHosts), c.host)
-	return s.targets.Peek(now, request).Target != nil && s.budget.Allow(now, c.reachedAttempts())
+	return s.targets.Peek(now, request).Target != nil && s.budget.Allow(now, c.service, c.reachedAttempts())
 }
--- a/internal/core/retry/retry.go
+++ b/internal/core/retry/retry.go
@@ -1,8 +1,8 @@
 // Package retry bounds the load that retries add.
 //
 // Budget is a token bucket for a daemon that serves callers: each first attempt adds a share
-// of a retry, and each retry takes one. Window is the retry budget of a gateway daemon: it
-// bounds the retries of all daemons together in every window of time.
+// of a retry, and each retry takes one. Windows are the retry budgets of a gateway daemon: they
+// bound the retries of all daemons together at each service in every window of time.
 package retry
 
 // Settings configure a Budget.
--- a/internal/core/retry/window.go
+++ b/internal/core/retry/window.go
@@ -24,7 +24,52 @@
 	quarterSlots = slotCount/4 + 1
 )
 
-// Window is a retry budget that counts requests and retries over the last window of time.
+// Windows are the retry budgets of services: the bound holds for each service, and the requests of one allow no
+// retries at another.
+type Windows struct {
+	set       WindowSettings
+	startedAt time.Duration
+	byService map[string]*Window
+}
+
+// NewWindows returns the windows of a process that starts now; see NewWindow.
+func NewWindows(now time.Duration) *Windows {
+	return &Windows{startedAt: now, byService: make(map[string]*Window)}
+}
+
+// Set replaces the settings, as Window.Set does.
+func (ws *Windows) Set(now time.Duration, set WindowSettings) {
+	if set.Length != ws.set.Length {
+		ws.startedAt = now
+	}
+	ws.set = set
+	for _, w := range ws.byService {
+		w.Set(now, set)
+	}
+}
+
+// RecordRequest counts a first attempt at a service.
+func (ws *Windows) RecordRequest(now time.Duration, service string) {
+	ws.window(service).RecordRequest(now)
+}
+
+// Allow reports whether a request to a service that has made a number of attempts may be retried now, and if so
+// counts the retry.
+func (ws *Windows) Allow(now time.Duration, service string, attempts int) bool {
+	return ws.window(service).Allow(now, attempts)
+}
+
+func (ws *Windows) window(service string) *Window {
+	w := ws.byService[service]
+	if w == nil {
+		w = NewWindow(ws.startedAt)
+		w.set = ws.set
+		ws.byService[service] = w
+	}
+	return w
+}
+
+// Window is the retry budget of one service. It counts requests and retries over the last window of time.
 // Retries that were not used in normal operation are available when a host is lost. A token
 // bucket that keeps the same bound could not save them up, because it must be as small as the
 // slack. All times are monotonic.
