fabric: a group of which nothing is heard keeps its hosts

Cause: a headless group was released once all members were missing from the registry, or unknown, as if one of them had left and its head had noticed. Hosts that this daemon and the store can't reach may all be alive together, so the head had lacked nobody. Class: silence taken for proof.

Now only an answered order to leave, or a restart, shows that a member has left. A group of which nothing is heard is set aside, does not count for any decision, and its hosts stay in it. When they return each of them has to report; if the head is open and all are there, the group goes on serving, and is else closed as before. A host whose entry had lapsed gets no order before it has reported. A head that reports that it serves in a group that was released is closed first. The lease counts as naming a group's hosts only if the write that named them was accepted, not an earlier one.

The simulation's tick asks for the join delays before it says that the lease is written, as the daemon does.

--- a/internal/core/fabric/form.go
+++ b/internal/core/fabric/form.go
@@ -115,8 +115,13 @@
 // inNoActiveGroup reports whether a host, at its known order count, is in no group whose head
 // may serve. An order that expects this count then can't take the host out of such a group.
 func (p *Pool) inNoActiveGroup(h *host) bool {
-	_, released := p.released[h.group]
-	return released || h.group == site.GroupID{}
+	return h.group == site.GroupID{} || p.isReleased(h.group) && !h.headsOpenGroup()
+}
+
+// headsOpenGroup reports whether the host's last report shows that it serves as the head of its group.
+func (h *host) headsOpenGroup() bool {
+	at := h.lastReport.Member
+	return h.hasAnswered && at.Group == h.group && at.Rank == 0 && (at.Phase == site.Open || at.Phase == site.Closing)
 }
 
 // stagedWith returns the hosts that can join a group of a model now without loading its weights.
--- a/internal/core/fabric/group.go
+++ b/internal/core/fabric/group.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/site"
@@ -48,8 +50,13 @@
 	moveTo *site.Model
 	// delaysInLease is whether the lease contains the join delays of a headless group's members.
 	// Only then is a member ordered to leave: a daemon that takes over must know that the
-	// members must not join another group yet.
-	delaysInLease bool
+	// members must not join another group yet. delaysWritten is whether the lease that was written
+	// last does, accepted or not.
+	delaysInLease, delaysWritten bool
+	// unheard is whether no member of a headless group has answered since all of them fell silent.
+	// heardAt is when a member first did after that; zero before.
+	unheard bool
+	heardAt time.Duration
 	// memberLeftAt is when a member of a headless group was first known to have left it, valid
 	// if memberLeft.
 	memberLeftAt time.Duration
@@ -66,10 +73,14 @@
 	headNeverJoined releaseEvidence = "head never joined"
 	memberLeft      releaseEvidence = "member left by order"
 	memberRestarted releaseEvidence = "member restarted"
-	memberUnknown   releaseEvidence = "member unknown"
-	membersMissing  releaseEvidence = "members missing"
 )
 
+// hiddenGroup is a group of which nothing has been heard since a time.
+type hiddenGroup struct {
+	group *group
+	since time.Duration
+}
+
 // member is one host of a formation.
 type member struct {
 	id          string // host ID; empty while the member of an adopted group is unknown
@@ -103,10 +114,13 @@
 	for _, name := range p.names {
 		h := p.hosts[name]
 		m := h.entry.Member
-		if _, released := p.released[m.Group]; released || !h.listed || m.Phase == site.Absent {
+		if !h.listed || m.Phase == site.Absent || p.isReleased(m.Group) {
 			continue
 		}
 		g := p.groups[m.Group]
+		if g == nil {
+			g = p.returnGroup(now, m.Group)
+		}
 		if g == nil {
 			g = p.adoptGroup(now, h, out)
 			if g == nil {
@@ -122,6 +136,30 @@
 	}
 }
 
+// isReleased reports whether the hosts that are still registered under a formation are free.
+func (p *Pool) isReleased(id site.GroupID) bool {
+	_, ok := p.released[id]
+	return ok
+}
+
+// closeServingReleased closes the released groups whose heads report that they still serve: an order may have
+// opened them late, or they have not noticed that they lack a member.
+func (p *Pool) closeServingReleased(now time.Duration, out *step.Out) {
+	for _, name := range p.names {
+		h := p.hosts[name]
+		at, released := p.released[h.group]
+		if !released || !h.headsOpenGroup() || !h.listed || h.entry.Member.Group != h.group || h.answeredSentAt <= at+p.engine.ReportLag+reportLagMargin {
+			continue
+		}
+		if g := p.adoptGroup(now, h, out); g != nil {
+			delete(p.released, g.id)
+			g.seenOpen = true
+			*g.head() = member{id: name, incarnation: h.entry.Incarnation, registered: true, joinAccepted: true}
+			p.startClosing(now, g, "its head serves although the group was released", out)
+		}
+	}
+}
+
 // adoptGroup records a group that another daemon formed. adoptGroups fills in its members by
 // the ranks under which they are registered.
 func (p *Pool) adoptGroup(now time.Duration, h *host, out *step.Out) *group {
@@ -329,7 +367,7 @@
 		p.releaseGroup(now, g, g.closeReason+"; its head has restarted", headRestarted, out)
 		return
 	case !s.headReachable:
-		p.enterHeadless(now, g, out)
+		p.enterHeadless(now, g)
 		return
 	}
 	head := p.hosts[g.head().id]
@@ -376,27 +414,103 @@
 
 // enterHeadless treats the head as unreachable. It may still serve others, so its members must
 // not join another group until it has lacked one of them for as long as it takes to notice that.
-func (p *Pool) enterHeadless(now time.Duration, g *group, out *step.Out) {
+func (p *Pool) enterHeadless(now time.Duration, g *group) {
 	g.enterStage(now, headless)
-	g.delaysInLease = false
+	g.unheard, g.heardAt = false, 0
+	g.delaysInLease, g.delaysWritten = false, false
 	p.leaseOutdated = true
 }
 
 func (p *Pool) advanceHeadless(now time.Duration, g *group, s health, out *step.Out) {
+	p.updateHeard(now, g)
+	waits := g.unheard && (g.heardAt == 0 || now-g.heardAt < returnTimeout)
 	switch {
 	case s.headRestarted:
 		p.releaseGroup(now, g, "its head has restarted", headRestarted, out)
-		return
-	case s.headReachable:
+	case g.memberLeft && now-g.memberLeftAt > p.joinDelay(g):
+		p.releaseGroup(now, g, "its head has been unreachable for longer than it serves", g.leftEvidence, out)
+	case p.goesOnServing(g, s):
+		g.enterStage(now, serving)
+		g.seenOpen = true
+		out.Log(event.GroupResumed, event.F("group", g.id.Name), event.F("epoch", g.id.Epoch), event.F("model", g.model.Name),
+			event.F("closedFor", g.closeReason), event.F("members", g.memberIDs()))
+	case s.headReachable && !(waits && p.mayServe(g)):
 		g.enterStage(now, closing)
-		return
-	}
-	if !g.memberLeft {
+	case !g.memberLeft && g.unheard && g.heardAt == 0 && p.unlisted(g):
+		p.hideGroup(now, g, out)
+	case !g.memberLeft && !waits:
 		p.removeMember(now, g, out)
 	}
-	if g.memberLeft && now-g.memberLeftAt > p.joinDelay(g) {
-		p.releaseGroup(now, g, "its head has been unreachable for longer than it serves", g.leftEvidence, out)
+}
+
+// updateHeard notes when all members of a headless group are silent, and when one of them answers again.
+func (p *Pool) updateHeard(now time.Duration, g *group) {
+	silent, answered := true, false
+	for i := range g.members {
+		if h := p.hosts[g.members[i].id]; h != nil {
+			silent = silent && (h.silent || h.lapsed(now))
+			answered = answered || h.answeredSince(g.stageSince)
+		}
 	}
+	switch {
+	case silent:
+		g.unheard, g.heardAt = true, 0
+	case g.unheard && g.heardAt == 0 && answered:
+		g.heardAt = now
+	}
+}
+
+// answeredSince reports whether this incarnation has answered a report request after a time.
+func (h *host) answeredSince(at time.Duration) bool { return h.hasAnswered && h.lastAnswerAt > at }
+
+// unlisted reports whether the registry has no member of a group.
+func (p *Pool) unlisted(g *group) bool {
+	return !slices.ContainsFunc(g.members, func(m member) bool { h := p.hosts[m.id]; return h != nil && h.listed })
+}
+
+// mayServe reports whether a headless group may have served all the while: it was not closed by plan, and its head
+// has not reported anything else since.
+func (p *Pool) mayServe(g *group) bool {
+	if g.memberLeft || g.headLeft || g.plannedClose {
+		return false
+	}
+	head := p.hosts[g.head().id]
+	return !head.answeredSince(g.stageSince) || head.lastReport.Member.Group == g.id && head.lastReport.Member.Phase == site.Open
+}
+
+// goesOnServing reports whether a headless group has served all the while: each member has answered since, and the
+// head is open.
+func (p *Pool) goesOnServing(g *group, s health) bool {
+	if !s.headReachable || !s.allReady || s.draining || !p.mayServe(g) {
+		return false
+	}
+	return !slices.ContainsFunc(g.members, func(m member) bool { return !p.hosts[m.id].answeredSince(g.stageSince) })
+}
+
+// hideGroup stops ordering a group of which neither the registry nor this daemon hears anything. It may serve others
+// all the while, so its hosts stay in it until they return.
+func (p *Pool) hideGroup(now time.Duration, g *group, out *step.Out) {
+	delete(p.groups, g.id)
+	p.hidden[g.id] = hiddenGroup{group: g, since: now}
+	out.Log(event.GroupHidden, event.F("group", g.id.Name), event.F("epoch", g.id.Epoch), event.F("model", g.model.Name),
+		event.F("members", g.memberIDs()), event.F("millis", (now-g.stageSince).Milliseconds()))
+}
+
+// returnGroup goes on with a hidden group, if there is one of that name. Its members have to report again.
+func (p *Pool) returnGroup(now time.Duration, id site.GroupID) *group {
+	g := p.hidden[id].group
+	if g != nil {
+		delete(p.hidden, id)
+		p.groups[id] = g
+		p.enterHeadless(now, g)
+		g.unheard = true
+	}
+	return g
+}
+
+// forgetHidden drops the groups that have been hidden for long. If their hosts return, they are adopted.
+func (p *Pool) forgetHidden(now time.Duration) {
+	maps.DeleteFunc(p.hidden, func(_ site.GroupID, g hiddenGroup) bool { return now-g.since > hiddenRetention })
 }
 
 // joinDelay is how long the head may still serve after a member has left. Until then no member
@@ -410,26 +524,21 @@
 }
 
 // removeMember orders one member to leave, so that the head stalls and stops serving if it is
-// alive.
+// alive. A member that nobody hears may serve with the head.
 func (p *Pool) removeMember(now time.Duration, g *group, out *step.Out) {
 	if !g.delaysInLease {
 		return
 	}
-	gone := true
 	for rank := len(g.members) - 1; rank > 0; rank-- {
 		m := &g.members[rank]
 		h := p.hosts[m.id]
 		if h == nil {
-			g.recordLeft(now, memberUnknown)
-			return
+			continue // nothing shows that it has left
 		}
 		if h.listed && h.entry.Incarnation != m.incarnation {
 			g.recordLeft(now, memberRestarted)
 			return
 		}
-		if h.listed {
-			gone = false
-		}
 		if h.unresponsive() || h.pendingOp != 0 {
 			continue
 		}
@@ -437,9 +546,6 @@
 			return
 		}
 	}
-	if gone {
-		g.recordLeft(now, membersMissing)
-	}
 }
 
 // recordLeft records that a member of a headless group has left it.
--- a/internal/core/fabric/hidden_test.go
+++ b/internal/core/fabric/hidden_test.go
@@ -78,3 +78,12 @@
 func TestHiddenGroupIsNotReleased(t *testing.T) {
 	hidden(t, func(t *testing.T, w *simulation, _ []string, _ map[string]string) { require.Empty(t, w.violations) })
 }
+
+// TestHiddenGroupGoesOnServing guards against closing groups that have served while nobody heard them.
+func TestHiddenGroupGoesOnServing(t *testing.T) {
+	hidden(t, func(t *testing.T, w *simulation, ids []string, heads map[string]string) {
+		for id, f := range heads {
+			require.Equal(t, f, w.openHeads(ids)[id])
+		}
+	})
+}
--- a/internal/core/fabric/pool.go
+++ b/internal/core/fabric/pool.go
@@ -19,8 +19,9 @@
 //     member list. An epoch is never used for two lists.
 //  3. Members go to another group only when their head can't serve any more: it was closed and
 //     has left the group, by an order of this daemon that was answered; or its process has
-//     restarted; or it has lacked a member for as long as an engine takes to notice that. An
-//     engine that this daemon can't reach may still serve others.
+//     restarted; or it has lacked a member for as long as an engine takes to notice that. A
+//     member has left if it has answered an order to, or has restarted. Silence and missing
+//     entries prove nothing: hosts that this daemon can't reach may still serve others.
 //
 // The package is pure: time, registered hosts, reports and answers come in, effects go out.
 // Times are monotonic times since this daemon started.
@@ -103,6 +104,11 @@
 	// reportLagMargin is added to Engine.ReportLag before a report is trusted to include an
 	// earlier order.
 	reportLagMargin = 100 * time.Millisecond
+	// returnTimeout is how long the hosts of a group that nobody heard may take to answer, once the first of
+	// them does, before the group is closed for those that don't.
+	returnTimeout = 1500 * time.Millisecond
+	// hiddenRetention is how long a group is remembered of which nothing is heard.
+	hiddenRetention = 10 * time.Minute
 	// leaveDelay is how long a free host may stay registered under a released formation before
 	// it is ordered to leave it. Most hosts join another formation before that.
 	leaveDelay = 2 * time.Second
@@ -133,6 +139,8 @@
 	names []string
 	// groups are the formations that have not been released.
 	groups map[site.GroupID]*group
+	// hidden holds the groups of which nothing is heard: they may serve others, and nothing can be ordered.
+	hidden map[site.GroupID]hiddenGroup
 	// released holds the formations that were released, and when. A host that is still
 	// registered under one of them is free.
 	released map[site.GroupID]time.Duration
@@ -265,6 +273,7 @@
 		settings: set, nextOp: next,
 		hosts:         make(map[string]*host),
 		groups:        make(map[site.GroupID]*group),
+		hidden:        make(map[site.GroupID]hiddenGroup),
 		released:      make(map[site.GroupID]time.Duration),
 		pendingOrders: make(map[step.OpID]pendingOrder),
 		partitions:    make(map[string]time.Duration),
@@ -300,7 +309,9 @@
 
 // SetHosts replaces the registered hosts of the service.
 func (p *Pool) SetHosts(now time.Duration, entries []*site.Host) {
-	for _, h := range p.hosts {
+	lapsed := make(map[string]bool)
+	for name, h := range p.hosts {
+		lapsed[name] = h.lapsed(now)
 		h.listed = false
 	}
 	for _, e := range entries {
@@ -310,6 +321,9 @@
 			p.hosts[e.ID] = h
 			p.lastNewHostAt = now
 		}
+		if lapsed[e.ID] {
+			h.orderCountKnown, h.recountFrom = false, now // it gets no order before it has reported again
+		}
 		if h.entry.Incarnation != e.Incarnation {
 			*h = host{lastAnswerAt: now, mayJoinAt: h.mayJoinAt} // another incarnation
 		}
@@ -343,6 +357,7 @@
 	p.active, p.lastEpoch, p.controlSince = true, base, now
 	clear(p.groups)
 	clear(p.released)
+	clear(p.hidden)
 	clear(p.pendingOrders)
 	clear(p.partitions)
 	p.lastAnswerAt = now
@@ -376,7 +391,7 @@
 func (p *Pool) DropControl() { p.active = false }
 
 // JoinDelays returns the hosts that may not join a group yet, each with the time left, for the
-// daemon that takes over.
+// daemon that takes over. They are to be written into the lease; see OnLeaseWritten.
 func (p *Pool) JoinDelays(now time.Duration) map[string]time.Duration {
 	delays := make(map[string]time.Duration)
 	for name, h := range p.hosts {
@@ -385,8 +400,12 @@
 		}
 	}
 	for _, g := range p.groups {
-		if g.stage == headless {
-			for _, m := range g.members {
+		if g.stage != headless {
+			continue
+		}
+		g.delaysWritten = true
+		for _, m := range g.members {
+			if m.id != "" {
 				delays[m.id] = p.joinDelay(g)
 			}
 		}
@@ -407,12 +426,13 @@
 // must not join a group yet. OnLeaseWritten ends that.
 func (p *Pool) NeedsLeaseWrite() bool { return p.leaseOutdated }
 
-// OnLeaseWritten records that the lease in force names the hosts that JoinDelays returned.
+// OnLeaseWritten records that the lease in force names the hosts that JoinDelays returned last.
 func (p *Pool) OnLeaseWritten() {
 	p.leaseOutdated = false
 	for _, g := range p.groups {
 		if g.stage == headless {
-			g.delaysInLease = true
+			g.delaysInLease = g.delaysWritten
+			p.leaseOutdated = p.leaseOutdated || !g.delaysInLease
 		}
 	}
 }
@@ -427,6 +447,7 @@
 	p.recount(now)
 	p.updatePartitions(now)
 	p.requestReports(now, out)
+	p.closeServingReleased(now, out)
 	p.adoptGroups(now, out)
 	p.updateDemand(now, out)
 	for _, id := range p.groupIDs() {
@@ -436,6 +457,7 @@
 	p.rebalance(now, out)
 	p.formGroups(now, out)
 	p.removeGoneHosts(now)
+	p.forgetHidden(now)
 }
 
 func (p *Pool) groupIDs() []site.GroupID {
--- a/internal/core/fabric/simulation_test.go
+++ b/internal/core/fabric/simulation_test.go
@@ -163,6 +163,7 @@
 func (w *simulation) tick(p *Pool) {
 	out := &step.Out{}
 	p.Tick(w.now, out)
+	p.JoinDelays(w.now)
 	p.OnLeaseWritten()
 	w.perform(p, out)
 }
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -69,6 +69,8 @@
 	HostsMoving            ID = 4040
 	DemandKnown            ID = 4041
 	GroupAdopted           ID = 4042
+	GroupResumed           ID = 4043
+	GroupHidden            ID = 4044
 	HostRegistered         ID = 4015
 	HostDeregistered       ID = 4016
 	HostRestarted          ID = 4017
@@ -154,6 +156,8 @@
 	{HostsMoving, slog.LevelInfo, "groups are given up so that their hosts serve another model", "If it goes back and forth, see docs/operations/models.md."},
 	{DemandKnown, slog.LevelInfo, "the work offered for each model is known, or no longer", ""},
 	{GroupAdopted, slog.LevelInfo, "group that another daemon has formed, or that this one had given up, is known from its hosts", ""},
+	{GroupResumed, slog.LevelInfo, "group goes on serving: its hosts can be reached again", ""},
+	{GroupHidden, slog.LevelWarn, "no host of a group answers or is registered; its hosts stay in it", "If the hosts live, check the network between them, this daemon and the platform."},
 	{DataCentresOut, slog.LevelInfo, "data centres that get no work", ""},
 	{HostFlapping, slog.LevelWarn, "host repeatedly failed and returned; excluded from groups for a while", "Check the host named."},
 	{HostStraggling, slog.LevelWarn, "host joins its group too slowly and is replaced", "Check the host named."},
