fabric: a property of hosts that are hidden in any way

TestHistoriesOfHiddenHosts draws cuts that hide domains, groups, heads or members for up to 14 s and more, losses, late orders, a holder that stands still and changes of the holder.

--- a/internal/core/fabric/hidden_test.go
+++ b/internal/core/fabric/hidden_test.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/site"
 )
@@ -87,3 +89,56 @@
 		}
 	})
 }
+
+// TestHistoriesOfHiddenHosts draws cuts that hide domains, groups or some members for any time, lost hosts, orders that
+// are carried out late, a holder that stands still and changes of the holder. No host may join a group while the
+// head of its former group may serve.
+func TestHistoriesOfHiddenHosts(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		w := started(t, 2)
+		lossy := false
+		w.lose = func() bool { return lossy && rapid.IntRange(0, 3).Draw(rt, "lost") == 0 }
+		w.delay = func() time.Duration {
+			return time.Duration(rapid.IntRange(0, int(maxOrderDelay/time.Millisecond)).Draw(rt, "delay")) * time.Millisecond
+		}
+		for range rapid.IntRange(1, 14).Draw(rt, "steps") {
+			domain := w.domainHosts(rapid.SampledFrom([]string{"d0", "d1"}).Draw(rt, "domain"))
+			id := rapid.SampledFrom(domain).Draw(rt, "host")
+			group := slices.Clone(w.engines[id].memberIDs)
+			switch rapid.IntRange(0, 9).Draw(rt, "what") {
+			case 0:
+				w.hide(domain, true)
+			case 1, 2:
+				w.hide(group, true)
+			case 3:
+				w.hide(group[:min(1, len(group))], true)
+			case 4:
+				w.hide(group[min(1, len(group)):], true)
+			case 5:
+				w.hide(w.ids, false)
+			case 6:
+				lossy = !lossy
+			case 7:
+				if w.engines[id].up {
+					w.crash(id)
+				} else {
+					w.restart(id)
+				}
+			case 8:
+				w.changeHolder()
+			case 9:
+				pools := w.pools // the holder stands still
+				w.pools = nil
+				w.run(time.Duration(rapid.IntRange(1, 1500).Draw(rt, "starved")) * time.Millisecond / 10 * 10)
+				w.pools = pools
+				w.publish(true)
+			}
+			w.run(time.Duration(rapid.IntRange(1, 14000).Draw(rt, "pause")) * time.Millisecond / 10 * 10)
+		}
+		w.hide(w.ids, false)
+		w.run(12 * time.Second)
+		if len(w.violations) > 0 {
+			rt.Fatalf("%v\n%s", w.violations, strings.Join(w.poolLog, "\n"))
+		}
+	})
+}
