--- a/internal/core/fabric/group.go
+++ b/internal/core/fabric/group.go
@@ -478,13 +478,16 @@
 	return !head.answeredSince(g.stageSince) || head.lastReport.Member.Group == g.id && head.lastReport.Member.Phase == site.Open
 }
 
-// goesOnServing reports whether a headless group has served all the while: each member has answered since, and the
-// head is open.
+// goesOnServing reports whether a headless group has served all the while: each member has answered since and has
+// no order to leave on its way, and the head is open.
 func (p *Pool) goesOnServing(g *group, s health) bool {
 	if !s.headReachable || !s.allReady || s.draining || !p.mayServe(g) {
 		return false
 	}
-	return !slices.ContainsFunc(g.members, func(m member) bool { return !p.hosts[m.id].answeredSince(g.stageSince) })
+	return !slices.ContainsFunc(g.members, func(m member) bool {
+		h := p.hosts[m.id]
+		return !h.answeredSince(g.stageSince) || h.pendingOp != 0
+	})
 }
 
 // hideGroup stops ordering a group of which neither the registry nor this daemon hears anything. It may serve others
