fabric: join delays hold for hosts without an entry

A host that was taken from a group whose head can't be reached could join another group while that head still served its callers, if the host had no entry at the moment at which another daemon took the lease.

Cause: TakeControl kept the delays of the lease only for hosts that it knew then. A host that registered a moment later started without one, and the next lease did not name it either. Class: a missing entry taken for proof that something has ended.

The delays are kept by name until they are over, apply to a host that registers later, and are passed on with the lease.

TestJoinDelayOutlastsAMissingEntry failed before: "0s" is not greater than or equal to "19s" (1 change). go test ./internal/core/fabric: passed (139 s).

--- a/internal/core/fabric/pool.go
+++ b/internal/core/fabric/pool.go
@@ -181,6 +181,9 @@
 	// loadsBlockedUntil is when the loads that the previous lease holder may have begun stop
 	// counting. Until then no load begins, except in an initial deployment.
 	loadsBlockedUntil time.Duration
+	// joinDelays are the times from which hosts that had no entry when this daemon took control may join a
+	// group; see host.mayJoinAt.
+	joinDelays map[string]time.Duration
 	// evacuated names the data centres that must get no work.
 	evacuated map[string]bool
 	// quiet has the hosts that asked for no requests; nil if none ever does.
@@ -277,6 +280,7 @@
 		released:      make(map[site.GroupID]time.Duration),
 		pendingOrders: make(map[step.OpID]pendingOrder),
 		partitions:    make(map[string]time.Duration),
+		joinDelays:    make(map[string]time.Duration),
 	}
 }
 
@@ -317,7 +321,7 @@
 	for _, e := range entries {
 		h := p.hosts[e.ID]
 		if h == nil {
-			h = &host{}
+			h = &host{mayJoinAt: p.joinDelays[e.ID]}
 			p.hosts[e.ID] = h
 			p.lastNewHostAt = now
 		}
@@ -361,9 +365,13 @@
 	clear(p.pendingOrders)
 	clear(p.partitions)
 	p.lastAnswerAt = now
+	maps.DeleteFunc(p.joinDelays, func(_ string, until time.Duration) bool { return until <= now })
+	for name, left := range joinDelays {
+		p.joinDelays[name] = max(p.joinDelays[name], now+left)
+	}
 	for name, h := range p.hosts {
 		h.pendingOp, h.orderCountKnown, h.reportPending, h.missedReports, h.silent, h.lastAnswerAt = 0, false, false, 0, false, now
-		h.mayJoinAt = max(h.mayJoinAt, now+joinDelays[name])
+		h.mayJoinAt = max(h.mayJoinAt, p.joinDelays[name])
 	}
 	p.loadStarts = nil
 	p.loadsBlockedUntil = now + loadsEnd
@@ -394,6 +402,11 @@
 // daemon that takes over. They are to be written into the lease; see OnLeaseWritten.
 func (p *Pool) JoinDelays(now time.Duration) map[string]time.Duration {
 	delays := make(map[string]time.Duration)
+	for name, until := range p.joinDelays {
+		if until > now {
+			delays[name] = until - now
+		}
+	}
 	for name, h := range p.hosts {
 		if h.mayJoinAt > now {
 			delays[name] = h.mayJoinAt - now
