fabric: a group whose model is not known is not opened

A new holder could open a group that lacked a member, so that callers' requests ran in an incomplete group (PARTIAL).

Cause: if the hosts of a group that still forms name no model and are not heard for 3 s after the holder has changed, the group is recorded with an arbitrary model. If that one is smaller, the group looks complete without its last members, and its head was ordered to open. Class: a bound (the size) is taken from another thing than the one it is promised for.

Such a group is closed when its head is ready. One whose head is open already stays.

--- a/internal/core/fabric/group.go
+++ b/internal/core/fabric/group.go
@@ -32,6 +32,8 @@
 	stage       stage
 	stageSince  time.Duration // when the stage began
 	closeReason string        // why the group is closed; logged
+	// modelUnknown is whether the group is adopted and model is arbitrary. Its true size may be larger.
+	modelUnknown bool
 	// seenOpen is whether the head was seen open. Then no order to open it is still on its
 	// way.
 	seenOpen bool
@@ -164,17 +166,18 @@
 // the ranks under which they are registered.
 func (p *Pool) adoptGroup(now time.Duration, h *host, out *step.Out) *group {
 	m := p.engine.Model(h.entry.Model)
-	if m == nil {
+	unknown := m == nil
+	if unknown {
 		// A member that is still joining names no model. Its group is adopted once a member
 		// that is ready names the model. If the joining host stops answering before that, the
-		// group is recorded with an arbitrary model, so that it is closed for the lost member.
+		// group is recorded with an arbitrary model, and closed unless it serves already.
 		if now-h.lastAnswerAt < formationGrace && h.entry.Member.Phase == site.Joining {
 			return nil
 		}
 		m = &p.engine.Models[0]
 	}
 	id := h.entry.Member.Group
-	g := &group{id: id, model: m, members: make([]member, m.GroupSize), stageSince: now, stage: opening}
+	g := &group{id: id, model: m, members: make([]member, m.GroupSize), stageSince: now, stage: opening, modelUnknown: unknown}
 	p.groups[id] = g
 	out.Log(event.GroupAdopted, event.F("group", id.Name), event.F("epoch", id.Epoch), event.F("model", m.Name),
 		event.F("host", h.entry.ID), event.F("phase", h.entry.Member.Phase.String()), event.F("rank", h.entry.Member.Rank))
@@ -341,6 +344,8 @@
 		g.seenOpen = true
 		g.enterStage(now, serving)
 		out.Log(event.GroupOpened, event.F("group", g.id.Name), event.F("epoch", g.id.Epoch), event.F("model", g.model.Name), event.F("members", g.memberIDs()))
+	case phase == site.Ready && s.allReady && g.modelUnknown:
+		reason = "its model is unknown"
 	case phase == site.Ready && s.allReady:
 		p.openHead(now, g, out)
 	}
