Gateway: a stop in progress keeps the grace with which it began

What callers saw: SIGHUP with a shorter grace during a stop ended all requests in flight at that moment, streams in the middle; with a longer one the daemon admitted requests whose deadlines lie after the time at which whoever sent SIGTERM kills it.

Cause: the reducer compared the age of the stop with the shutdown timeout in force, which step.GatewaySettings replaces at any time.

The timeout is now kept with the time of the stop. The other way round, the shorter of the two, would still cut streams before the last part of the announced grace.

Evidence, before:

--- FAIL: TestReloadDuringAStopKeepsItsTimeout Error: Should be empty, but was [{} {q1 q1.1 { 0}} {}] (CloseConnections, Cancel, Exit) --- FAIL: TestRequestsDuringAStopAreAnswered Messages: d0 exits and r16 has no answer

TestRequestsDuringAStopAreAnswered is new: it draws daemons that stop (once or twice, several at a time), requests of each kind over the whole grace with and without deadlines, bodies that arrive late, servers that are slow, silent, fail, break, refuse or can't be reached, hand-overs, pauses of the process, configurations without routes or with shorter timeouts, and a store that is slow or away. After the change:

go test ./internal/core/gateway -run TestRequestsDuringAStopAreAnswered -rapid.checks 6000 ok 67.135s

--- a/internal/core/gateway/lifecycle.go
+++ b/internal/core/gateway/lifecycle.go
@@ -26,6 +26,7 @@
 	reportedReady     bool // the readiness last reported
 	stopping          bool
 	stoppingSince     time.Duration // valid if stopping
+	timeout           time.Duration // the shutdown timeout when the stop began; valid if stopping
 	closing           bool          // connections are closed at the first moment without a request
 	connectionsClosed bool
 	ending            bool // the requests in flight are being ended, and no more are admitted
@@ -37,6 +38,7 @@
 		return
 	}
 	s.lifecycle.stopping, s.lifecycle.stoppingSince = true, since
+	s.lifecycle.timeout = s.settings.Limits.ShutdownTimeout
 	s.lease.Release()
 	out.Log(event.DaemonDraining, event.F("requests", len(s.calls)))
 	s.controlTick(now, out)
@@ -54,9 +56,9 @@
 	if !l.stopping || l.exited {
 		return
 	}
-	elapsed, timeout := now-l.stoppingSince, s.settings.Limits.ShutdownTimeout
+	elapsed := now - l.stoppingSince
 	idle := len(s.calls) == 0 && elapsed >= unreadyDelay && s.lease.Released()
-	ending := elapsed >= timeout-finalAnswerReserve
+	ending := elapsed >= l.timeout-finalAnswerReserve
 	if !l.closing && (idle || ending) {
 		l.closing = true
 		out.Add(step.CloseConnections{})
@@ -65,7 +67,7 @@
 		l.ending = true
 		s.endCalls(now, out)
 	}
-	if l.closing && l.connectionsClosed && len(s.calls) == 0 || elapsed >= timeout-exitReserve {
+	if l.closing && l.connectionsClosed && len(s.calls) == 0 || elapsed >= l.timeout-exitReserve {
 		l.exited = true
 		out.Log(event.DaemonStopped, event.F("requests", len(s.calls)))
 		out.Add(step.Exit{})
@@ -104,7 +106,7 @@
 	if !l.stopping || now-l.stoppingSince <= unreadyDelay {
 		return false
 	}
-	return c.route.Kind == site.Stream || c.deadline > l.stoppingSince+s.settings.Limits.ShutdownTimeout-finalAnswerReserve
+	return c.route.Kind == site.Stream || c.deadline > l.stoppingSince+l.timeout-finalAnswerReserve
 }
 
 // stoppingAnswer refuses a request that has not run.
