hostlimit: a daemon that does not know the others takes no part

A host that names a limit could get several times as many requests: each daemon that had just started took the whole limit until it had read the list of daemons, while the others sent their parts.

Cause: without a list a daemon counted as the only one. Class: a bound that is promised for a host is counted over one daemon; a missing list taken for proof that there are no others.

Such a daemon takes no part now, as one that is not in the list, and as for cold targets (ownColdRate). Once listed, a lone daemon has all of the limit.

TestNoPartBeforeTheDaemonsAreKnown failed before: "28" is not less than or equal to "4" (7 daemons, limit of 4). go test ./internal/core/hostlimit ./internal/core/place: passed.

--- a/internal/core/hostlimit/parts.go
+++ b/internal/core/hostlimit/parts.go
@@ -153,10 +153,7 @@
 	}
 	n := max(1, min(len(l.candidates), 1+int(min(partsPerRequest*h.limit, maxParts-1))))
 	h.part = part{computedAt: now, generation: l.generation, hasPart: true, perSecond: limit}
-	if len(l.candidates) == 0 {
-		return // no other daemon is known
-	}
-	if l.rankFor(h); h.rank >= n {
+	if l.rankFor(h); len(l.candidates) == 0 || h.rank >= n { // without a list, others may share the limit
 		h.part.hasPart, h.part.perSecond = false, 0
 		return
 	}
--- a/internal/core/hostlimit/parts_test.go
+++ b/internal/core/hostlimit/parts_test.go
@@ -192,3 +192,16 @@
 		l.Part(time.Duration(i)*time.Microsecond, hosts[i%len(hosts)], "s")
 	}
 }
+
+// TestNoPartBeforeTheDaemonsAreKnown guards against daemons that have just started and each take the whole limit.
+func TestNoPartBeforeTheDaemonsAreKnown(t *testing.T) {
+	sum := 0.0
+	for i := range 7 {
+		l := New(fmt.Sprintf("d%d", i))
+		l.Record(0, stated(4, 0), true)
+		part, limited := l.Part(0, l.Host("a", 1), "s")
+		require.True(t, limited)
+		sum += part
+	}
+	require.LessOrEqual(t, sum, 4.0)
+}
