Gateway: requests that were read behind another one are answered during a stop

What callers saw: of requests that are sent one after the other on a connection without waiting for answers, a stopping daemon answered the first and closed the connection. The others had been read whole, up to seconds before, and got no answer.

Cause: each answer of a stopping daemon carries "Connection: close", and net/http drops with the connection what it has read ahead. It does not tell whether it has.

The connection now follows the framing of the requests over the bytes that are read (requestFraming), and so knows whether a part of a next request is there. Then the answer doesn't close the connection; the one to the last request does. Bytes that are no request count as the begin of one, and are refused by net/http as before, or expire with the time for a header. The framing decides on nothing but this header: how requests are read remains net/http's. A stream that announced the close in its header before the next request came still closes the connection.

Evidence, before (all six cases: fixed length, chunked and large bodies, in one piece or 100 ms later):

--- FAIL: TestRequestsBehindOthersAreAnsweredDuringAStop (2.55s) Error: Received unexpected error (EOF) Messages: second request of plain100ms

Without a stop the same requests were answered before, too.

go test ./internal/gateway ok 75.331s (machine under load)

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -18,14 +18,16 @@
 )
 
 // setKeepAlive tells the caller how long its connection may be used after the answer: for the announced time, or
-// not at all if the daemon is stopping.
+// not at all if the daemon is stopping. A request that was read behind this one is answered first.
 func (x *exchange) setKeepAlive() {
 	h := x.w.Header()
 	h.Del("Keep-Alive")
 	limit := x.daemon.idleTimeout()
 	switch {
-	case x.daemon.stopping.Load():
+	case x.bodyUnread || x.daemon.stopping.Load() && !connOf(x.r).hasNext():
 		h.Set("Connection", "close")
+	case x.daemon.stopping.Load():
+		h.Del("Connection")
 	case limit == 0 || limit >= keptIdleTime:
 		h.Set("Keep-Alive", "timeout="+strconv.Itoa(int(announcedIdleTime.Seconds())))
 	}
--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -50,6 +50,9 @@
 	headBytes     atomic.Int64 // bytes read as the header of the current request
 	writeDeadline atomic.Int64 // in nanoseconds of Unix time; 0 for none
 
+	framing requestFraming
+	parsed  atomic.Int64 // requests whose header net/http has parsed or refused
+
 	// samples are the values of received at the last two sweeps. They are guarded by serverConns.mu.
 	samples [2]int64
 
@@ -68,6 +71,7 @@
 	}
 	c.lastRead.Store(time.Now().UnixNano())
 	c.received.Add(int64(n))
+	c.framing.read(p[:n])
 	if c.owner != nil && c.state.Load() == connReading {
 		c.owner.countHead(c, int64(n))
 	}
@@ -166,6 +170,7 @@
 		s.openCount.Store(int64(len(s.open)))
 		s.makeRoom(c)
 	case http.StateActive:
+		c.parsed.Add(1)
 		c.begin(connBusy)
 	case http.StateIdle:
 		s.releaseHead(c)
@@ -192,6 +197,9 @@
 	return c
 }
 
+// hasNext reports whether a part of the request behind the current one has been read.
+func (c *serverConn) hasNext() bool { return c != nil && c.framing.begun.Load() > c.parsed.Load() }
+
 // closedAsIdle reports whether the connection of a request was closed before the request was served. Such a
 // request must not run.
 func closedAsIdle(r *http.Request) bool {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -88,6 +88,7 @@
 	body      []byte
 	// bodyMemory is the memory of body.
 	bodyMemory *buffer
+	bodyUnread bool // the request was refused before all of its body had been read
 
 	streamStarted   bool            // the header of a stream has been sent to the caller
 	eventsDelivered int             // events of a stream written to the caller
@@ -186,7 +187,7 @@
 	case errors.Is(err, errBuffersFull), errors.Is(err, errAnswersFull):
 		a = x.refuseForMemory(err)
 	}
-	x.w.Header().Set("Connection", "close")
+	x.bodyUnread = true
 	x.sendError(a)
 	connOf(x.r).refused()
 	x.discardBody()
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/site"
@@ -185,3 +186,41 @@
 	_, err = fresh.in.ReadByte()
 	require.Error(t, err)
 }
+
+// TestRequestsBehindOthersAreAnsweredDuringAStop guards against requests that were read behind another one, on the same
+// connection, and are dropped as its answer closes the connection.
+func TestRequestsBehindOthersAreAnsweredDuringAStop(t *testing.T) {
+	d := startDaemon(t, site.Once, 8*time.Second, func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(500 * time.Millisecond)
+		answerOK(w, r)
+	})
+	chunked := func(id string) string {
+		return strings.Replace(head(id, 5*time.Second, 0), "Content-Length: 0", "Transfer-Encoding: chunked", 1) + "4\r\nbody\r\n0\r\n\r\n"
+	}
+	plain := func(id string) string { return head(id, 5*time.Second, 4) + "body" }
+	large := func(id string) string { return head(id, 5*time.Second, 20000) + strings.Repeat("x", 20000) }
+	d.Stop()
+	var wg sync.WaitGroup
+	for name, request := range map[string]func(string) string{"plain": plain, "chunked": chunked, "large": large} {
+		for _, pause := range []time.Duration{0, 100 * time.Millisecond} {
+			wg.Go(func() {
+				id := name + pause.String()
+				c := d.dial()
+				if pause == 0 {
+					assert.NoError(t, c.send(request(id+"first")+request(id+"second")+request(id+"third")))
+				} else {
+					assert.NoError(t, c.send(request(id+"first")))
+					time.Sleep(pause)
+					assert.NoError(t, c.send(request(id+"second")+request(id+"third")))
+				}
+				for _, which := range []string{"first", "second", "third"} {
+					status, _, err := c.answer()
+					assert.NoError(t, err, "%s request of %s", which, id)
+					assert.Equal(t, http.StatusOK, status, "%s request of %s", which, id)
+				}
+			})
+		}
+	}
+	wg.Wait()
+	<-d.ended
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -102,6 +102,7 @@
 		x.hold(nil) // the failure of an earlier attempt can no longer be the answer
 		copyHeader(x.w.Header(), resp.Header)
 		x.markTargetsAnswer(x.runs + 1)
+		x.setKeepAlive()
 		x.w.WriteHeader(resp.StatusCode)
 		x.streamStarted = true
 	}
