--- a/internal/core/gateway/stop_property_test.go
+++ b/internal/core/gateway/stop_property_test.go
@@ -107,7 +107,8 @@
 				}
 			}
 			if rapid.IntRange(0, 2).Draw(rt, "loses hosts") == 0 {
-				w.after(moment("cut", 9*time.Second), 0, func() { d.cutOff = true })
+				breaks := rapid.Bool().Draw(rt, "breaks connections")
+				w.after(moment("cut", 12*time.Second), 0, func() { w.loseHosts(d, breaks) })
 			}
 		}
 		if rapid.IntRange(0, 3).Draw(rt, "paused") == 0 {
@@ -153,3 +154,31 @@
 	x.now += stopGrace - time.Second - exitReserve
 	require.Contains(t, x.reduce(step.Tick{}), step.Exit{})
 }
+
+// TestWaitingRequestsAreAnsweredAtTheEndOfTheGrace guards against requests without an attempt that a stop forgets.
+func TestWaitingRequestsAreAnsweredAtTheEndOfTheGrace(t *testing.T) {
+	const late = stopGrace - finalAnswerReserve - 100*time.Millisecond
+	for what, wait := range map[string]func() (*harness, step.RequestID){
+		"an interrupted stream": func() (*harness, step.RequestID) {
+			x, id, _ := interruptedStream(t, 2)
+			return x, id
+		},
+		"the probe of a host": func() (*harness, step.RequestID) {
+			x := startedWithSlack(t)
+			id, effects := x.call("/read/1", "key")
+			f := x.requireForward(effects)
+			x.s.Reduce(step.Time{Mono: x.now}, step.ForwardEnded{AttemptEnded: step.AttemptEnded{ID: id, Attempt: f.Attempt, Ending: step.EndedBroken}})
+			require.NotNil(t, x.s.calls[id].awaitsProbe)
+			return x, id
+		},
+	} {
+		x, id := wait()
+		require.Empty(t, answersOf(x.reduce(step.Stop{Since: x.now - late})), what)
+		x.now += 100 * time.Millisecond
+		answers := answersOf(x.reduce(step.Tick{}))
+		require.Len(t, answers, 1, what)
+		require.Equal(t, id, answers[0].ID, what)
+		require.Equal(t, 504, answers[0].Status, "%s: it may have run", what)
+		require.Empty(t, x.s.calls, what)
+	}
+}
--- a/internal/core/gateway/stop_world_test.go
+++ b/internal/core/gateway/stop_world_test.go
@@ -355,6 +355,29 @@
 	}
 }
 
+// loseHosts cuts a daemon off from all hosts. Its attempts break, or go on.
+func (w *stopWorld) loseHosts(d *stopDaemon, breaks bool) {
+	d.cutOff = true
+	if !breaks {
+		return
+	}
+	var ids []step.AttemptID
+	for id, a := range d.attempts {
+		if a.Daemon == "" {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		a := d.attempts[id]
+		delivered := 0
+		if w.original(a.ID).begun {
+			delivered = 1
+		}
+		w.endAttempt(d, a, step.EndedBroken, delivered)
+	}
+}
+
 func (w *stopWorld) handOver(d *stopDaemon, a *stopAttempt) {
 	w.original(a.ID).elsewhere = true
 	i := slices.IndexFunc(w.daemons, func(o *stopDaemon) bool { return o.name == a.Daemon })
