platform client: answers are read within bounds that hold for all calls together

The client of the store bounded the head of an answer by net/http's 10 MiB and its body by 64 MiB, for each call. A daemon has some ten calls at a time (five kinds that it follows, the lease, verdicts, queries of daemons), so a store or a daemon without end could make it hold several hundred MiB. The bound on a compressed answer held for the decompressed bytes alone: gzip members without contents were read until the call's timeout.

Now a head has 64 KiB at most, the bound on a body can be set, holds for the compressed bytes as well, and answers from 1 MiB on are read one after the other on each pool of connections. A call waits for its turn until its timeout; smaller answers don't wait. Calls and watches have separate turns, so a watch can't hold up a list. A redirect is returned as it is: the answer of another server to another request says nothing of this one.

internal/stub/raw is a server for tests that writes given bytes, without end or cut short, and counts them.

--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -8,6 +8,7 @@
 
 import (
 	"bytes"
+	"compress/gzip"
 	"context"
 	"encoding/json"
 	"io"
@@ -50,8 +51,15 @@
 	maxIdleConnections = 16
 	// pageLimit is the number of objects requested with one page of a list.
 	pageLimit = 50
-	// maxAnswerBytes bounds the body of an answer. A longer one fails with LostError.
-	maxAnswerBytes = 64 << 20
+	// defaultMaxAnswerBytes bounds the body of an answer, unless WithMaxAnswerBytes is given. A longer one
+	// fails with LostError.
+	defaultMaxAnswerBytes = 64 << 20
+	// largeAnswerBytes is the size from which on the answers of a pool of connections are read one after the other.
+	largeAnswerBytes = 1 << 20
+	// gzipEncoding is the only encoding of answers that is asked for.
+	gzipEncoding = "gzip"
+	// maxHeaderBytes bounds the header of an answer.
+	maxHeaderBytes = 64 << 10
 	// maxRejectionBytes bounds the part of an answer's body that RejectedError keeps.
 	maxRejectionBytes = 512
 )
@@ -59,14 +67,29 @@
 // Client calls the platform. It is safe for concurrent use.
 type Client struct {
 	baseURL          string
-	calls            *http.Client // for all calls but watches
-	watches          *http.Client // has its own connections
+	calls            pool // for all calls but watches
+	watches          pool
 	callTimeout      time.Duration
+	maxAnswerBytes   int64
 	noEffectStatuses []int // see WithNoEffectStatuses
 	observeHeader    func(http.Header)
 	watchCount       atomic.Int64 // watches begun
 }
 
+// pool is an HTTP client with connections of its own.
+type pool struct {
+	*http.Client
+	large chan struct{} // is full while a large answer is being read
+}
+
+func newPool() pool {
+	return pool{Client: &http.Client{Transport: newTransport(), CheckRedirect: NoRedirect}, large: make(chan struct{}, 1)}
+}
+
+// NoRedirect makes an HTTP client return a redirect instead of following it: another server's answer to another
+// request says nothing of the one that was sent.
+func NoRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 // Option changes a setting of a Client.
 type Option func(*Client)
 
@@ -75,6 +98,11 @@
 	return func(c *Client) { c.callTimeout = d }
 }
 
+// WithMaxAnswerBytes sets the bound on the body of an answer.
+func WithMaxAnswerBytes(n int64) Option {
+	return func(c *Client) { c.maxAnswerBytes = n }
+}
+
 // WithNoEffectStatuses lists statuses other than 4xx that prove that a call took no effect.
 // Such an answer fails with UnsentError instead of LostError.
 func WithNoEffectStatuses(statuses ...int) Option {
@@ -90,10 +118,11 @@
 // New returns a client of the platform at a base URL.
 func New(baseURL string, opts ...Option) *Client {
 	c := &Client{
-		baseURL:     strings.TrimSuffix(baseURL, "/"),
-		calls:       &http.Client{Transport: newTransport()},
-		watches:     &http.Client{Transport: newTransport()},
-		callTimeout: DefaultCallTimeout,
+		baseURL:        strings.TrimSuffix(baseURL, "/"),
+		calls:          newPool(),
+		watches:        newPool(),
+		callTimeout:    DefaultCallTimeout,
+		maxAnswerBytes: defaultMaxAnswerBytes,
 	}
 	for _, opt := range opts {
 		opt(c)
@@ -108,10 +137,12 @@
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: maxKeepAliveMisses},
 	}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConns:        maxIdleConnections,
-		MaxIdleConnsPerHost: maxIdleConnections,
-		IdleConnTimeout:     idleTimeout,
+		DialContext:            dialer.DialContext,
+		MaxIdleConns:           maxIdleConnections,
+		MaxIdleConnsPerHost:    maxIdleConnections,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		DisableCompression:     true, // readBody decompresses, as it bounds the bytes of both forms
 	}
 }
 
@@ -240,7 +271,7 @@
 }
 
 // do makes a call and counts its result. After a timeout it closes the idle connections.
-func (c *Client) do(ctx context.Context, via *http.Client, r Call) (Answer, error) {
+func (c *Client) do(ctx context.Context, via pool, r Call) (Answer, error) {
 	a, err := c.exchange(ctx, via, r)
 	countCall(r.Op, err)
 	if errors.Is(err, context.DeadlineExceeded) {
@@ -251,7 +282,7 @@
 	return a, err
 }
 
-func (c *Client) exchange(ctx context.Context, via *http.Client, r Call) (Answer, error) {
+func (c *Client) exchange(ctx context.Context, via pool, r Call) (Answer, error) {
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	address := c.baseURL + r.Path
@@ -262,6 +293,7 @@
 	if err != nil {
 		return Answer{}, &UnsentError{Op: r.Op, Err: errors.Wrap(err, "correct the platform's URL")}
 	}
+	req.Header.Set("Accept-Encoding", gzipEncoding)
 	resp, err := via.Do(req)
 	if err != nil {
 		if connected.Load() {
@@ -273,10 +305,7 @@
 	if c.observeHeader != nil {
 		c.observeHeader(resp.Header)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
-	if err == nil && len(body) > maxAnswerBytes {
-		err = errors.Errorf("answer exceeds %d bytes", maxAnswerBytes)
-	}
+	body, err := c.readBody(ctx, via, resp)
 	if err != nil {
 		return Answer{}, &LostError{Op: r.Op, Err: err}
 	}
@@ -286,6 +315,36 @@
 	return classifyAnswer(Answer{Op: r.Op, Status: resp.StatusCode, Header: resp.Header, Body: body})
 }
 
+// readBody reads the body of an answer. Many large ones at a time would take too much memory together.
+func (c *Client) readBody(ctx context.Context, via pool, resp *http.Response) ([]byte, error) {
+	from := io.Reader(http.MaxBytesReader(nil, resp.Body, c.maxAnswerBytes))
+	if strings.EqualFold(resp.Header.Get("Content-Encoding"), gzipEncoding) {
+		decompressed, err := gzip.NewReader(from)
+		if err != nil {
+			return nil, err
+		}
+		from = io.LimitReader(decompressed, c.maxAnswerBytes+1)
+	}
+	body, err := io.ReadAll(io.LimitReader(from, largeAnswerBytes))
+	if err != nil || len(body) < largeAnswerBytes {
+		return body, err
+	}
+	select {
+	case via.large <- struct{}{}:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	defer func() { <-via.large }()
+	whole := bytes.NewBuffer(body)
+	if _, err := whole.ReadFrom(from); err != nil {
+		return nil, err
+	}
+	if int64(whole.Len()) > c.maxAnswerBytes {
+		return nil, errors.Errorf("answer exceeds %d bytes", c.maxAnswerBytes)
+	}
+	return whole.Bytes(), nil
+}
+
 // classifyAnswer returns the answers that the caller handles, and an error for every other
 // status: RejectedError for 4xx, LostError for the rest.
 func classifyAnswer(a Answer) (Answer, error) {
--- /dev/null
+++ b/internal/stub/raw/raw.go
@@ -0,0 +1,179 @@
+// Package raw has a server for tests that answers each request with given bytes, whether they are HTTP or
+// not, and counts what its callers take of bytes that never end.
+package raw
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+const (
+	// sendBuffer is the kernel's buffer for what a server has written and its caller has not taken. It bounds the
+	// difference between the two, but a buffer below loopback's segments of 64 KiB waits for delayed acknowledgements.
+	sendBuffer = 256 << 10
+	// repeatBytes is how many bytes are written at a time of an answer that never ends.
+	repeatBytes = 64 << 10
+	// announced is the length of a body that never ends.
+	announced = "Content-Length: 1099511627776\r\n"
+)
+
+// Answer is what a server writes after it has read a request. Then it closes the connection.
+type Answer struct {
+	// Text is written first.
+	Text string
+	// Repeat is then written again and again until the caller closes the connection; empty for nothing.
+	Repeat string
+	// Interval is the time between two repetitions; 0 writes as fast as the caller takes them.
+	Interval time.Duration
+	// Reset closes the connection by a reset.
+	Reset bool
+}
+
+// Slack returns how many bytes the kernel may take from a server beyond those that its caller reads: both buffers of
+// the connection, of which the caller's grows while it reads.
+func Slack(t testing.TB) int64 {
+	text, err := os.ReadFile("/proc/sys/net/ipv4/tcp_rmem")
+	if err != nil {
+		t.Fatal(err)
+	}
+	sizes := strings.Fields(string(text))
+	largest, err := strconv.ParseInt(sizes[len(sizes)-1], 10, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return largest + 4*sendBuffer
+}
+
+// Server answers requests with bytes as they are given.
+type Server struct {
+	Address  string // host:port
+	answer   func(r *http.Request) Answer
+	written  atomic.Int64
+	requests atomic.Int64
+	open     sync.WaitGroup
+}
+
+// Start starts a server that ends with the test.
+func Start(t testing.TB, answer func(r *http.Request) Answer) *Server {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	s := &Server{Address: listener.Addr().String(), answer: answer}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			s.open.Add(1)
+			go s.serve(conn.(*net.TCPConn))
+		}
+	}()
+	return s
+}
+
+// Written returns how many bytes its callers and the kernel have taken.
+func (s *Server) Written() int64 { return s.written.Load() }
+
+// Requests returns how many requests have arrived.
+func (s *Server) Requests() int { return int(s.requests.Load()) }
+
+// Wait returns once no connection is open. Connections of callers that read on forever stay open.
+func (s *Server) Wait() { s.open.Wait() }
+
+// serve answers the first request of a connection.
+func (s *Server) serve(conn *net.TCPConn) {
+	defer s.open.Done()
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetWriteBuffer(sendBuffer) // fails only on a closed connection
+	r, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return
+	}
+	s.requests.Add(1)
+	a := s.answer(r)
+	if a.Reset {
+		_ = conn.SetLinger(0) // fails only on a closed connection
+	}
+	n, err := io.WriteString(conn, a.Text)
+	s.written.Add(int64(n))
+	if a.Repeat == "" || err != nil {
+		return
+	}
+	text := a.Repeat
+	if a.Interval == 0 {
+		text = strings.Repeat(a.Repeat, 1+repeatBytes/len(a.Repeat))
+	}
+	for err == nil {
+		n, err = io.WriteString(conn, text)
+		s.written.Add(int64(n))
+		time.Sleep(a.Interval)
+	}
+}
+
+// Endless returns answers that never end, by the part that does not. head is the status line and the header lines of
+// an ordinary answer, without the empty line after them and without its framing.
+func Endless(head string) map[string]Answer {
+	const chunkedBody = "Transfer-Encoding: chunked\r\n\r\n"
+	x := strings.Repeat("x", 1000)
+	return map[string]Answer{
+		"status line":                  {Text: "HTTP/1.1 200 ", Repeat: x},
+		"header lines":                 {Text: head, Repeat: "X-More: " + x + "\r\n"},
+		"header line":                  {Text: head + "X-More: ", Repeat: x},
+		"header name":                  {Text: head, Repeat: x},
+		"header line that drips":       {Text: head + "X-More: ", Repeat: "x", Interval: 5 * time.Millisecond},
+		"continued header line":        {Text: head + "X-More: x", Repeat: "\r\n " + x},
+		"empty lines":                  {Repeat: "\r\n"},
+		"continue heads":               {Repeat: "HTTP/1.1 100 Continue\r\n\r\n"},
+		"early hints":                  {Repeat: "HTTP/1.1 103 Early Hints\r\nLink: " + x + "\r\n\r\n"},
+		"early hints that drip":        {Repeat: "HTTP/1.1 103 Early Hints\r\n\r\n", Interval: 5 * time.Millisecond},
+		"after a switch of protocols":  {Text: "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n", Repeat: x},
+		"no HTTP":                      {Repeat: "\x00\xff\x16\x03" + x},
+		"no HTTP, one line":            {Repeat: x},
+		"body, announced":              {Text: head + announced + "\r\n", Repeat: x},
+		"body, unframed":               {Text: head + "\r\n", Repeat: x},
+		"body of spaces, unframed":     {Text: head + "\r\n", Repeat: " "},
+		"body, chunked":                {Text: head + chunkedBody, Repeat: "3e8\r\n" + x + "\r\n"},
+		"body, tiny chunks":            {Text: head + chunkedBody, Repeat: "1\r\nx\r\n"},
+		"body, one chunk":              {Text: head + chunkedBody + "ffffffffffff\r\n", Repeat: x},
+		"body that drips":              {Text: head + chunkedBody, Repeat: "1\r\nx\r\n", Interval: 5 * time.Millisecond},
+		"chunk size":                   {Text: head + chunkedBody, Repeat: "0"},
+		"chunk extension":              {Text: head + chunkedBody + "5;x=", Repeat: x},
+		"trailer lines":                {Text: head + chunkedBody + "0\r\n", Repeat: "X-More: " + x + "\r\n"},
+		"trailer lines, short":         {Text: head + chunkedBody + "0\r\n", Repeat: "X: x\r\n"},
+		"trailer line":                 {Text: head + chunkedBody + "0\r\nX-More: ", Repeat: x},
+		"trailer that drips":           {Text: head + chunkedBody + "0\r\nX-More: ", Repeat: "x", Interval: 5 * time.Millisecond},
+		"compressed, without an end":   {Text: head + "Content-Encoding: gzip\r\n\r\n\x1f\x8b\x08\x10\x00\x00\x00\x00\x00\xff", Repeat: x},
+		"compressed empty streams":     {Text: head + "Content-Encoding: gzip\r\n\r\n", Repeat: "\x1f\x8b\x08\x00\x00\x00\x00\x00\x00\xff\x03\x00\x00\x00\x00\x00\x00\x00\x00\x00"},
+		"redirects to an endless body": {Text: "HTTP/1.1 302 Found\r\nLocation: /\r\n\r\n", Repeat: x},
+	}
+}
+
+// CutShort returns the beginnings of an answer, each by its length, without the whole. Those whose connection ends
+// after an unframed body can't be told from whole answers and are not among them.
+func CutShort(text string) map[int]string {
+	cut := make(map[int]string, len(text))
+	head, _, _ := strings.Cut(text, "\r\n\r\n")
+	last := len(text)
+	if !strings.Contains(head, "Content-Length") && !strings.Contains(head, "chunked") {
+		last = len(head) + len("\r\n\r\n")
+	}
+	for n := range last {
+		cut[n] = text[:n]
+	}
+	return cut
+}
