relay: answers to messages, messages and kept changes have bounds

Empty gzip members without end were read until the timeout, 0.5 s each: TestEndlessAnswersToMessages/200_compressed_empty_streams: "" is not less than "8470528" The notices ask for no compression now, and a head has 16 KiB at most instead of net/http's 10 MiB. - 101 Switching Protocols counted as the receipt of a message: TestEndlessAnswersToMessages/404_after_a_switch_of_protocols: An error is expected but got nil. Only 2xx does now. - The reading of a message had no deadline. A daemon that sends its body byte by byte held a goroutine of the other one for up to 256 KiB of bytes (not shown by a run on the former code; the test is TestMessagesWithoutEnd). - A feed kept all changes of the last 10 s. A store that answers each watch at once with many could fill the memory: TestFeedKeepsBoundedBytes: "4194320" is not less than or equal to "4194304" It keeps 4 MiB; who asks for older ones goes to the store, as before for those older than 10 s.

go test ./internal/relay: ok

--- a/internal/relay/feed.go
+++ b/internal/relay/feed.go
@@ -29,6 +29,8 @@
 	// waits between two queries. A daemon that queries an older revision gets errTooOld and
 	// continues with the store.
 	changeRetention = 10 * time.Second
+	// maxRetainedBytes bounds the changes that a feed keeps.
+	maxRetainedBytes = 4 << 20
 	// queryWindow is how long after a query this daemon keeps watching the store for others.
 	queryWindow = 10 * time.Second
 )
@@ -141,7 +143,12 @@
 		return
 	}
 	f.batches = append(f.batches, batch{revision: revision, receivedAt: now, events: events})
-	for now-f.batches[0].receivedAt > changeRetention {
+	size := 0
+	for _, b := range f.batches {
+		size += len(b.events)
+	}
+	for len(f.batches) > 0 && (now-f.batches[0].receivedAt > changeRetention || size > maxRetainedBytes) {
+		size -= len(f.batches[0].events)
 		f.oldestRevision = f.batches[0].revision
 		f.batches = f.batches[1:]
 	}
--- a/internal/relay/notify.go
+++ b/internal/relay/notify.go
@@ -37,6 +37,10 @@
 	// notifyTimeout bounds a notification. A suspicion that is later is useless, because the
 	// next report of the engine's group is due soon after.
 	notifyTimeout = 500 * time.Millisecond
+	// messageTimeout bounds the reading of a message.
+	messageTimeout = 2 * time.Second
+	// maxHeaderBytes bounds the header of the answer to a message.
+	maxHeaderBytes = 16 << 10
 	// notifyIdleTimeout closes a connection that carries no further notification.
 	notifyIdleTimeout = 5 * time.Second
 	// evidenceTries is how often evidence is sent to a daemon that does not answer, with
@@ -54,7 +58,9 @@
 
 // NewNotifier returns a notifier of a daemon with a monotonic clock.
 func NewNotifier(clock func() time.Duration) *Notifier {
-	return &Notifier{clock: clock, client: &http.Client{Timeout: notifyTimeout, Transport: &http.Transport{IdleConnTimeout: notifyIdleTimeout, MaxIdleConnsPerHost: 1}}}
+	return &Notifier{clock: clock, client: &http.Client{Timeout: notifyTimeout, CheckRedirect: client.NoRedirect, Transport: &http.Transport{
+		IdleConnTimeout: notifyIdleTimeout, MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: maxHeaderBytes, DisableCompression: true,
+	}}}
 }
 
 // Close closes the idle connections.
@@ -108,18 +114,24 @@
 	if resp.StatusCode >= http.StatusBadRequest && resp.StatusCode < http.StatusInternalServerError {
 		return &refusedError{resp.StatusCode}
 	}
-	if resp.StatusCode >= http.StatusMultipleChoices {
+	if resp.StatusCode < http.StatusOK || resp.StatusCode >= http.StatusMultipleChoices {
 		return errors.Errorf("status %d", resp.StatusCode)
 	}
 	_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, maxHostBytes))
 	return err
 }
 
+// boundedMessage returns the body of a message, whose reading fails beyond maxBytes or messageTimeout.
+func boundedMessage(w http.ResponseWriter, r *http.Request, maxBytes int64) io.ReadCloser {
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(messageTimeout)) // fails only on a closed connection
+	return http.MaxBytesReader(w, r.Body, maxBytes)
+}
+
 // SuspectHandler returns the handler of notifications about engines. It calls report with the
 // host of each.
 func SuspectHandler(report func(host string)) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		r.Body = http.MaxBytesReader(w, r.Body, 2*maxHostBytes)
+		r.Body = boundedMessage(w, r, 2*maxHostBytes)
 		host := r.PostFormValue(hostParam)
 		if host == "" || len(host) > maxHostBytes {
 			http.Error(w, "name a host", http.StatusBadRequest)
@@ -141,7 +153,7 @@
 func messageHandler[M any](kind string, maxBytes int64, take func(M)) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		var m M
-		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBytes)).Decode(&m); err != nil {
+		if err := json.NewDecoder(boundedMessage(w, r, maxBytes)).Decode(&m); err != nil {
 			http.Error(w, "send "+kind+" as JSON: "+strings.ToValidUTF8(err.Error(), "?"), http.StatusBadRequest)
 			return
 		}
