soak: hidden hosts, late orders and a holder that stops while it gives orders

It never hid hosts that still reach each other, held orders for at most 3 s, and paused daemons at random times, so seldom the lease holder with orders on their way.

New kinds: zone-hidden and group-hidden (5 to 25 s, hosts reach each other), orders-long (2 to 12 s late, unanswered), orders-slow (answered, effect 2 to 12 s late), holder-pause (SIGSTOP at an order, 1 to 6 s), holder-kills, engines-still, plain-refusing. One seed in three draws them; seeds keep the others' draws.

The engines' check of joins was there as a violation 'groups'. It is a promise of its own now, 'two groups', and names the head's state; a head that lacks a member stays open until the stall timeout, so it counts. New: a group that opens has the size of its model. TestSeedsKeepTheirDisturbances compares the draws without both optional series, and checks for each on which seeds it is drawn.

--- a/internal/stub/site/server.go
+++ b/internal/stub/site/server.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -50,16 +51,18 @@
 
 	mu             sync.Mutex
 	local          *serve.Local
-	address        string      // the address that it registers
-	running        bool        // false between a crash and the next start
-	listed         bool        // if false, changes are not registered
-	state          string      // "ready" or "draining"
-	born           int64       // number of this start
-	acceptedOrders uint64      // orders accepted since the start that changed something
-	staged         []string    // models whose weights are on the host
-	member         *Membership // nil without a group
-	writes         uint64      // writes of the entry since the start
-	highestEpoch   uint64      // of an order to join, since the start
+	address        string        // the address that it registers
+	running        bool          // false between a crash and the next start
+	listed         bool          // if false, changes are not registered
+	hidden         bool          // as if not listed, over restarts
+	still          chan struct{} // closed once the server handles calls again; nil if it does
+	state          string        // "ready" or "draining"
+	born           int64         // number of this start
+	acceptedOrders uint64        // orders accepted since the start that changed something
+	staged         []string      // models whose weights are on the host
+	member         *Membership   // nil without a group
+	writes         uint64        // writes of the entry since the start
+	highestEpoch   uint64        // of an order to join, since the start
 	// groupMembers are the IDs of the group's servers by rank.
 	groupMembers []string
 	model        string // model of the group
@@ -92,6 +95,10 @@
 	// OrderDelay is the time from the arrival of an order until it is carried out, without an
 	// answer. 0 carries out and answers orders at once.
 	OrderDelay time.Duration
+	// EffectDelay is the time from the answer to an order that takes time until its effect begins.
+	EffectDelay time.Duration
+	// Refuse turns requests away as not run, without a time to come back.
+	Refuse bool
 }
 
 // Start starts the server, or restarts it after a crash, and registers it. Staged weights
@@ -148,7 +155,7 @@
 // register writes the server's entry to the store. The caller holds mu.
 func (v *Server) register() {
 	v.site.updateHead(v)
-	if v.running && v.listed {
+	if v.running && v.listed && !v.hidden {
 		v.writes++
 		v.site.Store.Put("servers", v.ID, v.entry())
 	}
@@ -165,6 +172,53 @@
 	v.register()
 }
 
+// SetHidden removes the entry of the server and registers no other, until the server is shown again.
+func (v *Server) SetHidden(hidden bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.hidden = hidden
+	if hidden {
+		v.site.Store.Remove("servers", v.ID)
+	}
+	v.register()
+}
+
+// SetStill makes the server stand still: it handles calls, and sends events, only after that.
+func (v *Server) SetStill(still bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	switch {
+	case still && v.still == nil:
+		v.still = make(chan struct{})
+	case !still && v.still != nil:
+		close(v.still)
+		v.still = nil
+	}
+}
+
+// waitWhileStill reads the call and returns once the server doesn't stand still. It aborts calls to a former
+// incarnation.
+func (v *Server) waitWhileStill(r *http.Request) {
+	v.mu.Lock()
+	still, born := v.still, v.born
+	v.mu.Unlock()
+	if still == nil {
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	<-still
+	v.mu.Lock()
+	current := v.running && v.born == born
+	v.mu.Unlock()
+	if !current {
+		panic(http.ErrAbortHandler)
+	}
+}
+
 // Crash ends the server without notice. The store removes its entry after entryTTL, unless the
 // server has restarted by then.
 func (v *Server) Crash(entryTTL time.Duration) {
@@ -276,6 +330,7 @@
 
 // ServeHTTP answers requests, report requests and orders.
 func (v *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	v.waitWhileStill(r)
 	switch r.URL.Path {
 	case "/rhubarbswitch/report":
 		v.handleReport(w)
@@ -325,6 +380,7 @@
 	v.mu.Lock()
 	delay, born := v.faults.OrderDelay, v.born
 	v.mu.Unlock()
+	v.site.orderArrived()
 	if delay == 0 {
 		w.WriteHeader(v.acceptOrder(o, born))
 		return
@@ -354,7 +410,7 @@
 		return http.StatusOK
 	case o.Op == "stage":
 		v.acceptedOrders++
-		v.changeAfter(t.LoadTime, func() { v.staged = []string{o.Model} })
+		v.changeAfter(v.faults.EffectDelay+t.LoadTime, func() { v.staged = []string{o.Model} })
 		return http.StatusAccepted
 	case o.Op == "join" && o.Epoch < v.highestEpoch:
 		return http.StatusPreconditionFailed
@@ -371,7 +427,7 @@
 		}
 		m := &Membership{Name: o.Group, Epoch: o.Epoch, Rank: slices.Index(o.Members, v.ID), State: stateJoining}
 		v.member, v.groupMembers, v.model, v.memberLostAt = m, o.Members, o.Model, time.Time{}
-		v.changeAfter(loadTime, func() {
+		v.changeAfter(v.faults.EffectDelay+loadTime, func() {
 			if v.member == m {
 				m.State, v.staged = stateReady, []string{o.Model}
 				v.site.recordReady(v)
@@ -387,7 +443,7 @@
 	case o.Op == "open" && inGroup && v.member.State == stateReady && v.member.Rank == 0:
 		v.acceptedOrders++
 		m := v.member
-		v.changeAfter(t.OpenTime, func() {
+		v.changeAfter(v.faults.EffectDelay+t.OpenTime, func() {
 			if v.member == m && m.State == stateReady {
 				m.State, v.memberLostAt = stateOpen, time.Time{}
 				v.site.checkOpened(v)
@@ -396,10 +452,20 @@
 		return http.StatusAccepted
 	case o.Op == "close" && inGroup && v.member.State != stateJoining && v.member.State != stateReady:
 		v.acceptedOrders++
-		if o.Mode == "wait" && v.member.State != stateBroken && v.streams > 0 {
-			v.member.State = stateClosing
+		m := v.member
+		closeHead := func() {
+			switch {
+			case v.member != m || m.State == stateReady:
+			case o.Mode == "wait" && m.State != stateBroken && v.streams > 0:
+				m.State = stateClosing
+			default:
+				m.State, v.memberLostAt = stateReady, time.Time{}
+			}
+		}
+		if v.faults.EffectDelay > 0 {
+			v.changeAfter(v.faults.EffectDelay, closeHead)
 		} else {
-			v.member.State, v.memberLostAt = stateReady, time.Time{}
+			closeHead()
 		}
 		return http.StatusAccepted
 	}
@@ -453,6 +519,11 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if faults.Refuse {
+		h.Set("X-Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if r.Header.Get("X-Expect-Instance") != v.ID || !open {
 		h.Set("X-Not-Run", "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
--- a/internal/stub/site/site.go
+++ b/internal/stub/site/site.go
@@ -64,6 +64,8 @@
 	crashes          []Crash
 	lastBorn         int64 // the last start number; each start of a server gets a higher one
 	violations       []string
+	doubleJoins      []string // see checkJoinElsewhere
+	onOrder          func()   // see OnOrder
 	runs             []Run
 }
 
@@ -231,12 +233,15 @@
 	s.readyMembers[f][v.ID] = true
 }
 
-// checkOpened checks that every member of a group that begins to serve has been ready. The
-// caller holds the head's mu.
+// checkOpened checks that a group that begins to serve has the size of its model, and that every
+// member of it has been ready. The caller holds the head's mu.
 func (s *Site) checkOpened(head *Server) {
 	s.mu.Lock()
 	ready := s.readyMembers[head.member.formation()]
 	s.mu.Unlock()
+	if n := len(head.groupMembers); n != GroupSize {
+		s.addViolation("%s opens %s with %d members", head.ID, head.member.Name, n)
+	}
 	for _, id := range head.groupMembers {
 		if !ready[id] {
 			s.addViolation("%s opens %s before %s was ready", head.ID, head.member.Name, id)
@@ -262,14 +267,16 @@
 	}
 }
 
-// checkJoinElsewhere checks that a member that joins another group does not leave a group
-// whose head may be serving.
+// checkJoinElsewhere checks that a member that joins another group does not leave a group whose
+// head may be serving: one that is open or closing, or lacks a member and is not broken yet.
 func (s *Site) checkJoinElsewhere(member *Server, formerMembers []string, m *Membership, newGroup string) {
 	s.mu.Lock()
 	head, exists := s.heads[formerMembers[0]]
 	s.mu.Unlock()
 	if exists && head.Name == m.Name && head.Epoch == m.Epoch && head.State != stateReady && head.State != stateJoining && head.State != stateBroken {
-		s.addViolation("%s joins %s while %s serves %s", member.ID, newGroup, formerMembers[0], m.Name)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.doubleJoins = append(s.doubleJoins, fmt.Sprintf("%s joins %s while %s of its group %s is %s", member.ID, newGroup, formerMembers[0], m.Name, head.State))
 	}
 }
 
@@ -357,7 +364,32 @@
 	return slices.Clone(s.runs)
 }
 
-// Violations returns the violations that the site has found.
+// DoubleJoins returns the joins of members whose former heads could serve.
+func (s *Site) DoubleJoins() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.doubleJoins)
+}
+
+// OnOrder sets what is called once, when the next order has reached a server and before it is carried
+// out; nil drops it.
+func (s *Site) OnOrder(call func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.onOrder = call
+}
+
+func (s *Site) orderArrived() {
+	s.mu.Lock()
+	call := s.onOrder
+	s.onOrder = nil
+	s.mu.Unlock()
+	if call != nil {
+		call()
+	}
+}
+
+// Violations returns the violations that the site has found, without DoubleJoins.
 func (s *Site) Violations() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/stub/site/store.go
+++ b/internal/stub/site/store.go
@@ -349,3 +349,18 @@
 	o.Meta.Name = name
 	return http.StatusOK, s.put(kind, o, false)
 }
+
+// LeaseHolder returns the daemon that holds the lease of the present era, or an empty name.
+func (s *Store) LeaseHolder() string {
+	s.mu.Lock()
+	name := "groups"
+	if s.era > 0 {
+		name += "." + strconv.FormatUint(s.era, 10)
+	}
+	s.mu.Unlock()
+	var lease struct {
+		Holder string `json:"holder"`
+	}
+	s.Read("gateway-control", name, &lease)
+	return lease.Holder
+}
--- a/internal/stub/site/stream.go
+++ b/internal/stub/site/stream.go
@@ -90,12 +90,12 @@
 		}
 		v.mu.Lock()
 		serving := v.serving(m)
-		members, memberLost := v.groupMembers, !v.memberLostAt.IsZero()
+		members, memberLost, still := v.groupMembers, !v.memberLostAt.IsZero(), v.still != nil
 		v.mu.Unlock()
 		if !serving {
 			return false
 		}
-		if !memberLost && v.site.isComplete(members, m) {
+		if !still && !memberLost && v.site.isComplete(members, m) {
 			return true
 		}
 	}
--- a/internal/stub/soak/plan.go
+++ b/internal/stub/soak/plan.go
@@ -97,13 +97,15 @@
 	crashSeries, crashBurstSeries = 2, 4
 	// plannedSeries is the number of the series with PlannedSeries.
 	plannedSeries = 7
+	// controlSeries is the number of the series that disturbs the ordering of groups.
+	controlSeries = 8
 	// plannedInterval is the mean time between actions of operators, which also occur in calm
 	// periods.
 	plannedInterval = 4 * time.Second
 )
 
 // catalogues are the series of kinds of disturbances, in the order in which they were added.
-var catalogues = [][]kindSpec{catalogue, laterCatalogue, crashCatalogue, answerCatalogue, crashBurstCatalogue, limitCatalogue, linksCatalogue, plannedCatalogue}
+var catalogues = [][]kindSpec{catalogue, laterCatalogue, crashCatalogue, answerCatalogue, crashBurstCatalogue, limitCatalogue, linksCatalogue, plannedCatalogue, controlCatalogue}
 
 // Kinds returns all kinds of disturbances.
 func Kinds() []Kind {
@@ -129,7 +131,7 @@
 // catalogue are drawn by themselves, so that a seed keeps the disturbances that it had before a
 // series was added. Unless kinds are given, requests crash servers only with odd seeds: they
 // disturb the servers most of the time, which excuses daemons from other promises. In the same way
-// only some seeds have series of planned work.
+// only some seeds have series of planned work, or disturb the ordering of groups.
 func Draw(seed uint64, length time.Duration, kinds []Kind) []Fault {
 	var faults []Fault
 	for series, specs := range catalogues {
@@ -139,6 +141,9 @@
 		if series == plannedSeries && len(kinds) == 0 && seed%plannedSeriesSeeds != plannedSeriesSeeds-1 {
 			continue
 		}
+		if series == controlSeries && len(kinds) == 0 && seed%controlSeeds != 0 {
+			continue
+		}
 		faults = append(faults, drawSeries(rand.New(rand.NewPCG(seed, uint64(series)*seriesStream)), specs, length, kinds)...)
 	}
 	slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
@@ -190,7 +195,7 @@
 		n = 2 + d.rand.IntN(maxPerSeries-1)
 	}
 	for ; n > 0 && at < d.length; n-- {
-		f := Fault{Kind: t.kind, At: at, Pick: d.rand.Uint64(), Duration: d.between(minDuration, t.maxDuration)}
+		f := Fault{Kind: t.kind, At: at, Pick: d.rand.Uint64(), Duration: d.between(max(minDuration, minDurations[t.kind]), t.maxDuration)}
 		d.faults = append(d.faults, f)
 		at += d.between(minDuration, maxSeriesDelay)
 	}
--- a/internal/stub/soak/record.go
+++ b/internal/stub/soak/record.go
@@ -85,6 +85,10 @@
 			names = append(names, d.name)
 		}
 		return strings.Join(names, " ")
+	case slices.Contains([]Kind{HolderPause, HolderKills}, f.Kind):
+		return "lease holder"
+	case slices.Contains([]Kind{ZoneHidden, GroupHidden, OrdersLong, OrdersSlow, EnginesStill, PlainRefusing}, f.Kind):
+		return "servers"
 	case f.Kind == DaemonHerd || f.Kind == PlannedSeries:
 		return "daemons"
 	case strings.HasPrefix(kind, "daemon-"), strings.HasPrefix(kind, "callers-"),
--- a/internal/stub/soak/soak.go
+++ b/internal/stub/soak/soak.go
@@ -87,6 +87,7 @@
 	serverCount    int                       // servers added so far, for their names
 	configVersion  int                       // last version written
 	evacuated      bool                      // an evacuation is in force
+	hidden         map[string]int            // by server: the disturbances that hide it
 }
 
 // Run executes one run and returns its report. If there are findings it keeps the whole logs, the plan, what
@@ -98,7 +99,7 @@
 	if err := Check(set.Kinds); err != nil {
 		return Report{}, err
 	}
-	r := &run{settings: set, relays: make(map[string]*cutter.Cutter), caller: load.NewFrontedCaller(), startedAt: time.Now()}
+	r := &run{settings: set, relays: make(map[string]*cutter.Cutter), hidden: make(map[string]int), caller: load.NewFrontedCaller(), startedAt: time.Now()}
 	r.checker = newChecker(&r.timeline, r.startedAt)
 	prefix, release, err := reserve()
 	if err != nil {
@@ -196,6 +197,9 @@
 		r.formerRelays = append(r.formerRelays, before)
 	}
 	r.relays[server] = relay
+	if r.hidden[server] > 0 {
+		relay.Apply(hidingCut)
+	}
 	return relay.Address(), nil
 }
 
@@ -244,6 +248,7 @@
 // check checks what has reached the servers so far.
 func (r *run) check() {
 	r.checker.checkRuns(r.site.Runs(), r.site.Violations())
+	r.checker.checkDoubleJoins(r.site.DoubleJoins())
 	r.checker.checkLost(r.site.Runs(), r.site.Arrivals())
 	r.checker.checkNotices(r.site.Arrivals())
 	r.checker.checkLimits(r.site.Limits(), r.site.Arrivals())
--- a/internal/stub/soak/soak_test.go
+++ b/internal/stub/soak/soak_test.go
@@ -41,26 +41,49 @@
 }
 
 // TestSeedsKeepTheirDisturbances guards against a new kind that changes what the seeds of earlier findings
-// draw: without the series of planned work they have what the other kinds alone draw.
+// draw: without the series of planned work and the disturbed orders they have what the other kinds alone draw.
 func TestSeedsKeepTheirDisturbances(t *testing.T) {
-	withSeries := 0
+	later := []struct {
+		kinds       []Kind
+		drawnFor    func(seed uint64) bool
+		seedsOf20   int
+		seedsWithIt int
+	}{
+		{kinds: []Kind{PlannedSeries}, drawnFor: func(seed uint64) bool { return seed%plannedSeriesSeeds == plannedSeriesSeeds-1 }, seedsOf20: 4},
+		{kinds: kindsOf(controlCatalogue), drawnFor: func(seed uint64) bool { return seed%controlSeeds == 0 }, seedsOf20: 7},
+	}
 	for seed := range uint64(20) {
 		var others []Kind
 		for _, k := range Kinds() {
 			isCrash := slices.Contains([]Kind{CrashingRequest, CrashingPart, CrashingBurst}, k)
-			if k != PlannedSeries && (!isCrash || seed%2 == 1) {
+			if !isCrash || seed%2 == 1 {
 				others = append(others, k)
 			}
 		}
-		drawn := Draw(seed, time.Minute, nil)
-		rest := slices.DeleteFunc(slices.Clone(drawn), func(f Fault) bool { return f.Kind == PlannedSeries })
-		require.Equal(t, Draw(seed, time.Minute, others), rest)
-		if len(rest) < len(drawn) {
-			withSeries++
-			require.Equal(t, uint64(plannedSeriesSeeds-1), seed%plannedSeriesSeeds)
+		rest := Draw(seed, time.Minute, nil)
+		for i, l := range later {
+			isLater := func(k Kind) bool { return slices.Contains(l.kinds, k) }
+			others = slices.DeleteFunc(others, isLater)
+			before := len(rest)
+			rest = slices.DeleteFunc(rest, func(f Fault) bool { return isLater(f.Kind) })
+			if len(rest) < before {
+				later[i].seedsWithIt++
+				require.True(t, l.drawnFor(seed))
+			}
 		}
+		require.Equal(t, Draw(seed, time.Minute, others), rest)
+	}
+	for _, l := range later {
+		require.Equal(t, l.seedsOf20, l.seedsWithIt, "%v", l.kinds)
+	}
+}
+
+func kindsOf(specs []kindSpec) []Kind {
+	var kinds []Kind
+	for _, s := range specs {
+		kinds = append(kinds, s.kind)
 	}
-	require.Equal(t, 20/plannedSeriesSeeds, withSeries)
+	return kinds
 }
 
 // checkerTest is a checker for one request to an undisturbed daemon. The test cases change one
