gateway: an order is not sent once the lease under which it was decided has expired

A holder that stands still between its decision and the sending (SIGSTOP, a suspended machine, starvation) sent the order when another daemon held the lease, at any time later; the timeout of an order begins as it is sent.

Most orders do no harm then: they expect the engine's count, and what proves that a group has ended does not change any more. An order to open does: the next holder does not reach the head, takes a member out, and releases the group after the longest time that an order may be on its way (12 s) and the stall. An order that leaves 15.7 s late opens the head after that, while members of the old group join others.

As the next holder takes over after that time, the 12 s count from there. Outcome 'expired': the host has missed nothing, its count is unchanged.

--- a/internal/core/fabric/lease.go
+++ b/internal/core/fabric/lease.go
@@ -96,6 +96,9 @@
 // Held reports whether this daemon may give orders now.
 func (l *Lease) Held(now time.Duration) bool { return l.held && now < l.heldUntil }
 
+// HeldUntil returns when the lease expires unless it is renewed; valid while it is held.
+func (l *Lease) HeldUntil() time.Duration { return l.heldUntil }
+
 // Revision returns the revision last seen. While the lease is held that is the revision of
 // this daemon's last write; every earlier holder's was lower.
 func (l *Lease) Revision() uint64 { return l.revision }
--- a/internal/core/fabric/pool.go
+++ b/internal/core/fabric/pool.go
@@ -165,6 +165,8 @@
 
 	// active is whether this daemon holds control.
 	active bool
+	// controlUntil is when control ends unless the lease is renewed.
+	controlUntil time.Duration
 	// lastEpoch is the epoch of the last formation, or the base of this daemon's term before
 	// the first.
 	lastEpoch uint64
@@ -387,6 +389,9 @@
 // request. Until its first request loads are not bounded, nor do they slow each other down.
 func (p *Pool) SetInitialDeployment(initial bool) { p.initialDeployment = initial }
 
+// SetControlUntil sets when this daemon's control ends unless the lease is renewed. Orders leave it before.
+func (p *Pool) SetControlUntil(until time.Duration) { p.controlUntil = until }
+
 // DropControl ends this daemon's control.
 func (p *Pool) DropControl() { p.active = false }
 
@@ -481,7 +486,7 @@
 	op := p.nextOp()
 	h.pendingOp = op
 	p.pendingOrders[op] = pendingOrder{host: name, order: o, sentAt: now}
-	out.Add(step.SendGroupOrder{Op: op, Host: name, Address: h.entry.Address, Order: o})
+	out.Add(step.SendGroupOrder{Op: op, Host: name, Address: h.entry.Address, Order: o, Until: p.controlUntil})
 	return true
 }
 
@@ -501,7 +506,7 @@
 		return true
 	}
 	h.pendingOp = 0
-	if op.order.Kind == step.OrderJoin && op.order.Model != h.lastModel && a.Outcome != step.OrderRejected && a.Outcome != step.OrderNotSent {
+	if op.order.Kind == step.OrderJoin && op.order.Model != h.lastModel && !a.Outcome.Ineffective() {
 		h.lastModel = ""
 	}
 	switch {
@@ -516,13 +521,14 @@
 		h.group = site.GroupID{}
 	case a.Outcome == step.OrderNotSent:
 		h.countMiss(op.sentAt)
+	case a.Outcome == step.OrderExpired:
 	default:
 		// Only a report that is late enough shows whether the engine counted the order.
 		h.orderCountKnown = false
 		h.recountFrom = now + p.engine.ReportLag + reportLagMargin
 	}
 	if op.order.Kind == step.OrderStage {
-		if a.Outcome == step.OrderRejected || a.Outcome == step.OrderNotSent {
+		if a.Outcome.Ineffective() {
 			h.stagingModel = ""
 		}
 		return true
--- a/internal/core/fabric/simulation_test.go
+++ b/internal/core/fabric/simulation_test.go
@@ -78,6 +78,8 @@
 	// order is carried out.
 	lose  func() bool
 	delay func() time.Duration
+	// sendDelay returns how late an order leaves its daemon.
+	sendDelay func(step.SendGroupOrder) time.Duration
 	// concurrency are the requests that callers have at the groups of each model, if these have room.
 	concurrency map[string]float64
 	// closeTime returns how long a head that closes takes to finish its requests.
@@ -87,7 +89,8 @@
 func newSimulation(domains, perDomain, pools int) *simulation {
 	w := &simulation{
 		engine: testEngine(), engines: make(map[string]*fakeEngine), readyFormations: make(map[string]map[string]bool),
-		lose: func() bool { return false }, delay: func() time.Duration { return 0 }, closeTime: func() time.Duration { return 0 },
+		sendDelay: func(step.SendGroupOrder) time.Duration { return 0 },
+		lose:      func() bool { return false }, delay: func() time.Duration { return 0 }, closeTime: func() time.Duration { return 0 },
 	}
 	for d := range domains {
 		for h := range perDomain {
@@ -162,6 +165,7 @@
 
 func (w *simulation) tick(p *Pool) {
 	out := &step.Out{}
+	p.SetControlUntil(w.now + leaseTTL)
 	p.Tick(w.now, out)
 	p.JoinDelays(w.now)
 	p.OnLeaseWritten()
@@ -214,6 +218,27 @@
 }
 
 func (w *simulation) sendOrder(p *Pool, e step.SendGroupOrder) {
+	d := w.sendDelay(e)
+	if d == 0 {
+		w.carryOrder(p, e)
+		return
+	}
+	w.after(d, func() { w.sendLate(p, e) })
+}
+
+// sendLate sends an order of a daemon that has stood still since its decision. It may reach hosts that others don't.
+func (w *simulation) sendLate(p *Pool, e step.SendGroupOrder) {
+	outcome := step.OrderLost
+	if f := w.engines[e.Host]; e.Expired(w.now) {
+		outcome = step.OrderExpired
+	} else if f.up {
+		outcome = w.execute(f, e.Order)
+	}
+	w.toPool(p, step.GroupOrderAnswered{Op: e.Op, Host: e.Host, Outcome: outcome})
+}
+
+// carryOrder carries an order to its engine, and the answer back.
+func (w *simulation) carryOrder(p *Pool, e step.SendGroupOrder) {
 	answer := func(o step.OrderOutcome) {
 		w.after(orderLatency, func() { w.toPool(p, step.GroupOrderAnswered{Op: e.Op, Host: e.Host, Outcome: o}) })
 	}
--- a/internal/core/gateway/control.go
+++ b/internal/core/gateway/control.go
@@ -57,6 +57,7 @@
 	for _, p := range s.pools {
 		p.SetInitialDeployment(s.initialDeployment && !s.requestSeen)
 		p.SetMovesBlocked(!s.storeReachable)
+		p.SetControlUntil(s.lease.HeldUntil())
 		p.Tick(now, out)
 		if p.NeedsLeaseWrite() {
 			s.lease.RenewNow()
--- a/internal/core/step/gateway.go
+++ b/internal/core/step/gateway.go
@@ -333,8 +333,13 @@
 	Host    string
 	Address string
 	Order   GroupOrder
+	// Until is when the lease expires under which the order was decided. It must not be sent from then on.
+	Until time.Duration
 }
 
+// Expired reports whether the order must not be sent any more. Another daemon may order by now.
+func (o SendGroupOrder) Expired(now time.Duration) bool { return now >= o.Until }
+
 // OrderOutcome is the result of an order.
 type OrderOutcome uint8
 
@@ -350,11 +355,18 @@
 	OrderLost
 	// OrderNotSent: the order was not sent.
 	OrderNotSent
+	// OrderExpired: the order was not sent because its lease had expired. That says nothing about the engine.
+	OrderExpired
 )
 
+// Ineffective reports whether the order surely has no effect.
+func (o OrderOutcome) Ineffective() bool {
+	return o == OrderRejected || o == OrderNotSent || o == OrderExpired
+}
+
 // String returns the outcome's name as it appears in logs.
 func (o OrderOutcome) String() string {
-	return [...]string{"", "begun", "done", "unfit", "lost", "not sent"}[o]
+	return [...]string{"", "begun", "done", "unfit", "lost", "not sent", "expired"}[o]
 }
 
 // GroupOrderAnswered answers SendGroupOrder.
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -311,11 +311,7 @@
 	case step.RequestReport:
 		d.background.Go(func() { d.Post(d.requestReport(ctx, e)) })
 	case step.SendGroupOrder:
-		d.background.Go(func() {
-			ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-			defer cancel()
-			d.Post(step.GroupOrderAnswered{Op: e.Op, Host: e.Host, Outcome: d.platform.Order(ctx, e)})
-		})
+		d.background.Go(func() { d.Post(d.sendOrder(ctx, e)) })
 	case step.ReadLease:
 		d.callStore(ctx, func(ctx context.Context) step.Event {
 			a := d.platform.ReadLease(ctx, e)
@@ -363,6 +359,18 @@
 	return false
 }
 
+// sendOrder sends an order, unless its lease has expired since it was decided: this process may have stood still.
+func (d *Daemon) sendOrder(ctx context.Context, e step.SendGroupOrder) step.GroupOrderAnswered {
+	a := step.GroupOrderAnswered{Op: e.Op, Host: e.Host, Outcome: step.OrderExpired}
+	if e.Expired(d.clock()) {
+		return a
+	}
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	a.Outcome = d.platform.Order(ctx, e)
+	return a
+}
+
 // callStore makes a call to the store in the background and posts its answer.
 func (d *Daemon) callStore(ctx context.Context, call func(context.Context) step.Event) {
 	d.background.Go(func() {
