--- a/internal/stub/site/site.go
+++ b/internal/stub/site/site.go
@@ -65,7 +65,7 @@
 	lastBorn         int64 // the last start number; each start of a server gets a higher one
 	violations       []string
 	doubleJoins      []string // see checkJoinElsewhere
-	onOrder          func()   // see OnOrder
+	onOrder          []func() // see OnOrder
 	runs             []Run
 }
 
@@ -371,18 +371,20 @@
 	return slices.Clone(s.doubleJoins)
 }
 
-// OnOrder sets what is called once, when the next order has reached a server and before it is carried
-// out; nil drops it.
+// OnOrder adds a function that is called once, when an order has reached a server and before it is carried
+// out. Each order calls one.
 func (s *Site) OnOrder(call func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.onOrder = call
+	s.onOrder = append(s.onOrder, call)
 }
 
 func (s *Site) orderArrived() {
 	s.mu.Lock()
-	call := s.onOrder
-	s.onOrder = nil
+	var call func()
+	if len(s.onOrder) > 0 {
+		call, s.onOrder = s.onOrder[0], s.onOrder[1:]
+	}
 	s.mu.Unlock()
 	if call != nil {
 		call()
--- a/internal/stub/soak/control.go
+++ b/internal/stub/soak/control.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -20,7 +21,7 @@
 	GroupHidden   Kind = "group-hidden" // the servers of a group
 	OrdersLong    Kind = "orders-long"  // carried out late, without an answer
 	OrdersSlow    Kind = "orders-slow"  // answered at once, and take effect late
-	HolderPause   Kind = "holder-pause"
+	HolderPause   Kind = "holder-pause" // at an order after an engine has crashed
 	HolderKills   Kind = "holder-kills"
 	EnginesStill  Kind = "engines-still"
 	PlainRefusing Kind = "plain-refusing"
@@ -33,7 +34,7 @@
 	// Orders take effect minOrderLateness to maxOrderLateness late. Published disturbances delay none longer.
 	minOrderLateness, maxOrderLateness = 2 * time.Second, 12 * time.Second
 	// maxOrderWait bounds the wait for an order of the lease holder that is to be paused.
-	maxOrderWait = 4 * time.Second
+	maxOrderWait = 6 * time.Second
 	// Lease holders are killed up to maxHolderKills times, at most maxHolderKillDelay apart.
 	maxHolderKills     = 4
 	maxHolderKillDelay = 5 * time.Second
@@ -69,8 +70,9 @@
 		return r.failEngines(f, site.Faults{EffectDelay: latenessOf(f)})
 	}},
 	{HolderPause, false, 6 * time.Second, func(r *run, f Fault) func() {
+		v := r.pickEngine(f) // its group needs orders then
 		r.background.Go(func() { r.pauseHolder(f.Duration) })
-		return nil
+		return r.recordDuring(scopeServers, func() { v.Crash(entryTTL) }, func() { r.restart(v) })
 	}},
 	{HolderKills, false, 3 * time.Second, func(r *run, f Fault) func() {
 		draw := rand.New(rand.NewPCG(f.Pick, 0))
@@ -200,9 +202,13 @@
 func (r *run) pauseHolder(length time.Duration) {
 	paused := make(chan *program.Process, 1)
 	var s *disturbance
+	var mu sync.Mutex
+	over := false
 	r.site.OnOrder(func() {
+		mu.Lock()
+		defer mu.Unlock()
 		d := r.holder()
-		if d == nil {
+		if d == nil || over {
 			return
 		}
 		p, _ := d.current()
@@ -212,20 +218,22 @@
 		r.plan.add(planLine{Phase: "pause", Kind: HolderPause, Scope: d.name})
 		paused <- p
 	})
+	var p *program.Process
 	select {
-	case p := <-paused:
-		time.Sleep(length)
-		p.Signal(syscall.SIGCONT)
-		r.timeline.end(s)
+	case p = <-paused:
 	case <-time.After(maxOrderWait):
-		r.site.OnOrder(nil)
+		mu.Lock()
+		over = true
+		mu.Unlock()
 		select {
-		case p := <-paused: // meanwhile
-			p.Signal(syscall.SIGCONT)
-			r.timeline.end(s)
-		case <-time.After(pollInterval):
+		case p = <-paused:
+		default:
+			return
 		}
 	}
+	time.Sleep(length)
+	p.Signal(syscall.SIGCONT)
+	r.timeline.end(s)
 }
 
 // checkDoubleJoins adds the joins that the engines found to have taken a server from a group whose head may serve.
