fabric: tests of other orders than open that leave their daemon late

Joins up to 20 s late to hosts on which the next holder counts, and any orders but open up to 30 s late without the bound of the lease, beside hidden and lost hosts and changes of the holder: not found here. The engine's count decides between two orders, and what proves that a group has ended stays true.

--- a/internal/core/fabric/late_send_test.go
+++ b/internal/core/fabric/late_send_test.go
@@ -46,14 +46,48 @@
 	require.True(t, released, "the group is released while the order is on its way")
 }
 
+// TestJoinSentLateToFreeHost guards against a host that a former holder takes while the next one counts on it: of two
+// orders that expect the same count one takes effect.
+func TestJoinSentLateToFreeHost(t *testing.T) {
+	for late := 100 * time.Millisecond; late < 20*time.Second; late += 300 * time.Millisecond {
+		w := newSimulation(1, 9, 1)
+		w.sendExpired = true
+		w.pools[0].TakeControl(0, 1<<20, nil, 0)
+		joins := 0
+		w.sendDelay = func(e step.SendGroupOrder) time.Duration {
+			if e.Order.Kind != step.OrderJoin || e.Order.Group.Epoch >= 2<<20 {
+				return 0
+			}
+			joins++
+			return late
+		}
+		for joins == 0 {
+			w.run(50 * time.Millisecond)
+		}
+		w.pools = nil
+		w.run(takeoverDelay)
+		w.addPool()
+		w.pools[0].TakeControl(w.now, 2<<20, nil, 0)
+		w.run(late + 30*time.Second)
+		require.Empty(t, w.violations, "joins sent %v late", late)
+		require.Positive(t, w.open("m0")+w.open("m1"), "joins sent %v late", late)
+	}
+}
+
 // TestHistoriesOfOrdersSentLate draws orders that leave their daemon late, beside hidden and lost hosts and
 // changes of the holder.
 func TestHistoriesOfOrdersSentLate(t *testing.T) {
+	t.Run("while the lease lasts", func(t *testing.T) { ordersSentLate(t, false) })
+	t.Run("without open, after the lease", func(t *testing.T) { ordersSentLate(t, true) })
+}
+
+func ordersSentLate(t *testing.T, expired bool) {
 	rapid.Check(t, func(rt *rapid.T) {
 		w := started(t, 1)
+		w.sendExpired = expired
 		frozen := false
-		w.sendDelay = func(step.SendGroupOrder) time.Duration {
-			if !frozen {
+		w.sendDelay = func(e step.SendGroupOrder) time.Duration {
+			if !frozen || expired && e.Order.Kind == step.OrderOpen {
 				return 0
 			}
 			return time.Duration(rapid.IntRange(1, 3000).Draw(rt, "late")) * simulationStep
--- a/internal/core/fabric/simulation_test.go
+++ b/internal/core/fabric/simulation_test.go
@@ -80,6 +80,8 @@
 	delay func() time.Duration
 	// sendDelay returns how late an order leaves its daemon.
 	sendDelay func(step.SendGroupOrder) time.Duration
+	// sendExpired lets orders leave their daemons although their leases have expired.
+	sendExpired bool
 	// concurrency are the requests that callers have at the groups of each model, if these have room.
 	concurrency map[string]float64
 	// closeTime returns how long a head that closes takes to finish its requests.
@@ -229,7 +231,7 @@
 // sendLate sends an order of a daemon that has stood still since its decision. It may reach hosts that others don't.
 func (w *simulation) sendLate(p *Pool, e step.SendGroupOrder) {
 	outcome := step.OrderLost
-	if f := w.engines[e.Host]; e.Expired(w.now) {
+	if f := w.engines[e.Host]; !w.sendExpired && e.Expired(w.now) {
 		outcome = step.OrderExpired
 	} else if f.up {
 		outcome = w.execute(f, e.Order)
