retry: the bound holds when requests move between daemons

Servers could get more repeats than they are promised after callers had moved from one daemon to another, or after restarts between bursts.

Cause: the bound uses the requests of a window, of the one before it or of the one half a window earlier, whichever are most over all daemons. Each daemon chose the largest for itself: with all requests first at one daemon and then at another, each allowed three quarters of a window's requests, 1.2 times the bound together with the margin of 0.8 (1.6 times for bursts). Class: a maximum of sums that is computed as a sum of maxima.

A daemon now weighs its requests in the same way whenever they come: for each window that contains the moment, three quarters of those before and half of those in it, and at most the bound for its own requests. The weights add up to 1.25 times the largest number wherever requests lie, which the margin of 0.8 pays for. A restart is two daemons of which one has gone, so that a young process needs a rule for the slack only. In steady traffic of 20 s and more a daemon may use all of its share instead of three quarters.

TestEarlierRequestsCountWhenAHostIsLost records 20 s of requests instead of 10 s, with the same counts asked for: three quarters both of what came directly before and of what came in a window can't be had within 1.25, so with 10 s the test asked for what breaks the bound.

--- a/internal/core/retry/window.go
+++ b/internal/core/retry/window.go
@@ -19,9 +19,9 @@
 const (
 	// slotCount is the number of slots into which a window is divided for counting.
 	slotCount = 20
-	// quarterSlots is the number of slots that a quarter of a window overlaps: one more than a
-	// quarter of the slots, as a window does not begin at the boundary of a slot.
-	quarterSlots = slotCount/4 + 1
+	// historySlots is the number of slots whose counts are kept: those of the last window and of the one before it,
+	// and one more, since a window does not begin at the boundary of a slot.
+	historySlots = 2*slotCount + 1
 )
 
 // Windows are the retry budgets of services: the bound holds for each service, and the requests of one allow no
@@ -69,24 +69,26 @@
 	return w
 }
 
-// Window is the retry budget of one service. It counts requests and retries over the last window of time.
+// Window is the retry budget of one service. It counts requests and retries over the last two windows of time.
 // Retries that were not used in normal operation are available when a host is lost. A token
 // bucket that keeps the same bound could not save them up, because it must be as small as the
 // slack. All times are monotonic.
+//
+// The bound for a window of time uses the requests of all daemons in that window, in the one directly before it or in
+// the one half a window earlier, whichever are most, and no daemon knows which that will be. So each daemon allows for
+// a window the share of three quarters of its own requests before the window and half of those in it, and no more
+// than the bound would be for its own requests. Both hold for every window that contains the moment of a retry. Summed
+// over daemons and processes that is at most 1.25 times the share of the largest number, wherever requests move.
 type Window struct {
 	set        WindowSettings
 	newestSlot int64 // number of the slot that contains the latest time
 	startedAt  time.Duration
-	// The counts of the newest slots, by slot number modulo the array's length. There is one
-	// slot more than a window has, because the oldest slot overlaps the window only in part.
-	requests, retries [slotCount + 1]float64
+	// The counts of the newest slots, by slot number modulo the arrays' length.
+	requests, retries [historySlots]float64
 }
 
 // NewWindow returns the window of a process that starts now. Until the process is as old as
-// the window is long, it has no slack and only half of its requests count, because its
-// predecessor may have used the slack and the retries of three quarters of a window's
-// requests. While the request rate stays about the same, both processes together exceed the
-// bound by at most a quarter.
+// the window is long, it has no slack, because its predecessor may have used it.
 func NewWindow(now time.Duration) *Window { return &Window{startedAt: now} }
 
 // Set replaces the settings. The counts are kept unless Length changes; then they restart at
@@ -101,7 +103,7 @@
 // RecordRequest counts a first attempt.
 func (w *Window) RecordRequest(now time.Duration) {
 	w.advance(now)
-	w.requests[w.newestSlot%(slotCount+1)]++
+	w.requests[w.newestSlot%historySlots]++
 }
 
 // Allow reports whether a request that has made a number of attempts may be retried now, and
@@ -111,49 +113,59 @@
 		return false
 	}
 	w.advance(now)
-	used := 0.0
-	for _, n := range w.retries {
-		used += n
-	}
-	total, certain := w.countRequests()
-	allowed := w.set.Share * total / 2
+	slack := 0.0
 	if now-w.startedAt >= w.set.Length {
-		allowed = w.set.Share*max(certain, total/2) + w.set.Slack
+		slack = w.set.Slack
 	}
-	if used+1 > allowed {
-		return false
+	// Each window that contains this moment has begun in one of these slots.
+	for age := range slotCount + 1 {
+		if w.retriesSince(age)+1 > w.set.Share*w.weighRequests(age)+slack {
+			return false
+		}
 	}
-	w.retries[w.newestSlot%(slotCount+1)]++
+	w.retries[w.newestSlot%historySlots]++
 	return true
 }
 
-// countRequests returns the number of requests in the last window, and how many of them are
-// certain to count for every window that contains this moment, whatever happens later. The
-// bound for a window uses the number of requests in that window, in the one directly before it
-// or in the one half a window earlier, whichever is largest. For every window that contains
-// this moment, that number includes at least half of the requests of the last window, and at
-// least all of them except those of its first or its last quarter.
-func (w *Window) countRequests() (total, certain float64) {
-	first, last := 0.0, 0.0
-	for i := range slotCount {
-		n := w.requests[(w.newestSlot-int64(i)+slotCount+1)%(slotCount+1)]
-		total += n
-		if i < quarterSlots {
-			last += n
+// retriesSince returns the retries since the beginning of the slot that is a number of slots old.
+func (w *Window) retriesSince(age int) float64 {
+	n := 0.0
+	for i := range age + 1 {
+		n += w.retries[w.index(i)]
+	}
+	return n
+}
+
+// weighRequests returns the number of requests that allow retries in a window that has begun in the slot that is a
+// number of slots old. Slots that overlap the window only in part count where they count least.
+func (w *Window) weighRequests(age int) float64 {
+	before, middle, within := 0.0, 0.0, 0.0
+	for i := range age + slotCount {
+		n := w.requests[w.index(i)]
+		switch {
+		case i < age:
+			within += n
+		case i > age:
+			before += n
 		}
-		if i >= slotCount-quarterSlots {
-			first += n
+		if max(i-age, age-i) < slotCount/2 {
+			middle += n
 		}
 	}
-	return total, total - max(first, last)
+	return min(3*before/4+(within+w.requests[w.index(age)])/2, max(before, middle, within))
+}
+
+// index returns where the counts of the slot are kept that is a number of slots old.
+func (w *Window) index(age int) int64 {
+	return (w.newestSlot - int64(age) + historySlots) % historySlots
 }
 
 // advance moves to the slot of the current time and clears the counts of the slots that it
 // reuses.
 func (w *Window) advance(now time.Duration) {
 	slot := int64(now) * slotCount / int64(w.set.Length)
-	for i := max(w.newestSlot+1, slot-slotCount); i <= slot; i++ {
-		w.requests[i%(slotCount+1)], w.retries[i%(slotCount+1)] = 0, 0
+	for i := max(w.newestSlot+1, slot-historySlots+1); i <= slot; i++ {
+		w.requests[i%historySlots], w.retries[i%historySlots] = 0, 0
 	}
 	w.newestSlot = max(w.newestSlot, slot)
 }
--- a/internal/core/retry/window_test.go
+++ b/internal/core/retry/window_test.go
@@ -19,15 +19,15 @@
 	return n
 }
 
-// TestEarlierRequestsCountWhenAHostIsLost records ten requests a second for 10 s and then
+// TestEarlierRequestsCountWhenAHostIsLost records ten requests a second for 20 s and then
 // retries many requests at the same moment, as after the loss of a host.
 func TestEarlierRequestsCountWhenAHostIsLost(t *testing.T) {
 	w := NewWindow(0)
 	w.Set(0, testSettings)
-	for i := range 100 {
-		w.RecordRequest(10*time.Second + time.Duration(i)*100*time.Millisecond)
+	for i := range 200 {
+		w.RecordRequest(time.Duration(i) * 100 * time.Millisecond)
 	}
-	// Three quarters of the requests count, except those of two slots, plus the slack.
+	// Three quarters of the requests of a window count, except those of a slot, plus the slack.
 	now := 20 * time.Second
 	n := retryWhileAllowed(w, now)
 	require.GreaterOrEqual(t, n, 16, "0.2 x 65 + 3")
@@ -143,3 +143,41 @@
 	}
 	return n
 }
+
+// TestRetriesStayBoundedWhenRequestsMove guards against daemons that each save up retries for requests that have moved
+// from one to the other, or that a restart has cut in two.
+func TestRetriesStayBoundedWhenRequestsMove(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		count := rapid.IntRange(2, 8).Draw(rt, "daemons")
+		set := testSettings
+		set.Share, set.Slack = 0.8*set.Share, set.Slack/float64(count)
+		windows, startedAt := make([]*Window, count), make([]time.Duration, count)
+		restart := func(i int, now time.Duration) {
+			windows[i], startedAt[i] = NewWindow(0), now
+			windows[i].Set(0, set)
+		}
+		for i := range windows {
+			restart(i, 0)
+		}
+		now := 10 * time.Second
+		var requestTimes, retryTimes []time.Duration
+		for range rapid.IntRange(1, 40).Draw(rt, "steps") {
+			now += time.Duration(rapid.IntRange(0, 12).Draw(rt, "pause")) * 500 * time.Millisecond
+			i := rapid.IntRange(0, count-1).Draw(rt, "daemon")
+			switch rapid.IntRange(0, 9).Draw(rt, "what") {
+			case 0:
+				restart(i, now)
+			case 1, 2, 3, 4:
+				for range rapid.IntRange(1, 400).Draw(rt, "number") {
+					requestTimes = append(requestTimes, now)
+					windows[i].RecordRequest(now - startedAt[i])
+				}
+			default:
+				for range retryWhileAllowed(windows[i], now-startedAt[i]) {
+					retryTimes = append(retryTimes, now)
+				}
+			}
+		}
+		requireBounded(rt, requestTimes, retryTimes)
+	})
+}
