--- a/internal/core/retry/window.go
+++ b/internal/core/retry/window.go
@@ -22,6 +22,9 @@
 	// historySlots is the number of slots whose counts are kept: those of the last window and of the one before it,
 	// and one more, since a window does not begin at the boundary of a slot.
 	historySlots = 2*slotCount + 1
+	// beforeWeight and withinWeight are the weights of a daemon's requests before a window and in it. Their sum is the
+	// factor by which all daemons together may exceed the share of the requests; users reduce the share by it.
+	beforeWeight, withinWeight = 0.7, 0.55
 )
 
 // Windows are the retry budgets of services: the bound holds for each service, and the requests of one allow no
@@ -75,10 +78,10 @@
 // slack. All times are monotonic.
 //
 // The bound for a window of time uses the requests of all daemons in that window, in the one directly before it or in
-// the one half a window earlier, whichever are most, and no daemon knows which that will be. So each daemon allows for
-// a window the share of three quarters of its own requests before the window and half of those in it, and no more
-// than the bound would be for its own requests. Both hold for every window that contains the moment of a retry. Summed
-// over daemons and processes that is at most 1.25 times the share of the largest number, wherever requests move.
+// the one half a window earlier, whichever are most, and no daemon knows which that will be. So each daemon weighs
+// its own requests before a window and in it in the same way, and allows no more than the bound would be for its own
+// requests. That holds for every window that contains the moment of a retry. Summed over daemons and processes it is at
+// most 1.25 times the share of the largest number, wherever requests move.
 type Window struct {
 	set        WindowSettings
 	newestSlot int64 // number of the slot that contains the latest time
@@ -152,7 +155,7 @@
 			middle += n
 		}
 	}
-	return min(3*before/4+(within+w.requests[w.index(age)])/2, max(before, middle, within))
+	return min(beforeWeight*before+withinWeight*(within+w.requests[w.index(age)]), max(before, middle, within))
 }
 
 // index returns where the counts of the slot are kept that is a number of slots old.
