Gateway: a stop that is requested while the process is paused ends within its grace

What callers saw: a daemon that gets SIGTERM while it is paused (SIGSTOP, no processor, or both signals at nearly the same time) learned of it when it went on, and took its whole grace from then. Whoever sent the signal kills it after the grace as it knows it, with requests in flight that were admitted on the assumption of more time.

Cause: the time of a stop is the clock as the signal is received. Pauses after that were counted already: the clock goes on, and the reducer compares with Stop.Since.

The process now knows its pauses by the reducer's ticks. A signal that is received within 200 ms of the end of one may have been sent at any time in it, so the grace counts from its begin. Weighed: a stop that is requested right after a pause, but was not sent during it, is shorter by the pause than it may be; plain requests still get their answers, streams are cut sooner.

--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -96,6 +96,7 @@
 	bodies         *bufferBudget // memory of requests' bodies
 	discards       atomic.Int64  // refused bodies that are being discarded
 	cuts           cutRecord     // of callers' connections and bodies
+	pauses         pauses
 	background     sync.WaitGroup
 	callers, links listeningServer // links has no listener if the settings name no address
 	// draining is cancelled once the connections are to be closed.
@@ -227,9 +228,9 @@
 }
 
 // Stop starts a graceful stop: answers to later requests close their connections, and the
-// reducer ends the daemon.
+// reducer ends the daemon. The shutdown timeout counts from the earliest time at which the signal may have been sent.
 func (d *Daemon) Stop() {
-	since := d.clock()
+	since := d.pauses.sentBy(d.clock())
 	d.stopping.Store(true)
 	d.Post(step.Stop{Since: since})
 }
@@ -256,6 +257,7 @@
 // the reducer returns Exit or the context is cancelled.
 func (d *Daemon) runReducer(ctx context.Context) {
 	defer close(d.reducerDone)
+	d.pauses.active(d.clock())
 	ticks := time.NewTicker(tickInterval)
 	defer ticks.Stop()
 	for {
@@ -267,7 +269,9 @@
 			e = step.Tick{}
 		case e = <-d.events:
 		}
-		for _, effect := range d.state.Reduce(d.now(), e) {
+		now := d.now()
+		d.pauses.active(now.Mono)
+		for _, effect := range d.state.Reduce(now, e) {
 			if d.execute(ctx, effect) {
 				return
 			}
--- a/test/process/gateway_grace_test.go
+++ b/test/process/gateway_grace_test.go
@@ -272,6 +272,10 @@
 				f.daemon.signal(syscall.SIGHUP)
 			}
 		},
+		"paused as it is stopped": func(f *graceCluster) {
+			time.Sleep(graceOfStop / 2)
+			f.daemon.resume()
+		},
 		"paused": func(f *graceCluster) {
 			time.Sleep(graceOfStop / 2)
 			f.daemon.pause()
@@ -281,15 +285,15 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			newGraceCluster(t).stopUnderLoad(disturb)
+			newGraceCluster(t).stopUnderLoad(name == "paused as it is stopped", disturb)
 		})
 	}
 }
 
 func pick[T any](random *rand.Rand, from ...T) T { return from[random.IntN(len(from))] }
 
-// stopUnderLoad sends SIGTERM to the daemon while requests of each kind come, until it has ended.
-func (f *graceCluster) stopUnderLoad(disturb func(*graceCluster)) {
+// stopUnderLoad sends SIGTERM to the daemon, paused or not, while requests of each kind come, until it has ended.
+func (f *graceCluster) stopUnderLoad(paused bool, disturb func(*graceCluster)) {
 	var wg sync.WaitGroup
 	done := make(chan struct{})
 	wg.Go(func() { f.measureLag(done) })
@@ -334,6 +338,9 @@
 		load()
 		time.Sleep(10 * time.Millisecond)
 	}
+	if paused {
+		f.daemon.pause()
+	}
 	stoppedAt := time.Now()
 	f.daemon.terminate()
 	wg.Go(func() { disturb(f) })
