Test of hand-overs over the whole grace of a stop

TestHandedOverRequestsOverTheGraceOfAStopAreAnswered: a daemon that reaches no server hands requests over to another one while one of them, or both, stop.

What the sockets showed beside that: requests whose body is still on its way as the process ends have no answer, and were not read whole.

--- a/test/process/gateway_grace_test.go
+++ b/test/process/gateway_grace_test.go
@@ -19,6 +19,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/rhubarbswitch/rhubarbswitch/internal/stub/cutter"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/stub/site"
 )
 
@@ -38,7 +39,10 @@
 // graceCluster is a daemon in front of servers that work for as long as requests say.
 type graceCluster struct {
 	*gatewayCluster
-	daemon *gatewayDaemon
+	daemon  *gatewayDaemon   // to which callers send
+	stopped []*gatewayDaemon // the daemons that are stopped
+	// longestDeadline replaces all longer ones.
+	longestDeadline time.Duration
 
 	mu       sync.Mutex
 	runs     map[string][]time.Time // ends of runs, zero while they last, by request
@@ -92,12 +96,37 @@
 		})
 	}
 	f.daemon = f.startDaemon(0)
-	waitUntil(t, "requests are served", func() bool {
-		return f.daemon.request(http.MethodPost, "/read/1", fmt.Sprintf("warm-%d", time.Now().UnixNano()), map[string]string{workHeader: "0"}).Status == http.StatusOK
-	})
+	f.stopped = []*gatewayDaemon{f.daemon}
+	f.waitUntilServed("/read/1")
+	return f
+}
+
+// newHandoverGraceCluster is newGraceCluster with a first daemon that hands all requests over to a second one.
+func newHandoverGraceCluster(t *testing.T) *graceCluster {
+	f := newGraceCluster(t)
+	f.stopped, f.daemons = nil, nil
+	f.daemon.kill()
+	links := freeAddress(t)
+	view, err := f.site.NewView(links)
+	require.NoError(t, err)
+	t.Cleanup(view.Close)
+	f.startDaemon(1)
+	f.extraSettings["links"], f.extraSettings["platform"] = links, view.Address
+	f.daemon = f.startDaemon(2)
+	f.waitUntilServed("/read/1")
+	require.NoError(t, view.CutServers(cutter.Cut{Existing: cutter.Freeze}, cutter.Hanging))
+	for range 3 {
+		f.waitUntilServed("/write/1")
+	}
 	return f
 }
 
+func (f *graceCluster) waitUntilServed(path string) {
+	waitUntil(f.t, "requests are served", func() bool {
+		return f.daemon.request(http.MethodPost, path, fmt.Sprintf("warm-%d", time.Now().UnixNano()), map[string]string{workHeader: "0"}).Status == http.StatusOK
+	})
+}
+
 // work answers a request as a server does.
 func (f *graceCluster) work(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("X-Request-Id")
@@ -234,7 +263,7 @@
 			require.Empty(f.t, runs, "refused as not run: %s", what)
 		}
 		if after > cutStreamsSent {
-			counts[fmt.Sprintf("%d passed on %t", r.status, len(runs) > 0)]++
+			counts[fmt.Sprintf("%d passed on %t whole %t", r.status, len(runs) > 0, !r.sent.IsZero())]++
 		}
 		if r.complete || r.sent.IsZero() {
 			continue
@@ -255,7 +284,7 @@
 			require.Fail(f.t, "a request has no complete answer", what)
 		}
 	}
-	f.t.Logf("requests that came late, by status and whether they were passed on: %v", counts)
+	f.t.Logf("requests that came late, by status, whether they were passed on, and sent whole: %v", counts)
 }
 
 // TestRequestsOverTheGraceOfAStopAreAnswered guards against requests that come late in the grace, are passed on and then cut.
@@ -290,9 +319,29 @@
 	}
 }
 
+// TestHandedOverRequestsOverTheGraceOfAStopAreAnswered guards against the same while requests are at another daemon: the one that
+// hands over stops, the one that takes them, or both.
+func TestHandedOverRequestsOverTheGraceOfAStopAreAnswered(t *testing.T) {
+	for name, stopped := range map[string]func(f *graceCluster) []*gatewayDaemon{
+		"handing": func(f *graceCluster) []*gatewayDaemon { return f.daemons[1:] },
+		"taking":  func(f *graceCluster) []*gatewayDaemon { return f.daemons[:1] },
+		"both":    func(f *graceCluster) []*gatewayDaemon { return f.daemons },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newHandoverGraceCluster(t)
+			f.stopped = stopped(f)
+			if name == "taking" { // the other daemon lives on, and silent servers would last
+				f.longestDeadline = 5 * time.Second
+			}
+			f.stopUnderLoad(false, func(*graceCluster) {})
+		})
+	}
+}
+
 func pick[T any](random *rand.Rand, from ...T) T { return from[random.IntN(len(from))] }
 
-// stopUnderLoad sends SIGTERM to the daemon, paused or not, while requests of each kind come, until it has ended.
+// stopUnderLoad sends SIGTERM to the daemons, the first one paused or not, while requests of each kind come, until they have ended.
 func (f *graceCluster) stopUnderLoad(paused bool, disturb func(*graceCluster)) {
 	var wg sync.WaitGroup
 	done := make(chan struct{})
@@ -303,7 +352,7 @@
 		kept[i] = f.dial()
 		require.NotNil(f.t, kept[i])
 		warm.Go(func() {
-			assert.True(f.t, f.send(kept[i], &graceRequest{id: fmt.Sprintf("before-%d", i), path: "/read/1"}))
+			assert.True(f.t, f.send(kept[i], &graceRequest{id: fmt.Sprintf("before-%d", i), path: "/read/1", deadline: 2 * time.Second}))
 		})
 	}
 	warm.Wait()
@@ -317,6 +366,9 @@
 			deadline: pick(random, 0, 300*time.Millisecond, time.Second, 2*time.Second, 30*time.Second),
 			bodyTime: pick(random, 0, 0, 0, 300*time.Millisecond, 2*time.Second),
 		}
+		if f.longestDeadline > 0 && (r.deadline == 0 || r.deadline > f.longestDeadline) {
+			r.deadline = f.longestDeadline
+		}
 		sent++
 		var c *graceConn
 		if random.IntN(2) == 0 && len(kept) > 0 {
@@ -342,9 +394,11 @@
 		f.daemon.pause()
 	}
 	stoppedAt := time.Now()
-	f.daemon.terminate()
+	for _, d := range f.stopped {
+		d.terminate()
+	}
 	wg.Go(func() { disturb(f) })
-	for !f.daemon.hasExited() {
+	for slices.ContainsFunc(f.stopped, func(d *gatewayDaemon) bool { return !d.hasExited() }) {
 		load()
 		interval := 8 * time.Millisecond
 		if time.Since(stoppedAt) > graceOfStop*5/6 {
@@ -359,7 +413,9 @@
 		_ = c.Close()
 	}
 	wg.Wait()
-	require.Zero(f.t, f.daemon.waitExit(time.Second))
+	for _, d := range f.stopped {
+		require.Zero(f.t, d.waitExit(time.Second))
+	}
 	require.LessOrEqual(f.t, exitedAfter, graceOfStop+time.Second+f.lag, "the daemon exits long after its grace")
 	f.check(stoppedAt)
 	f.t.Logf("exited after %s, timers were late by up to %s", exitedAfter, f.lag)
