Logging: a line that is logged while the process exits is no panic

What was seen: a daemon that exits at the end of its grace closes the connections of callers that still send; their handlers log that. The writer of the log closed its queue at the same time, and a send on a closed channel panics, in a deferred function of net/http, which ends the process with code 2 instead of 0. Callers lose nothing, since their connections are closed before.

Found by the race detector in all seven stops at the end of a grace:

go test -race ./test/process -run OverTheGrace --- FAIL: TestRequestsOverTheGraceOfAStopAreAnswered process_test.go:147: gateway-0: DATA RACE Write by main goroutine: logging.(*NonBlockingWriter).Close() writer.go:66

Before, without it:

go test ./internal/logging -run TestLinesWritten panic: send on closed channel ... logging.(*NonBlockingWriter).Write writer.go:53

The queue is no longer closed. Close still waits until the queued lines are written, for at most 200 ms.

go test -race ./internal/logging ok

--- a/internal/logging/writer.go
+++ b/internal/logging/writer.go
@@ -29,6 +29,7 @@
 	queue   chan []byte // lines to be written
 	limiter *rate.Limiter
 	dropped atomic.Uint64 // lines dropped since the latest report of dropped lines
+	closing chan struct{} // closed by Close
 	done    chan struct{} // closed when all queued lines are written after Close
 }
 
@@ -36,7 +37,7 @@
 // to write the lines that are still queued.
 func NewNonBlockingWriter(out io.Writer) *NonBlockingWriter {
 	b := &NonBlockingWriter{
-		out: out, queue: make(chan []byte, maxQueuedLines), done: make(chan struct{}),
+		out: out, queue: make(chan []byte, maxQueuedLines), closing: make(chan struct{}), done: make(chan struct{}),
 		limiter: rate.NewLimiter(maxLinesPerSecond, maxLineBurst),
 	}
 	go b.run()
@@ -60,10 +61,10 @@
 // Dropped returns the number of dropped lines that have not been reported in the log yet.
 func (b *NonBlockingWriter) Dropped() uint64 { return b.dropped.Load() }
 
-// Close waits until the queued lines are written, for at most closeTimeout. Write must not be
-// called after it.
+// Close waits until the queued lines are written, for at most closeTimeout. Lines that are written after it
+// may be lost: handlers may still log while the process exits.
 func (b *NonBlockingWriter) Close() {
-	close(b.queue)
+	close(b.closing)
 	select {
 	case <-b.done:
 	case <-time.After(closeTimeout):
@@ -72,11 +73,28 @@
 
 func (b *NonBlockingWriter) run() {
 	defer close(b.done)
-	for line := range b.queue {
-		if n := b.dropped.Swap(0); n > 0 {
-			line = append([]byte(fmt.Sprintf("{\"level\":\"WARN\",\"msg\":\"log lines dropped\",\"count\":%d}\n", n)), line...)
+	for {
+		select {
+		case line := <-b.queue:
+			b.write(line)
+			continue
+		case <-b.closing:
 		}
-		// There is nowhere left to report a failure to write the log.
-		_, _ = b.out.Write(line)
+		for {
+			select {
+			case line := <-b.queue:
+				b.write(line)
+			default:
+				return
+			}
+		}
+	}
+}
+
+func (b *NonBlockingWriter) write(line []byte) {
+	if n := b.dropped.Swap(0); n > 0 {
+		line = append([]byte(fmt.Sprintf("{\"level\":\"WARN\",\"msg\":\"log lines dropped\",\"count\":%d}\n", n)), line...)
 	}
+	// There is nowhere left to report a failure to write the log.
+	_, _ = b.out.Write(line)
 }
--- a/internal/logging/writer_test.go
+++ b/internal/logging/writer_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -35,3 +36,19 @@
 	require.Contains(t, string(text), `"msg":"log lines dropped","count":`)
 	require.LessOrEqual(t, strings.Count(string(text), "\n"), maxQueuedLines+2)
 }
+
+// TestLinesWrittenAsTheWriterCloses guards against a panic of a process whose goroutines log while it exits.
+func TestLinesWrittenAsTheWriterCloses(t *testing.T) {
+	w := NewNonBlockingWriter(io.Discard)
+	var writers sync.WaitGroup
+	for range 4 {
+		writers.Go(func() {
+			for range 100 {
+				_, _ = w.Write([]byte("line\n"))
+			}
+		})
+	}
+	w.Close()
+	writers.Wait()
+	require.NotPanics(t, func() { _, _ = w.Write([]byte("late\n")) })
+}
