fabric: a member whose order to leave has no answer waits before it joins

A host could join another group while the head of the group that it had just left still served callers' requests.

Cause: if a head is out of reach, a member is ordered to leave it. If that order has no answer and the whole group is hidden soon after, the group is set aside. A member that has carried out the order late and returns is in no group, so it was free at once, for this holder and for the next one. Class: an entry without a group taken for proof that the group has ended.

Such a host may join a group only when the head must have stopped, even if the order is carried out as late as possible; the lease names it. An answered order shortens this, one that was not carried out and the release of the group end it.

The simulation can check the groups that hosts have left as well (checkFormer).

--- a/internal/core/fabric/group.go
+++ b/internal/core/fabric/group.go
@@ -95,6 +95,9 @@
 	// expectedOrders orders before.
 	joinSent       bool
 	expectedOrders uint64
+	// leaveSent is whether removeMember has ordered the host to leave. Then host.mayJoinAt bounds when the
+	// head must have stopped for the lack of it.
+	leaveSent bool
 }
 
 func (g *group) head() *member { return &g.members[0] }
@@ -551,6 +554,8 @@
 			continue
 		}
 		if p.sendOrder(now, m.id, step.GroupOrder{Kind: step.OrderLeave, Group: g.id}, out) {
+			m.leaveSent = true
+			h.mayJoinAt = max(h.mayJoinAt, now+maxOrderDelay+p.settings.EngineStall+stallMargin)
 			return
 		}
 	}
@@ -586,6 +591,11 @@
 func (p *Pool) releaseGroup(now time.Duration, g *group, reason string, e releaseEvidence, out *step.Out) {
 	delete(p.groups, g.id)
 	p.released[g.id] = now
+	for _, m := range g.members {
+		if h := p.hosts[m.id]; h != nil && m.leaveSent {
+			h.mayJoinAt = now
+		}
+	}
 	p.reserveMembers(now, g)
 	out.Log(event.GroupDissolved, event.F("group", g.id.Name), event.F("epoch", g.id.Epoch), event.F("model", g.model.Name),
 		event.F("reason", reason), event.F("evidence", string(e)), event.F("stage", stageNames[g.stage]), event.F("millis", (now-g.stageSince).Milliseconds()))
--- a/internal/core/fabric/pool.go
+++ b/internal/core/fabric/pool.go
@@ -268,6 +268,8 @@
 	host   string
 	order  step.GroupOrder
 	sentAt time.Duration
+	// mayJoinAt is the host's without this order.
+	mayJoinAt time.Duration
 }
 
 // New returns a pool without hosts. It calls next for the ID of each order.
@@ -419,7 +421,7 @@
 		g.delaysWritten = true
 		for _, m := range g.members {
 			if m.id != "" {
-				delays[m.id] = p.joinDelay(g)
+				delays[m.id] = max(delays[m.id], p.joinDelay(g))
 			}
 		}
 	}
@@ -493,7 +495,7 @@
 	o.ExpectedOrders = h.orderCount
 	op := p.nextOp()
 	h.pendingOp = op
-	p.pendingOrders[op] = pendingOrder{host: name, order: o, sentAt: now}
+	p.pendingOrders[op] = pendingOrder{host: name, order: o, sentAt: now, mayJoinAt: h.mayJoinAt}
 	out.Add(step.SendGroupOrder{Op: op, Host: name, Address: h.entry.Address, Order: o})
 	return true
 }
@@ -540,7 +542,14 @@
 		}
 		return true
 	}
-	if g := p.groups[op.order.Group]; g != nil {
+	g := p.groups[op.order.Group]
+	switch {
+	case op.order.Kind == step.OrderLeave && (a.Outcome == step.OrderRejected || a.Outcome == step.OrderNotSent):
+		h.mayJoinAt = op.mayJoinAt
+	case op.order.Kind == step.OrderLeave && a.Outcome == step.OrderDone && g != nil && g.rank(op.host) > 0:
+		h.mayJoinAt = max(op.mayJoinAt, now+p.joinDelay(g))
+	}
+	if g != nil {
 		g.onOrderAnswer(now, op, a.Outcome)
 	}
 	return true
--- a/internal/core/fabric/simulation_test.go
+++ b/internal/core/fabric/simulation_test.go
@@ -50,9 +50,13 @@
 	draining     bool
 	unreachable  bool // pools can't reach it
 	unregistered bool // its registrations are lost, and its entry expires
-	entryDueAt   time.Duration
-	listedAs     *site.Host
-	lapsesAt     time.Duration
+	frozen       bool // its entry stays as it is
+	// former is the formation that an order made it leave, of these members.
+	former        site.GroupID
+	formerMembers []string
+	entryDueAt    time.Duration
+	listedAs      *site.Host
+	lapsesAt      time.Duration
 }
 
 type scheduledCall struct {
@@ -72,6 +76,7 @@
 	readyFormations map[string]map[string]bool
 	loadStarts      []time.Duration
 	violations      []string // violated invariants
+	checkFormer     bool     // whether checkFree covers the groups that hosts have left
 	poolLog         []string // what the pools logged
 	ops             step.OpID
 	// lose decides whether the answer to an order is lost, and delay after what time such an
@@ -267,6 +272,7 @@
 		}
 		f.orders++
 		f.lastModel = f.model
+		f.former, f.formerMembers = f.member.Group, f.memberIDs
 		f.member, f.memberIDs, f.model = site.Membership{}, nil, ""
 		f.stalledSince, f.openAt = 0, 0
 		return step.OrderDone
@@ -311,7 +317,10 @@
 		return step.OrderRejected
 	}
 	if f.member.Phase != site.Absent && f.member.Group != o.Group {
-		w.checkFree(f)
+		w.checkFree(f, f.member.Group, f.memberIDs)
+	}
+	if w.checkFormer && f.former != o.Group {
+		w.checkFree(f, f.former, f.formerMembers)
 	}
 	f.orders++
 	f.highestEpoch = o.Group.Epoch
@@ -329,17 +338,17 @@
 	return step.OrderAccepted
 }
 
-// checkFree checks that the head of a host's group can't serve any more.
-func (w *simulation) checkFree(f *fakeEngine) {
-	if len(f.memberIDs) == 0 {
+// checkFree checks that the head of a group that a host is or was in can't serve any more.
+func (w *simulation) checkFree(f *fakeEngine, group site.GroupID, members []string) {
+	if len(members) == 0 {
 		return
 	}
-	head := w.engines[f.memberIDs[0]]
-	if head == nil || !head.up || head.member.Group != f.member.Group {
+	head := w.engines[members[0]]
+	if head == nil || !head.up || head.member.Group != group {
 		return
 	}
 	if p := head.member.Phase; p == site.Open || p == site.Closing {
-		w.violate("%s joins another group while the head %s of %v is %s", f.id, head.id, f.member.Group, p)
+		w.violate("%s joins another group while the head %s of %v is %s", f.id, head.id, group, p)
 	}
 }
 
@@ -401,6 +410,9 @@
 	changed := force
 	for _, id := range w.ids {
 		f := w.engines[id]
+		if f.frozen {
+			continue
+		}
 		now := site.Host{
 			ID: id, Service: "llm", Address: id, DataCentre: f.dataCentre, Domain: f.domain, Slots: 26, Draining: f.draining, Incarnation: f.incarnation,
 			Staged: slices.Clone(f.staged), Model: f.model, Member: f.member,
@@ -445,6 +457,7 @@
 	f := w.engines[id]
 	f.up = false
 	f.member, f.memberIDs, f.model, f.lastModel, f.openAt, f.stalledSince, f.orders, f.highestEpoch = site.Membership{}, nil, "", "", 0, 0, 0, 0
+	f.former, f.formerMembers = site.GroupID{}, nil
 }
 
 func (w *simulation) restart(id string) {
