fabric: an unknown predecessor counts for hosts that register later

After the lease was lost with the store's copy, a host could join a group while the head that it had been taken from still served.

Cause: a holder that knows nothing of the one before lets hosts without a group wait, but only those that had an entry when it took control. Class: a missing entry taken for proof that something has ended.

Hosts that register without a group later wait until the same moment. A host whose report shows that it has accepted no order was in no group and need not wait, so new servers join at once.

TestUnknownPredecessorOfAHostWithoutEntry failed before: "18.16s: h0-1 joins another group while the head h0-0 of {d0.1048577 1048577} is open", also h0-2 and h0-3. go test ./internal/core/fabric -run UnknownPredecessor: passed.

--- a/internal/core/fabric/pool.go
+++ b/internal/core/fabric/pool.go
@@ -184,6 +184,8 @@
 	// joinDelays are the times from which hosts that had no entry when this daemon took control may join a
 	// group; see host.mayJoinAt.
 	joinDelays map[string]time.Duration
+	// predecessorUntil is when heads that an unknown holder may have taken members from must have stopped.
+	predecessorUntil time.Duration
 	// evacuated names the data centres that must get no work.
 	evacuated map[string]bool
 	// quiet has the hosts that asked for no requests; nil if none ever does.
@@ -324,6 +326,9 @@
 		h := p.hosts[e.ID]
 		if h == nil {
 			h = &host{mayJoinAt: p.joinDelays[e.ID]}
+			if e.Member.Phase == site.Absent {
+				h.mayJoinAt = max(h.mayJoinAt, p.predecessorUntil)
+			}
 			p.hosts[e.ID] = h
 			p.lastNewHostAt = now
 		}
@@ -386,9 +391,10 @@
 // have been taken from a group whose head can't be reached and still serves.
 func (p *Pool) AssumeUnknownPredecessor(now time.Duration) {
 	p.loadsBlockedUntil = max(p.loadsBlockedUntil, now+loadWindow)
+	p.predecessorUntil = now + maxOrderDelay + p.settings.EngineStall + stallMargin
 	for _, h := range p.hosts {
 		if h.entry.Member.Phase == site.Absent {
-			h.mayJoinAt = max(h.mayJoinAt, now+maxOrderDelay+p.settings.EngineStall+stallMargin)
+			h.mayJoinAt = max(h.mayJoinAt, p.predecessorUntil)
 		}
 	}
 }
--- a/internal/core/fabric/release_test.go
+++ b/internal/core/fabric/release_test.go
@@ -36,6 +36,30 @@
 	}
 }
 
+// TestUnknownPredecessorOfAHostWithoutEntry guards against a host that joins a group as soon as it registers, although
+// an unknown holder may have taken it from one whose head still serves. One that has accepted no order was in none.
+func TestUnknownPredecessorOfAHostWithoutEntry(t *testing.T) {
+	w := started(t, 2)
+	w.checkFormer = true
+	members := w.engines[w.member("m0", true)].memberIDs
+	w.hide(members, true)
+	w.run(6 * time.Second)
+	w.pools = nil
+	w.addPool()
+	w.pools[0].TakeControl(w.now, 1<<40, nil, 0)
+	w.pools[0].AssumeUnknownPredecessor(w.now)
+	w.run(4 * time.Second)
+	for _, id := range members[1:] { // late orders of that holder
+		f := w.engines[id]
+		w.execute(f, step.GroupOrder{Kind: step.OrderLeave, Group: f.member.Group, ExpectedOrders: f.orders})
+	}
+	w.hide(members[1:], false)
+	w.add("new", "d0")
+	w.run(3 * time.Second)
+	require.Empty(t, w.violations)
+	require.LessOrEqual(t, w.pools[0].hosts["new"].mayJoinAt, w.now)
+}
+
 // TestGroupOfUnknownModelIsNotOpened guards against a group that opens without its last member, because a new holder
 // assumed a smaller model for it.
 func TestGroupOfUnknownModelIsNotOpened(t *testing.T) {
--- a/internal/core/fabric/reports.go
+++ b/internal/core/fabric/reports.go
@@ -127,6 +127,9 @@
 	h.lastReport = r.Report
 	if !h.orderCountKnown && r.Sent >= h.recountFrom {
 		h.orderCount, h.orderCountKnown, h.group = r.Report.OrderCount, true, r.Report.Member.Group
+		if h.orderCount == 0 && h.mayJoinAt == p.predecessorUntil {
+			h.mayJoinAt = p.joinDelays[r.Host] // it was in no group
+		}
 	}
 }
 
