--- a/internal/core/fabric/pool.go
+++ b/internal/core/fabric/pool.go
@@ -186,6 +186,8 @@
 	// joinDelays are the times from which hosts that had no entry when this daemon took control may join a
 	// group; see host.mayJoinAt.
 	joinDelays map[string]time.Duration
+	// predecessorUntil is when heads that an unknown holder may have taken members from must have stopped.
+	predecessorUntil time.Duration
 	// evacuated names the data centres that must get no work.
 	evacuated map[string]bool
 	// quiet has the hosts that asked for no requests; nil if none ever does.
@@ -270,6 +272,8 @@
 	host   string
 	order  step.GroupOrder
 	sentAt time.Duration
+	// mayJoinAt is the host's without this order.
+	mayJoinAt time.Duration
 }
 
 // New returns a pool without hosts. It calls next for the ID of each order.
@@ -324,6 +328,9 @@
 		h := p.hosts[e.ID]
 		if h == nil {
 			h = &host{mayJoinAt: p.joinDelays[e.ID]}
+			if e.Member.Phase == site.Absent {
+				h.mayJoinAt = max(h.mayJoinAt, p.predecessorUntil)
+			}
 			p.hosts[e.ID] = h
 			p.lastNewHostAt = now
 		}
@@ -386,9 +393,10 @@
 // have been taken from a group whose head can't be reached and still serves.
 func (p *Pool) AssumeUnknownPredecessor(now time.Duration) {
 	p.loadsBlockedUntil = max(p.loadsBlockedUntil, now+loadWindow)
+	p.predecessorUntil = now + maxOrderDelay + p.settings.EngineStall + stallMargin
 	for _, h := range p.hosts {
 		if h.entry.Member.Phase == site.Absent {
-			h.mayJoinAt = max(h.mayJoinAt, now+maxOrderDelay+p.settings.EngineStall+stallMargin)
+			h.mayJoinAt = max(h.mayJoinAt, p.predecessorUntil)
 		}
 	}
 }
@@ -424,7 +432,7 @@
 		g.delaysWritten = true
 		for _, m := range g.members {
 			if m.id != "" {
-				delays[m.id] = p.joinDelay(g)
+				delays[m.id] = max(delays[m.id], p.joinDelay(g))
 			}
 		}
 	}
@@ -498,7 +506,7 @@
 	o.ExpectedOrders = h.orderCount
 	op := p.nextOp()
 	h.pendingOp = op
-	p.pendingOrders[op] = pendingOrder{host: name, order: o, sentAt: now}
+	p.pendingOrders[op] = pendingOrder{host: name, order: o, sentAt: now, mayJoinAt: h.mayJoinAt}
 	out.Add(step.SendGroupOrder{Op: op, Host: name, Address: h.entry.Address, Order: o, Until: p.controlUntil})
 	return true
 }
@@ -546,7 +554,14 @@
 		}
 		return true
 	}
-	if g := p.groups[op.order.Group]; g != nil {
+	g := p.groups[op.order.Group]
+	switch {
+	case op.order.Kind == step.OrderLeave && (a.Outcome == step.OrderRejected || a.Outcome == step.OrderNotSent):
+		h.mayJoinAt = op.mayJoinAt
+	case op.order.Kind == step.OrderLeave && a.Outcome == step.OrderDone && g != nil && g.rank(op.host) > 0:
+		h.mayJoinAt = max(op.mayJoinAt, now+p.joinDelay(g))
+	}
+	if g != nil {
 		g.onOrderAnswer(now, op, a.Outcome)
 	}
 	return true
