ctl: redirects and answers that are no 2xx are no success

TestEndlessAnswersToOperators/delete_200_redirects_to_an_endless_body: expected: 1, actual: 10 (requests) - A body beyond 64 MiB was cut off and, for a delete, then counted as whole; compressed empty members were not bounded in bytes, only by the call's timeout; a head had net/http's 10 MiB. Only 2xx is a success now, no redirect is followed, nothing is compressed, a longer body is an error and a head has 64 KiB. TestAnswersToOperatorsCutShort found nothing.

go test ./internal/ctl/...: ok

--- a/internal/ctl/backend/daemon.go
+++ b/internal/ctl/backend/daemon.go
@@ -18,10 +18,15 @@
 
 	"github.com/rhubarbswitch/rhubarbswitch/internal/object"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/operatorapi"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/platform"
 )
 
-// maxAnswerBytes is the size limit of an answer. A longer one is cut off and can't be decoded.
-const maxAnswerBytes = 64 << 20
+const (
+	// maxAnswerBytes is the size limit of an answer's body; a longer one is an error.
+	maxAnswerBytes = 64 << 20
+	// maxHeaderBytes is that of its header.
+	maxHeaderBytes = 64 << 10
+)
 
 // Daemon is a backend that calls the operators' interface of one daemon.
 type Daemon struct {
@@ -37,8 +42,8 @@
 	if err != nil || base.Host == "" || (base.Scheme != "http" && base.Scheme != "https") {
 		return nil, errors.Errorf("daemon %q: give a base URL such as https://10.0.0.2:8444", address)
 	}
-	transport := &http.Transport{TLSClientConfig: tlsConfig, TLSHandshakeTimeout: callTimeout}
-	return &Daemon{base: base, key: key, client: &http.Client{Transport: transport, Timeout: callTimeout}}, nil
+	transport := &http.Transport{TLSClientConfig: tlsConfig, TLSHandshakeTimeout: callTimeout, MaxResponseHeaderBytes: maxHeaderBytes, DisableCompression: true}
+	return &Daemon{base: base, key: key, client: &http.Client{Transport: transport, Timeout: callTimeout, CheckRedirect: platform.NoRedirect}}, nil
 }
 
 // ForAddress returns a backend for the daemon at another address, with the same scheme,
@@ -118,7 +123,7 @@
 		return d.callError(method, connected.Load(), err)
 	}
 	defer func() { _ = answer.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes))
+	data, err := io.ReadAll(http.MaxBytesReader(nil, answer.Body, maxAnswerBytes))
 	if err != nil {
 		return d.callError(method, true, err)
 	}
@@ -136,7 +141,7 @@
 
 // decodeAnswer decodes an answer into the value into, or returns the error that it contains.
 func decodeAnswer(status int, data []byte, into any) error {
-	if status >= http.StatusBadRequest {
+	if status < http.StatusOK || status >= http.StatusMultipleChoices {
 		e := &operatorapi.Error{}
 		if err := json.Unmarshal(data, e); err != nil || e.Code == "" {
 			return errors.Errorf("status %d without a readable error: check that the URL is a daemon's operators' interface", status)
