gateway: streams that end within an event or break off don't look complete

Only relayed streams were checked: TestUnframedAnswersThatAreResetOrCut/sent/once: stream with CRLF, 11 bytes: 200 "id: 1\r\ndata" TestUnframedAnswersThatAreResetOrCut/sent/feed: stream of another case: 200 "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n" A buffered stream without framing has to end with an event now, as a relayed one, or is broken (502, or a retry). The content type is compared without regard to case. - A stream that broke off ended with a plain end of the connection. That is right for HTTP/1.1, where the last chunk is missing, but to an HTTP/1.0 caller it is a complete stream: TestStreamThatBreaksOffIsResetForAnHTTP10Caller/sent/feed: HTTP/1.0: it looks whole The connection of such a caller is reset by any close until its stream is complete. It is set as the stream starts, so that it holds for the end of the process as well.

Nothing else was found on the paths of attempts: every beginning of an answer with a length, in chunks with a trailer, without framing, behind a 103, with 204, and of streams with each framing, closed and reset in turn, on all kinds of routes, sent and handed over; heads, 1xx, bodies, chunk sizes and extensions, trailers, compressed bytes and bytes that are no HTTP, without end and dripping, of answers, streams, refusals, errors, 421 and answers to other requests; the same from a daemon that takes requests over.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -55,6 +55,15 @@
 	panic(http.ErrAbortHandler)
 }
 
+// resetUnlessComplete makes any end of the connection of an HTTP/1.0 caller a reset until the stream is complete, also
+// an end of this process: the end of the connection is the only end of a body that such a caller knows.
+func (x *exchange) resetUnlessComplete() {
+	if c := connOf(x.r); c != nil && !x.r.ProtoAtLeast(1, 1) {
+		x.resetOnClose = c
+		_ = c.SetLinger(0) // fails only on a closed connection
+	}
+}
+
 // recordAborted logs and counts a request without a complete answer.
 func (x *exchange) recordAborted(reason abortReason, fields ...event.Field) {
 	countAborted(reason)
@@ -81,6 +90,9 @@
 // been sent.
 func (x *exchange) finishAnswer() {
 	if x.streamStarted {
+		if x.resetOnClose != nil {
+			_ = x.resetOnClose.SetLinger(-1) // the default; fails only on a closed connection
+		}
 		return
 	}
 	if x.buffered == nil {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -138,7 +138,7 @@
 	if resp.StatusCode < http.StatusMultipleChoices && resp.Header.Get("Content-Encoding") != "" {
 		return step.EndedBroken // callers request no encoding: the body is not the target's own
 	}
-	if a.forward.Stream && resp.StatusCode == http.StatusOK && strings.HasPrefix(resp.Header.Get("Content-Type"), eventStreamType) {
+	if a.forward.Stream && resp.StatusCode == http.StatusOK && isEventStream(resp.Header) {
 		return a.relayStream(resp)
 	}
 	if a.exchange.streamStarted {
@@ -252,7 +252,7 @@
 		held.release()
 		return a.classifyError(err)
 	}
-	if len(body) > maxAnswerBytes {
+	if len(body) > maxAnswerBytes || !isFramed(resp) && isEventStream(resp.Header) && !endsWithEvent(body) {
 		held.release()
 		return step.EndedBroken
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -96,6 +96,7 @@
 	buffered        *bufferedAnswer // nil before a complete answer has arrived
 	holdMu          sync.Mutex      // guards the change of buffered and closed
 	closed          bool            // the handler is about to return
+	resetOnClose    *serverConn     // of an HTTP/1.0 caller that is getting a stream; else nil
 
 	handedOver    bool   // another daemon has handed the request over
 	runs          int    // ended attempts that may have run
--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -16,6 +16,7 @@
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/object"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/relay"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/stub/raw"
 )
 
 // linksBeforeHandover serves the links of a release that takes no requests of other daemons.
@@ -121,3 +122,24 @@
 	}
 	require.Zero(t, served())
 }
+
+// TestBeginningOfATakingDaemonsAnswerIsBroken guards against a beginning of another daemon's answer that looks whole, or that shows that a request has not run.
+func TestBeginningOfATakingDaemonsAnswerIsBroken(t *testing.T) {
+	const headers = "Rhubarbswitch-Handover-Runs: 1\r\nRhubarbswitch-Handover-Host: h\r\n"
+	refusal := "HTTP/1.1 503 Service Unavailable\r\nRhubarbswitch-Handover-Runs: 0\r\nRhubarbswitch-Handover-Code: overloaded\r\nRhubarbswitch-Handover-Outcome: not_run\r\n" +
+		"Rhubarbswitch-Handover-Retry-After-Ms: 0\r\nContent-Length: 0\r\n\r\n"
+	for text, whole := range map[string]step.Ending{
+		"HTTP/1.1 200 OK\r\n" + headers + "Content-Length: 4\r\n\r\nbody":                                         step.EndedComplete,
+		"HTTP/1.1 200 OK\r\n" + headers + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX-More: x\r\n\r\n": step.EndedComplete,
+		"HTTP/1.1 500 Internal Server Error\r\n" + headers + "Content-Length: 4\r\n\r\nbody":                      step.EndedError,
+		refusal: step.EndedRefused,
+	} {
+		s, set := raw.StartChanging(t)
+		for n, cut := range raw.CutShort(text) {
+			set(raw.Answer{Text: cut, Reset: n%2 == 0})
+			require.Equal(t, step.EndedBroken, handOver(t, s.Address, http.MethodPost, "/x").Ending, "%q", cut)
+		}
+		set(raw.Answer{Text: text})
+		require.Equal(t, whole, handOver(t, s.Address, http.MethodPost, "/x").Ending)
+	}
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"github.com/go-faster/errors"
 
@@ -72,9 +73,8 @@
 // only if its framing says so: a target that has crashed ends its connection too. One that was to go on and
 // brought no further event is not: nothing shows that the caller has the last one.
 func (a *attempt) endStream(resp *http.Response) step.Ending {
-	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 	switch {
-	case !a.started && (!framed || a.resumes):
+	case !a.started && (!isFramed(resp) || a.resumes):
 		return step.EndedBroken
 	case !a.exchange.streamStarted:
 		a.exchange.hold(&bufferedAnswer{status: resp.StatusCode, header: resp.Header, held: &buffer{budget: a.exchange.daemon.answers}})
@@ -82,6 +82,29 @@
 	return step.EndedComplete
 }
 
+// isFramed reports whether an answer has a length or chunks, so that its end can be told from that of its connection.
+func isFramed(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+}
+
+// isEventStream reports whether an answer is a stream of events.
+func isEventStream(h http.Header) bool {
+	contentType := h.Get("Content-Type")
+	return len(contentType) >= len(eventStreamType) && strings.EqualFold(contentType[:len(eventStreamType)], eventStreamType)
+}
+
+// endsWithEvent reports whether a whole stream has events, and the last one is complete.
+func endsWithEvent(stream []byte) bool {
+	read, complete := 0, 0
+	for line := range bytes.Lines(stream) {
+		read += len(line)
+		if line[len(line)-1] == '\n' && len(bytes.TrimRight(line, "\r\n")) == 0 {
+			complete = read
+		}
+	}
+	return complete > 0 && len(bytes.TrimSpace(stream[complete:])) == 0
+}
+
 // deliverEvent writes one complete event to the caller, unless the caller already has it. It fails with
 // errEventOrder if the event is not the next one of the stream.
 func (a *attempt) deliverEvent(resp *http.Response, event []byte) error {
@@ -102,6 +125,7 @@
 		x.hold(nil) // the failure of an earlier attempt can no longer be the answer
 		copyHeader(x.w.Header(), resp.Header)
 		x.markTargetsAnswer(x.runs + 1)
+		x.resetUnlessComplete()
 		x.w.WriteHeader(resp.StatusCode)
 		x.streamStarted = true
 	}
