--- a/internal/core/fabric/pool.go
+++ b/internal/core/fabric/pool.go
@@ -556,7 +556,7 @@
 	}
 	g := p.groups[op.order.Group]
 	switch {
-	case op.order.Kind == step.OrderLeave && (a.Outcome == step.OrderRejected || a.Outcome == step.OrderNotSent):
+	case op.order.Kind == step.OrderLeave && a.Outcome.Ineffective():
 		h.mayJoinAt = op.mayJoinAt
 	case op.order.Kind == step.OrderLeave && a.Outcome == step.OrderDone && g != nil && g.rank(op.host) > 0:
 		h.mayJoinAt = max(op.mayJoinAt, now+p.joinDelay(g))
