gateway: a retry after refusals at another daemon is budgeted

Servers could get up to five repeats of a request that no daemon had counted.

Cause: a request that another daemon answered as not run was sent on without a retry of the budget, as one that has reached no host. But that daemon may have tried its own hosts first: they refused, and it answers as not run as well. Each such daemon's first attempt was a repeat without a retry. Class: "not run" was taken for "not arrived".

The answer now names how many attempts were sent to hosts (Rhubarbswitch-Handover-Sent) and how many may have reached theirs (-Reached). Only a request that has reached none is sent on without a retry. Releases that name neither are taken to have reached as many hosts as they name runs.

TestRetryAfterRefusalsAtAnotherDaemonIsBudgeted failed before: "target_failed after 1 arrivals", sent again although the only retry was spent. The endings cut_off and shutting_down are in the same test.

--- a/internal/core/gateway/budget_test.go
+++ b/internal/core/gateway/budget_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/object"
 )
 
 // TestRetriesOfAllDaemonsStayWithinBudget lets several daemons, all of whose targets fail, get
@@ -112,3 +113,33 @@
 	require.LessOrEqual(t, float64(retries), 0.2*reads+50)
 	require.Positive(t, retries)
 }
+
+// withRetries gives a daemon among three that is cut off a number of retries that requests do not add to.
+func withRetries(t *testing.T, n float64) *harness {
+	x := cutOff(t)
+	x.now = 10 * time.Second
+	limits := x.s.settings.Limits
+	limits.RetryShare, limits.RetrySlack = 0, 3*(n+0.1)/budgetShare
+	x.reduce(limits)
+	return x
+}
+
+// TestRetryAfterRefusalsAtAnotherDaemonIsBudgeted guards against arrivals that no daemon counts: another daemon's hosts
+// have refused the request before it comes back.
+func TestRetryAfterRefusalsAtAnotherDaemonIsBudgeted(t *testing.T) {
+	for _, code := range []step.Code{step.CodeTargetFailed, step.CodeCutOff, step.CodeShuttingDown} {
+		for reached, sentAgain := range []bool{true, false} {
+			x := withRetries(t, 1)
+			_, effects := x.call("/read/1", "key")
+			effects = x.endAttempt(x.requireForward(effects), step.EndedError, 500)
+			last, _ := x.failUntilHandedOver(effects, step.EndedUnsent)
+			f := last.(step.Forward)
+			effects = x.reduce(step.ForwardEnded{
+				AttemptEnded: step.AttemptEnded{ID: f.ID, Attempt: f.Attempt, Ending: step.EndedRefused},
+				Handover:     &step.HandoverResult{Sent: 1, Reached: reached, Answer: &step.Answer{Status: 503, Code: code, Outcome: object.NotRun}},
+			})
+			_, again := effects[0].(step.Forward)
+			require.Equal(t, sentAgain, again, "%s after %d arrivals", code, reached)
+		}
+	}
+}
--- a/internal/core/gateway/calls.go
+++ b/internal/core/gateway/calls.go
@@ -443,8 +443,9 @@
 	notRun := e.Ending == step.EndedUnsent || e.Ending == step.EndedRefused
 	mayRetry := notRun || c.route.MayRepeat() && c.ranAttempts < c.maxRuns && len(c.tried) == 0
 	// A move has spent its retry when it was decided, and an unsent attempt has reached no
-	// target.
-	exempt := moving || e.Ending == step.EndedUnsent || notRun && c.daemon != ""
+	// target. One that another daemon did not run may have reached targets there that refused it.
+	reachedElsewhere := e.Handover != nil && e.Handover.Reached > 0
+	exempt := moving || e.Ending == step.EndedUnsent || notRun && c.daemon != "" && !reachedElsewhere
 	mayRetry = mayRetry && !e.Unresumable && now < c.deadline && !c.attemptsSpent()
 	elsewhere := s.pathDoubtful(c)
 	if decision := s.quarantineDecision(now, c, false); decision.RetryAfter > 0 {
--- a/internal/core/gateway/world_test.go
+++ b/internal/core/gateway/world_test.go
@@ -70,6 +70,8 @@
 type takenRequest struct {
 	forward step.Forward
 	runs    int                    // attempts that may have run
+	sent    int                    // attempts at hosts
+	reached int                    // attempts that may have reached a host
 	failed  bool                   // the last attempt ended with a failure answer
 	reply   func(ended step.Event) // to the daemon that handed it over
 }
@@ -93,7 +95,15 @@
 
 // onEnded counts an attempt of a taken request that may have run.
 func (h *handovers) onEnded(id step.RequestID, ending step.Ending) {
-	if r := h.taken[id]; r != nil && ending != step.EndedUnsent && ending != step.EndedRefused {
+	r := h.taken[id]
+	if r == nil {
+		return
+	}
+	r.sent++
+	if ending != step.EndedUnsent {
+		r.reached++
+	}
+	if ending != step.EndedUnsent && ending != step.EndedRefused {
 		r.runs++
 		r.failed = ending == step.EndedError
 	}
@@ -120,7 +130,7 @@
 		if ending == step.EndedComplete && r.failed {
 			ending = step.EndedError
 		}
-		result.Runs = r.runs
+		result.Runs, result.Sent, result.Reached = r.runs, r.sent, r.reached
 		r.reply(step.ForwardEnded{AttemptEnded: step.AttemptEnded{ID: r.forward.ID, Attempt: r.forward.Attempt, Ending: ending}, Handover: result})
 	}
 }
--- a/internal/core/step/gateway.go
+++ b/internal/core/step/gateway.go
@@ -138,6 +138,9 @@
 type HandoverResult struct {
 	// Runs is the number of attempts that may have run there, final if Answer is set.
 	Runs int
+	// Sent is the number of attempts at hosts, and Reached the number of those that may have reached theirs, refused ones
+	// included. Both are final if Answer is set.
+	Sent, Reached int
 	// Answer is the daemon's own answer; nil if the answer is a target's.
 	Answer *Answer
 }
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -131,7 +131,7 @@
 	h := x.w.Header()
 	x.daemon.platform.ToCaller(h, x.callerID, a.RetryAfter)
 	if x.handedOver {
-		relay.HandoverAnswer{Runs: x.runs, Own: a}.Set(h)
+		relay.HandoverAnswer{Runs: x.runs, Sent: x.sent, Reached: x.reached, Own: a}.Set(h)
 	}
 	h.Set("Content-Type", "application/json")
 	body, err := json.Marshal(map[string]any{"error": map[string]any{
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -99,6 +99,8 @@
 
 	handedOver    bool   // another daemon has handed the request over
 	runs          int    // ended attempts that may have run
+	sent          int    // attempts at hosts
+	reached       int    // ended attempts that may have reached a host
 	answeringHost string // whose answer is being received, or is buffered
 
 	ended      chan step.ForwardEnded // the end of the attempt that is running
@@ -252,6 +254,7 @@
 			cancel = stopAttempt
 			x.deadline = e.Deadline
 			x.running = true
+			x.sent++
 			x.setWriteDeadline()
 			go func() {
 				defer stopAttempt()
@@ -272,6 +275,9 @@
 	if end.Ending != step.EndedUnsent && end.Ending != step.EndedRefused {
 		x.runs++
 	}
+	if end.Ending != step.EndedUnsent {
+		x.reached++
+	}
 }
 
 // finish sends the final answer.
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -32,7 +32,7 @@
 	if !x.handedOver {
 		return
 	}
-	a := relay.HandoverAnswer{Host: x.answeringHost, Runs: runs}
+	a := relay.HandoverAnswer{Host: x.answeringHost, Runs: runs, Sent: x.sent, Reached: x.reached + runs - x.runs}
 	if c := x.daemon.config.Load(); c != nil {
 		a.ConfigVersion = c.Version
 	}
@@ -54,7 +54,7 @@
 	case !ok:
 		return step.EndedBroken
 	}
-	a.result.Handover = &step.HandoverResult{Runs: answer.Runs}
+	a.result.Handover = &step.HandoverResult{Runs: answer.Runs, Sent: answer.Sent, Reached: answer.Reached}
 	if answer.Host == "" {
 		a.result.Handover.Answer = &answer.Own
 		timer := time.AfterFunc(refusalTimeout, a.cancel)
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -29,6 +29,10 @@
 	headerLeaving = HandoverPrefix + "Leaving"
 	// headerRuns is how many have run by the time of the answer, or may have.
 	headerRuns = HandoverPrefix + "Runs"
+	// headerSent is how many attempts at hosts there have been, and headerReached how many of them may have reached
+	// theirs.
+	headerSent    = HandoverPrefix + "Sent"
+	headerReached = HandoverPrefix + "Reached"
 	// headerHost is the host that gave the answer; missing if it is the daemon's own.
 	headerHost = HandoverPrefix + "Host"
 	// headerCode, headerOutcome and headerRetryAfter describe an answer of the daemon's own.
@@ -101,6 +105,9 @@
 	Host string
 	// Runs is the number of attempts that have run, or may have.
 	Runs int
+	// Sent is the number of attempts at hosts, and Reached the number of those that may have reached theirs, refused ones
+	// included. Daemons of earlier releases name neither; then both are Runs.
+	Sent, Reached int
 	// ConfigVersion is the version of the daemon's configuration, valid if Host is set; zero if the daemon
 	// does not say.
 	ConfigVersion int64
@@ -111,6 +118,8 @@
 // Set adds what the daemon says to the headers of its answer.
 func (a HandoverAnswer) Set(h http.Header) {
 	h.Set(headerRuns, strconv.Itoa(a.Runs))
+	h.Set(headerSent, strconv.Itoa(a.Sent))
+	h.Set(headerReached, strconv.Itoa(a.Reached))
 	if a.Host != "" {
 		h.Set(headerHost, a.Host)
 		if a.ConfigVersion != 0 {
@@ -134,7 +143,13 @@
 	if err != nil {
 		return a, false
 	}
-	a.Host, a.Runs = h.Get(headerHost), runs
+	a.Host, a.Runs, a.Sent, a.Reached = h.Get(headerHost), runs, runs, runs
+	if sent, err := strconv.Atoi(h.Get(headerSent)); err == nil {
+		a.Sent = sent
+	}
+	if reached, err := strconv.Atoi(h.Get(headerReached)); err == nil {
+		a.Reached = reached
+	}
 	if a.Host != "" {
 		a.ConfigVersion, _ = strconv.ParseInt(h.Get(headerConfigVersion), 10, 64) // earlier releases don't set it
 		return a, true
--- a/internal/relay/handover_test.go
+++ b/internal/relay/handover_test.go
@@ -32,7 +32,7 @@
 	require.NoError(t, err)
 	require.Zero(t, read.ConfigVersion, "of a release that names none")
 
-	for _, answer := range []HandoverAnswer{{Host: "h", Runs: 1}, {Host: "h", Runs: 1, ConfigVersion: 7}} {
+	for _, answer := range []HandoverAnswer{{Host: "h", Runs: 1}, {Host: "h", Runs: 1, Sent: 4, Reached: 3, ConfigVersion: 7}} {
 		h := make(http.Header)
 		answer.Set(h)
 		read, ok := ReadHandoverAnswer(http.StatusOK, h)
