gateway: a request that is handed over counts once for retry budgets

Requests of a daemon that is cut off allowed retries for each daemon that had tried to serve them, up to seven times their share.

Cause: the daemon that takes a request counts it, also if its path is in doubt and it refuses at once, and the daemon that handed it over did not know that it was counted: the next one counted it again, or it did so itself.

A taking daemon now counts a request when it is about to send it to a host, and the daemon that handed it over takes it for counted once attempts were sent there, or if the answer is lost.

TestRequestCountsOnceOverDaemons failed before: handed over as not counted after one attempt at the other daemon's hosts.

--- a/internal/core/gateway/budget_test.go
+++ b/internal/core/gateway/budget_test.go
@@ -143,3 +143,22 @@
 		}
 	}
 }
+
+// TestRequestCountsOnceOverDaemons guards against a request that each daemon counts that tries to send it.
+func TestRequestCountsOnceOverDaemons(t *testing.T) {
+	for sent, counted := range []bool{false, true} {
+		x := withRetries(t, 1)
+		_, effects := x.call("/read/1", "key")
+		x.failUntilHandedOver(effects, step.EndedUnsent)
+		_, effects = x.call("/read/1", "key")
+		f := x.requireForward(effects)
+		require.NotEmpty(t, f.Daemon)
+		require.False(t, f.Counted)
+		f = x.requireForward(x.reduce(step.ForwardEnded{
+			AttemptEnded: step.AttemptEnded{ID: f.ID, Attempt: f.Attempt, Ending: step.EndedRefused},
+			Handover:     &step.HandoverResult{Sent: sent, Answer: &step.Answer{Status: 503, Code: step.CodeCutOff, Outcome: object.NotRun}},
+		}))
+		require.NotEmpty(t, f.Daemon)
+		require.Equal(t, counted, f.Counted, "%d attempts at the other daemon's hosts", sent)
+	}
+}
--- a/internal/core/gateway/calls.go
+++ b/internal/core/gateway/calls.go
@@ -112,9 +112,6 @@
 		s.takenOver++
 		s.adoptLeaving(now, r.LeavingHosts, out)
 	}
-	if !s.wantsHandover(c) {
-		s.countForBudget(now, c)
-	}
 	s.sendToTarget(now, c, step.Answer{}, out)
 }
 
--- a/internal/core/gateway/handover.go
+++ b/internal/core/gateway/handover.go
@@ -135,6 +135,7 @@
 // onHandoverEnded handles the end of an attempt that was handed over. A lost answer is no proof that
 // nothing ran, a refusal is.
 func (s *State) onHandoverEnded(now time.Duration, c *call, e step.ForwardEnded, out *step.Out) {
+	c.counted = c.counted || e.Ending != step.EndedUnsent && (e.Handover == nil || e.Handover.Sent > 0)
 	switch e.Ending {
 	case step.EndedUnsent:
 		c.unsentAttempts++
