gateway: a request that is handed over keeps its service

On a route to several services, a service got repeats that were paid for by requests of another.

Cause: the daemon that takes a request chose the service anew, by its own ID of the request. The retry was taken from the budget of the service that the first daemon had chosen, where the request was counted, too.

The hop names the service (Rhubarbswitch-Handover-Service); the taking daemon uses it if its route leads there, else it chooses as before.

TestHandedOverRequestKeepsItsService failed before ("plain" expected, "small" chosen).

--- a/internal/core/gateway/budget_test.go
+++ b/internal/core/gateway/budget_test.go
@@ -162,3 +162,18 @@
 		require.Equal(t, counted, f.Counted, "%d attempts at the other daemon's hosts", sent)
 	}
 }
+
+// TestHandedOverRequestKeepsItsService guards against retries that are budgeted at another service than the first attempt.
+func TestHandedOverRequestKeepsItsService(t *testing.T) {
+	x := startedWithSlack(t)
+	small := plainHost("s")
+	small.Service = "small"
+	x.reduce(step.SiteConfig{Revision: 2, Config: budgetConfig(t)})
+	x.setHosts(plainHost("a"), small)
+	for i := range 40 {
+		service := []string{"plain", "small"}[i%2]
+		f := x.requireForward(x.reduce(step.Call{ID: step.RequestID(fmt.Sprint(i)), Host: "h", Path: "/split/1", HandedOver: true, MaxRuns: 1, Service: service}))
+		require.Equal(t, service, f.Service)
+		x.endAttempt(f, step.EndedComplete, 200)
+	}
+}
--- a/internal/core/gateway/calls.go
+++ b/internal/core/gateway/calls.go
@@ -158,6 +158,9 @@
 	c.service = c.route.PickService(rendezvous.Mix(rendezvous.Hash(string(c.req.ID))))
 	c.maxRuns = c.route.MaxTargets
 	if c.req.HandedOver {
+		if c.route.LeadsTo(c.req.Service) {
+			c.service = c.req.Service // its retries are budgeted there
+		}
 		c.maxRuns = min(c.maxRuns, c.req.MaxRuns)
 		return s.admitHandedOver(c)
 	}
--- a/internal/core/gateway/world_test.go
+++ b/internal/core/gateway/world_test.go
@@ -86,7 +86,7 @@
 	call := h.calls[f.ID]
 	call.ID = step.RequestID(fmt.Sprintf("%s>%d", f.Attempt, h.messages))
 	call.HandedOver, call.MaxRuns, call.Counted, call.ConfigVersion = true, f.MaxRuns, f.Counted, f.ConfigVersion
-	call.LeavingHosts = f.LeavingHosts
+	call.LeavingHosts, call.Service = f.LeavingHosts, f.Service
 	h.calls[call.ID] = call
 	h.taken[call.ID] = &takenRequest{forward: f, reply: reply}
 	h.byID[f.Attempt] = call.ID
--- a/internal/core/site/config.go
+++ b/internal/core/site/config.go
@@ -162,6 +162,11 @@
 	return strings.ToLower(host)
 }
 
+// LeadsTo reports whether a service gets requests of the route.
+func (r *Route) LeadsTo(service string) bool {
+	return slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Service == service && (s.Weight > 0 || len(r.Shares) == 1) })
+}
+
 // PickService returns the service for a request by the route's weights. The number spread must
 // be evenly distributed over requests.
 func (r *Route) PickService(spread uint64) string {
--- a/internal/core/step/gateway.go
+++ b/internal/core/step/gateway.go
@@ -38,6 +38,8 @@
 	StaysHere bool
 	// Counted is set if the daemon that hands it over has counted it for its retry budget.
 	Counted bool
+	// Service is the service that that daemon has chosen for it; empty if it named none.
+	Service string
 	// ConfigVersion is the version of the configuration by which that daemon admitted it; 0 if it named none.
 	ConfigVersion int64
 	// LeavingHosts are hosts that have told that daemon that they leave.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -159,7 +159,7 @@
 	timeLeft := a.forward.Deadline - a.exchange.daemon.clock()
 	if a.forward.Daemon != "" {
 		a.exchange.daemon.platform.ToDaemon(h, timeLeft)
-		relay.Handover{MaxRuns: a.forward.MaxRuns, Counted: a.forward.Counted, ConfigVersion: a.forward.ConfigVersion, LeavingHosts: a.forward.LeavingHosts}.Set(h)
+		relay.Handover{MaxRuns: a.forward.MaxRuns, Counted: a.forward.Counted, Service: a.forward.Service, ConfigVersion: a.forward.ConfigVersion, LeavingHosts: a.forward.LeavingHosts}.Set(h)
 	} else {
 		a.exchange.daemon.platform.ToTarget(h, AttemptHeader{Host: a.forward.Host, Team: a.forward.Team, Urgency: a.forward.Urgency, TimeLeft: timeLeft, LastEventID: a.exchange.lastEventID})
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -67,7 +67,7 @@
 		ID: x.id, CallerID: callHeader.ID, Method: r.Method, Host: r.Host, Path: r.URL.EscapedPath(), Query: r.URL.RawQuery, Key: callHeader.Key,
 		Model: callHeader.Model, PromptTokens: callHeader.PromptTokens, MaxTokens: callHeader.MaxTokens,
 		SharedParts: callHeader.SharedParts, BodyHash: xxhash.Sum64(x.body),
-		HandedOver: origin.HandedOver, MaxRuns: origin.MaxRuns, Counted: origin.Counted, ConfigVersion: origin.ConfigVersion, LeavingHosts: origin.LeavingHosts, StaysHere: relay.ServesPath(r.URL.Path),
+		HandedOver: origin.HandedOver, MaxRuns: origin.MaxRuns, Counted: origin.Counted, Service: origin.Service, ConfigVersion: origin.ConfigVersion, LeavingHosts: origin.LeavingHosts, StaysHere: relay.ServesPath(r.URL.Path),
 	}
 	if callHeader.TimeLeft > 0 {
 		call.Deadline = x.arrivedAt + callHeader.TimeLeft
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -23,7 +23,7 @@
 			return
 		}
 		takenOver.Inc()
-		d.serve(w, r, step.Call{HandedOver: true, MaxRuns: o.MaxRuns, Counted: o.Counted, ConfigVersion: o.ConfigVersion, LeavingHosts: o.LeavingHosts})
+		d.serve(w, r, step.Call{HandedOver: true, MaxRuns: o.MaxRuns, Counted: o.Counted, Service: o.Service, ConfigVersion: o.ConfigVersion, LeavingHosts: o.LeavingHosts})
 	})
 }
 
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -14,7 +14,7 @@
 )
 
 // A request that is handed over reaches the other daemon's links as the caller sent it, its key
-// included, with the headers headerMaxRuns, headerCounted, headerConfigVersion and headerLeaving. The answer has the headers below in addition.
+// included, with the headers headerMaxRuns, headerCounted, headerService, headerConfigVersion and headerLeaving. The answer has the headers below in addition.
 const (
 	// HandoverPrefix begins the names of all these headers. Neither callers nor targets may set them.
 	HandoverPrefix = "Rhubarbswitch-Handover-"
@@ -22,6 +22,8 @@
 	headerMaxRuns = HandoverPrefix + "Max-Runs"
 	// headerCounted is set if the request counts for the retry budget of the daemon that hands it over.
 	headerCounted = HandoverPrefix + "Counted"
+	// headerService is the escaped name of the service that the daemon has chosen for the request.
+	headerService = HandoverPrefix + "Service"
 	// headerConfigVersion is the oldest version of the configuration by which the request may run; in an answer, the
 	// version of the daemon that took it.
 	headerConfigVersion = HandoverPrefix + "Config-Version"
@@ -52,6 +54,8 @@
 	MaxRuns int
 	// Counted is set if the request counts for the retry budget of the daemon that hands it over.
 	Counted bool
+	// Service is the service that that daemon has chosen for the request; empty if it does not say.
+	Service string
 	// ConfigVersion is the oldest version of the configuration by which the request may run; zero if it does
 	// not say.
 	ConfigVersion int64
@@ -72,6 +76,9 @@
 			return Handover{}, errors.Wrap(err, "read the version of the configuration")
 		}
 	}
+	if o.Service, err = url.QueryUnescape(h.Get(headerService)); err != nil {
+		return Handover{}, errors.Wrap(err, "read the service")
+	}
 	for _, line := range h[headerLeaving] {
 		name, number, _ := strings.Cut(line, "=")
 		host, errName := url.QueryUnescape(name)
@@ -90,6 +97,9 @@
 	if o.Counted {
 		h.Set(headerCounted, "1")
 	}
+	if o.Service != "" {
+		h.Set(headerService, url.QueryEscape(o.Service))
+	}
 	if o.ConfigVersion > 0 {
 		h.Set(headerConfigVersion, strconv.FormatInt(o.ConfigVersion, 10))
 	}
--- a/internal/relay/handover_test.go
+++ b/internal/relay/handover_test.go
@@ -12,7 +12,7 @@
 
 // TestHandoverHeadersKeepWhatTheySay guards against hand-overs that lose the version by which a request was admitted.
 func TestHandoverHeadersKeepWhatTheySay(t *testing.T) {
-	for _, o := range []Handover{{}, {MaxRuns: 2, Counted: true, ConfigVersion: 8}, {MaxRuns: 1, ConfigVersion: math.MaxInt64}, {LeavingHosts: []step.LeavingHost{{Host: "h1", Incarnation: 7}, {Host: "a=b, c%\r\n", Incarnation: -1}}}} {
+	for _, o := range []Handover{{}, {MaxRuns: 2, Counted: true, Service: "a b%", ConfigVersion: 8}, {MaxRuns: 1, ConfigVersion: math.MaxInt64}, {LeavingHosts: []step.LeavingHost{{Host: "h1", Incarnation: 7}, {Host: "a=b, c%\r\n", Incarnation: -1}}}} {
 		h := http.Header{}
 		o.Set(h)
 		for name := range h {
