--- a/internal/stub/site/server.go
+++ b/internal/stub/site/server.go
@@ -444,7 +444,7 @@
 	open := v.Domain == "" || v.member != nil && v.member.State == stateOpen && v.model == r.Header.Get("X-Model")
 	faults, m := v.faults, v.member
 	v.addNotice(h)
-	arrival := Arrival{Request: id, Server: v.ID, Born: v.born, At: time.Now(), Leaving: v.leaving, Quiet: v.quiet, Limit: v.limit()}
+	arrival := Arrival{Request: id, Server: v.ID, Service: v.Service, Born: v.born, At: time.Now(), Leaving: v.leaving, Quiet: v.quiet, Limit: v.limit()}
 	v.mu.Unlock()
 	v.site.recordArrival(arrival)
 	if arrival.Quiet > 0 {
--- a/internal/stub/site/site.go
+++ b/internal/stub/site/site.go
@@ -79,9 +79,9 @@
 
 // Arrival is the arrival of a request at a server, whether the server runs it or not.
 type Arrival struct {
-	Request, Server string
-	Born            int64 // of the server
-	At              time.Time
+	Request, Server, Service string
+	Born                     int64 // of the server
+	At                       time.Time
 	// Leaving is whether the answer says that the server leaves. Quiet is for how long it asks
 	// for no further requests; zero if it does not.
 	Leaving bool
--- a/internal/stub/soak/check.go
+++ b/internal/stub/soak/check.go
@@ -27,11 +27,6 @@
 	// regressGrace is how long after a daemon served a configuration it may still answer from
 	// an older one, since requests overtake each other.
 	regressGrace = 250 * time.Millisecond
-	// Within any retryWindow, the runs that repeat an earlier run of the same request, over
-	// all daemons, are at most retryShare of the requests plus retrySlack.
-	retryWindow = 10 * time.Second
-	retryShare  = 0.1
-	retrySlack  = 50
 )
 
 // Finding is a violation of one of the promises that daemons make to callers and servers.
@@ -242,7 +237,6 @@
 		k.addFindingLocked("groups", "%s", b)
 	}
 	byCall := make(map[string][]site.Run)
-	var repeats []time.Time
 	for _, run := range runs {
 		c := k.calls[run.Request]
 		if c == nil || run.Method != http.MethodPost || run.Path != c.Path || run.Body != c.Body || run.Team != site.Team ||
@@ -250,16 +244,12 @@
 			k.addFindingLocked("asked", "%s ran %s %s %q for %s as %q, which nobody sent", run.Server, run.Method, run.Path, run.Body, run.Team, run.Request)
 			continue
 		}
-		if len(byCall[run.Request]) > 0 {
-			repeats = append(repeats, run.StartedAt)
-		}
 		byCall[run.Request] = append(byCall[run.Request], run)
 		k.checkPlacement(c, run)
 	}
 	for id, ran := range byCall {
 		k.checkRunsOfCall(k.calls[id], ran)
 	}
-	k.checkRetryBudget(repeats)
 }
 
 // checkPlacement checks that the server of a run was neither drained nor evacuated.
@@ -322,35 +312,6 @@
 	}
 }
 
-// checkRetryBudget checks the number of repeated runs in each retryWindow, over all daemons.
-func (k *checker) checkRetryBudget(repeats []time.Time) {
-	slices.SortFunc(repeats, time.Time.Compare)
-	sent := make([]time.Time, 0, len(k.calls))
-	for _, c := range k.calls {
-		sent = append(sent, c.SentAt)
-	}
-	for i, from := range repeats {
-		n := 0
-		for _, at := range repeats[i:] {
-			if at.Before(from.Add(retryWindow)) {
-				n++
-			}
-		}
-		if n <= retrySlack {
-			return // later windows contain fewer repeats
-		}
-		requests := 0
-		for _, at := range sent {
-			if at.After(from.Add(-retryWindow)) && at.Before(from.Add(retryWindow)) {
-				requests++
-			}
-		}
-		if float64(n) > retryShare*float64(requests)+retrySlack {
-			k.addFindingLocked("budget", "%d runs were repeats in %s, with %d requests", n, retryWindow, requests)
-		}
-	}
-}
-
 // Report is the result of a run. It is written as JSON under the field names.
 type Report struct {
 	Seed uint64
