gateway: the transport sends no request a second time

A server could get a request without a body twice for one attempt, without a retry of the budget.

Cause: net/http sends a request again on its own when a connection that was open before ends without an answer, if the method is safe or the request has an Idempotency-Key, and it has no body. The request has no GetBody, which prevents this only for requests with a body. Class: a send that the reducer does not decide on.

Requests with a safe method now have an empty body of unknown length, which the transport can't send again and of which nothing is on the wire; the names of the two headers are written in lower case, which the transport does not look for.

TestTransportRepeatsNoRequest failed before: for GET, a server that reads a request and closes the connection got it twice, on connections 1 and 2. Requests that must not run twice were not affected: their connections are not kept.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -177,6 +177,8 @@
 	}
 	if len(a.exchange.body) > 0 {
 		out.Body, out.ContentLength = io.NopCloser(bytes.NewReader(a.exchange.body)), int64(len(a.exchange.body))
+	} else {
+		preventReplay(out)
 	}
 	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
 		a.conn.Store(&i.Conn)
@@ -186,6 +188,22 @@
 	return out.WithContext(httptrace.WithClientTrace(a.ctx, trace))
 }
 
+// preventReplay has the transport send a request without a body only once. It would else send one with a safe method,
+// or with a key of idempotency, again when a connection that was open before ends without an answer.
+func preventReplay(r *http.Request) {
+	switch r.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		// A body of unknown length can't be sent again. Nothing of it appears on the wire.
+		r.Body, r.TransferEncoding = io.NopCloser(strings.NewReader("")), []string{"identity"}
+	}
+	for _, name := range []string{"Idempotency-Key", "X-Idempotency-Key"} {
+		if values, ok := r.Header[name]; ok {
+			delete(r.Header, name)
+			r.Header[strings.ToLower(name)] = values // names are compared without regard to case, except by the transport
+		}
+	}
+}
+
 // startStallTimer starts the stall timer, or restarts it. A timeout of zero leaves it as it
 // is.
 func (a *attempt) startStallTimer(timeout time.Duration) {
