gateway: no slack before the other daemons are known

Each daemon that had not got the list of daemons yet allowed the slack of the whole deployment.

Cause: without a list, the number of daemons was taken for one. A daemon may have its configuration and hosts for longer than a window without it.

TestNoSlackBeforeTheOtherDaemonsAreKnown failed before: 20 retries (all that were asked for) instead of none. The harness started() lists the daemon itself, as the store does.

--- a/internal/core/gateway/budget_test.go
+++ b/internal/core/gateway/budget_test.go
@@ -218,3 +218,17 @@
 	require.LessOrEqual(t, float64(retries), slack, "within 8.1 s")
 	require.Positive(t, retries)
 }
+
+// TestNoSlackBeforeTheOtherDaemonsAreKnown guards against daemons each of which takes all of the slack.
+func TestNoSlackBeforeTheOtherDaemonsAreKnown(t *testing.T) {
+	x := newHarness(t)
+	x.configure(1)
+	x.setHosts(plainHost("a"), plainHost("b"))
+	limits := x.s.settings.Limits
+	limits.RetryShare = 0
+	x.reduce(limits)
+	x.now = time.Minute
+	require.Zero(t, x.retryAll(20))
+	x.setDaemons(2)
+	require.Equal(t, 20, x.retryAll(200), "its part of the slack")
+}
--- a/internal/core/gateway/gateway_test.go
+++ b/internal/core/gateway/gateway_test.go
@@ -118,6 +118,7 @@
 func started(t *testing.T) *harness {
 	x := newHarness(t)
 	x.configure(1)
+	x.setDaemons(1)
 	x.setHosts(plainHost("a"), plainHost("b"), openHead("h1"), openHead("h2"))
 	return x
 }
