retry: the slack of a service is dealt to daemons in whole retries

With 195 daemons no request to a small service was ever sent again: a lost or refusing server was seen by callers at once, although more than a hundred retries were allowed.

Cause: each daemon had an equal part of a service's slack, 0.53 of a retry for a slack of 130, which allows none, and the share of its few requests did not make up the rest.

The whole retries are dealt to the daemons in turn, in an order that differs between services. No part grows when a daemon becomes known, so that daemons that learn of it at different times stay within the sum.

--- a/internal/core/gateway/budget_test.go
+++ b/internal/core/gateway/budget_test.go
@@ -232,3 +232,25 @@
 	x.setDaemons(2)
 	require.Equal(t, 20, x.retryAll(200), "its part of the slack")
 }
+
+// TestSmallServiceUnderManyDaemonsHasRetries guards against parts of the slack that add up to more than the bound, and
+// against parts that are too small for any retry.
+func TestSmallServiceUnderManyDaemonsHasRetries(t *testing.T) {
+	const daemons, slack = 195, 130.0
+	for _, requests := range []int{1, 2, 5, 20} {
+		retries := 0
+		for i := range daemons {
+			x := newHarness(t)
+			limits := x.s.settings.Limits
+			limits.RetrySlack = slack
+			x.s = New(Settings{Daemon: fmt.Sprint("d", i), Incarnation: "r0", DataCentre: "dc", Cores: 1, Limits: limits})
+			x.configure(1)
+			x.setDaemons(daemons)
+			x.setHosts(plainHost("a"), plainHost("b"))
+			x.now = 10*time.Second + learnTime
+			retries += x.retryAll(requests)
+		}
+		require.LessOrEqual(t, float64(retries), 0.2*float64(requests)*daemons+slack, "%d requests at each daemon", requests)
+		require.GreaterOrEqual(t, retries, 104, "%d requests at each daemon: the slack without its margin", requests)
+	}
+}
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -393,13 +393,15 @@
 
 // setBudget sets this daemon's part of the slack that all daemons share. It has none before it knows of the others.
 func (s *State) setBudget(now time.Duration) {
-	s.budgetDaemons = len(s.daemonNames)
-	slack := 0.0
-	if s.budgetDaemons > 0 {
-		slack = s.settings.Limits.RetrySlack * budgetShare / float64(s.budgetDaemons)
+	names := slices.Sorted(maps.Keys(s.daemonNames))
+	s.budgetDaemons = len(names)
+	slack := func(service string) float64 {
+		if len(names) == 0 {
+			return 0
+		}
+		return retry.Part(s.settings.Limits.RetrySlack*budgetShare, names, s.settings.Daemon, service)
 	}
-	s.budget.Set(now, retry.WindowSettings{
-		Share: s.settings.Limits.RetryShare * budgetShare, Slack: slack,
-		Length: s.settings.Limits.RetryWindow, LearnTime: learnTime, MaxAttempts: maxAttempts,
-	})
+	s.budget.SetEach(now, retry.WindowSettings{
+		Share: s.settings.Limits.RetryShare * budgetShare, Length: s.settings.Limits.RetryWindow, LearnTime: learnTime, MaxAttempts: maxAttempts,
+	}, slack)
 }
--- a/internal/core/retry/window.go
+++ b/internal/core/retry/window.go
@@ -33,6 +33,7 @@
 // retries at another.
 type Windows struct {
 	set       WindowSettings
+	slack     func(service string) float64
 	startedAt time.Duration
 	byService map[string]*Window
 }
@@ -44,11 +45,17 @@
 
 // Set replaces the settings, as Window.Set does.
 func (ws *Windows) Set(now time.Duration, set WindowSettings) {
+	ws.SetEach(now, set, func(string) float64 { return set.Slack })
+}
+
+// SetEach replaces the settings as Set does, with a slack of its own for each service.
+func (ws *Windows) SetEach(now time.Duration, set WindowSettings, slack func(service string) float64) {
 	if set.Length != ws.set.Length {
 		ws.startedAt = now
 	}
-	ws.set = set
-	for _, w := range ws.byService {
+	ws.set, ws.slack = set, slack
+	for service, w := range ws.byService {
+		set.Slack = slack(service)
 		w.Set(now, set)
 	}
 }
@@ -69,6 +76,9 @@
 	if w == nil {
 		w = NewWindow(ws.startedAt)
 		w.set = ws.set
+		if ws.slack != nil {
+			w.set.Slack = ws.slack(service)
+		}
 		ws.byService[service] = w
 	}
 	return w
