--- a/internal/core/gateway/budget_test.go
+++ b/internal/core/gateway/budget_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/object"
 )
 
 // TestRetriesOfAllDaemonsStayWithinBudget lets several daemons, all of whose targets fail, get
@@ -112,3 +113,144 @@
 	require.LessOrEqual(t, float64(retries), 0.2*reads+50)
 	require.Positive(t, retries)
 }
+
+// withRetries gives a daemon among three that is cut off a number of retries that requests do not add to.
+func withRetries(t *testing.T, n float64) *harness {
+	x := cutOff(t)
+	x.now = 10*time.Second + learnTime
+	limits := x.s.settings.Limits
+	limits.RetryShare, limits.RetrySlack = 0, 3*(n+0.1)/budgetShare
+	x.reduce(limits)
+	return x
+}
+
+// TestRetryAfterRefusalsAtAnotherDaemonIsBudgeted guards against arrivals that no daemon counts: another daemon's hosts
+// have refused the request before it comes back.
+func TestRetryAfterRefusalsAtAnotherDaemonIsBudgeted(t *testing.T) {
+	for _, code := range []step.Code{step.CodeTargetFailed, step.CodeCutOff, step.CodeShuttingDown} {
+		for reached, sentAgain := range []bool{true, false} {
+			x := withRetries(t, 1)
+			_, effects := x.call("/read/1", "key")
+			effects = x.endAttempt(x.requireForward(effects), step.EndedError, 500)
+			last, _ := x.failUntilHandedOver(effects, step.EndedUnsent)
+			f := last.(step.Forward)
+			effects = x.reduce(step.ForwardEnded{
+				AttemptEnded: step.AttemptEnded{ID: f.ID, Attempt: f.Attempt, Ending: step.EndedRefused},
+				Handover:     &step.HandoverResult{Sent: 1, Reached: reached, Answer: &step.Answer{Status: 503, Code: code, Outcome: object.NotRun}},
+			})
+			_, again := effects[0].(step.Forward)
+			require.Equal(t, sentAgain, again, "%s after %d arrivals", code, reached)
+		}
+	}
+}
+
+// TestRequestCountsOnceOverDaemons guards against a request that each daemon counts that tries to send it.
+func TestRequestCountsOnceOverDaemons(t *testing.T) {
+	for sent, counted := range []bool{false, true} {
+		x := withRetries(t, 1)
+		_, effects := x.call("/read/1", "key")
+		x.failUntilHandedOver(effects, step.EndedUnsent)
+		_, effects = x.call("/read/1", "key")
+		f := x.requireForward(effects)
+		require.NotEmpty(t, f.Daemon)
+		require.False(t, f.Counted)
+		f = x.requireForward(x.reduce(step.ForwardEnded{
+			AttemptEnded: step.AttemptEnded{ID: f.ID, Attempt: f.Attempt, Ending: step.EndedRefused},
+			Handover:     &step.HandoverResult{Sent: sent, Answer: &step.Answer{Status: 503, Code: step.CodeCutOff, Outcome: object.NotRun}},
+		}))
+		require.NotEmpty(t, f.Daemon)
+		require.Equal(t, counted, f.Counted, "%d attempts at the other daemon's hosts", sent)
+	}
+}
+
+// TestHandedOverRequestKeepsItsService guards against retries that are budgeted at another service than the first attempt.
+func TestHandedOverRequestKeepsItsService(t *testing.T) {
+	x := startedWithSlack(t)
+	small := plainHost("s")
+	small.Service = "small"
+	x.reduce(step.SiteConfig{Revision: 2, Config: budgetConfig(t)})
+	x.setHosts(plainHost("a"), small)
+	for i := range 40 {
+		service := []string{"plain", "small"}[i%2]
+		f := x.requireForward(x.reduce(step.Call{ID: step.RequestID(fmt.Sprint(i)), Host: "h", Path: "/split/1", HandedOver: true, MaxRuns: 1, Service: service}))
+		require.Equal(t, service, f.Service)
+		x.endAttempt(f, step.EndedComplete, 200)
+	}
+}
+
+// retryAll lets all retries of a daemon be made that it allows, and returns their number.
+func (x *harness) retryAll(requests int) int {
+	retries := 0
+	for i := range requests {
+		effects := x.reduce(step.Call{ID: step.RequestID(fmt.Sprint(x.now, i)), Host: "h", Path: "/read/1", Key: "key"})
+		for effects = x.endAttempt(x.requireForward(effects), step.EndedRefused, 503); len(effects) == 1; retries++ {
+			f, ok := effects[0].(step.Forward)
+			if !ok {
+				break
+			}
+			effects = x.endAttempt(f, step.EndedRefused, 503)
+		}
+	}
+	return retries
+}
+
+// TestSlackStaysWithinBoundWhenDaemonsJoin guards against slack that a daemon has used before it learns of others, and
+// that those use again within the same window.
+func TestSlackStaysWithinBoundWhenDaemonsJoin(t *testing.T) {
+	const slack = 50.0
+	limits := newHarness(t).s.settings.Limits
+	limits.RetryShare, limits.RetrySlack = 0, slack
+	old := started(t)
+	old.reduce(limits)
+	old.setDaemons(1)
+	old.now = time.Minute // the others start now
+	old.now += 1900 * time.Millisecond
+	retries := old.retryAll(200)
+	for range 7 {
+		x := started(t)
+		x.reduce(limits)
+		x.setDaemons(8)
+		x.now = 10 * time.Second
+		retries += x.retryAll(200)
+		x.now += learnTime
+		require.Positive(t, x.retryAll(200), "the old part is more than a window ago")
+	}
+	require.LessOrEqual(t, float64(retries), slack, "within 8.1 s")
+	require.Positive(t, retries)
+}
+
+// TestNoSlackBeforeTheOtherDaemonsAreKnown guards against daemons each of which takes all of the slack.
+func TestNoSlackBeforeTheOtherDaemonsAreKnown(t *testing.T) {
+	x := newHarness(t)
+	x.configure(1)
+	x.setHosts(plainHost("a"), plainHost("b"))
+	limits := x.s.settings.Limits
+	limits.RetryShare = 0
+	x.reduce(limits)
+	x.now = time.Minute
+	require.Zero(t, x.retryAll(20))
+	x.setDaemons(2)
+	require.Equal(t, 20, x.retryAll(200), "its part of the slack")
+}
+
+// TestSmallServiceUnderManyDaemonsHasRetries guards against parts of the slack that add up to more than the bound, and
+// against parts that are too small for any retry.
+func TestSmallServiceUnderManyDaemonsHasRetries(t *testing.T) {
+	const daemons, slack = 195, 130.0
+	for _, requests := range []int{1, 2, 5, 20} {
+		retries := 0
+		for i := range daemons {
+			x := newHarness(t)
+			limits := x.s.settings.Limits
+			limits.RetrySlack = slack
+			x.s = New(Settings{Daemon: fmt.Sprint("d", i), Incarnation: "r0", DataCentre: "dc", Cores: 1, Limits: limits})
+			x.configure(1)
+			x.setDaemons(daemons)
+			x.setHosts(plainHost("a"), plainHost("b"))
+			x.now = 10*time.Second + learnTime
+			retries += x.retryAll(requests)
+		}
+		require.LessOrEqual(t, float64(retries), 0.2*float64(requests)*daemons+slack, "%d requests at each daemon", requests)
+		require.GreaterOrEqual(t, retries, 104, "%d requests at each daemon: the slack without its margin", requests)
+	}
+}
--- a/internal/core/gateway/calls.go
+++ b/internal/core/gateway/calls.go
@@ -112,9 +112,6 @@
 		s.takenOver++
 		s.adoptLeaving(now, r.LeavingHosts, out)
 	}
-	if !s.wantsHandover(c) {
-		s.countForBudget(now, c)
-	}
 	s.sendToTarget(now, c, step.Answer{}, out)
 }
 
@@ -161,6 +158,9 @@
 	c.service = c.route.PickService(rendezvous.Mix(rendezvous.Hash(string(c.req.ID))))
 	c.maxRuns = c.route.MaxTargets
 	if c.req.HandedOver {
+		if c.route.LeadsTo(c.req.Service) {
+			c.service = c.req.Service // its retries are budgeted there
+		}
 		c.maxRuns = min(c.maxRuns, c.req.MaxRuns)
 		return s.admitHandedOver(c)
 	}
@@ -443,8 +443,9 @@
 	notRun := e.Ending == step.EndedUnsent || e.Ending == step.EndedRefused
 	mayRetry := notRun || c.route.MayRepeat() && c.ranAttempts < c.maxRuns && len(c.tried) == 0
 	// A move has spent its retry when it was decided, and an unsent attempt has reached no
-	// target.
-	exempt := moving || e.Ending == step.EndedUnsent || notRun && c.daemon != ""
+	// target. One that another daemon did not run may have reached targets there that refused it.
+	reachedElsewhere := e.Handover != nil && e.Handover.Reached > 0
+	exempt := moving || e.Ending == step.EndedUnsent || notRun && c.daemon != "" && !reachedElsewhere
 	mayRetry = mayRetry && !e.Unresumable && now < c.deadline && !c.attemptsSpent()
 	elsewhere := s.pathDoubtful(c)
 	if decision := s.quarantineDecision(now, c, false); decision.RetryAfter > 0 {
--- a/internal/core/retry/window.go
+++ b/internal/core/retry/window.go
@@ -12,6 +12,8 @@
 	Slack float64
 	// Length is the length of the window.
 	Length time.Duration
+	// LearnTime is how long other daemons may take to learn of this one. Until then they may use its part of the slack.
+	LearnTime time.Duration
 	// MaxAttempts bounds the attempts of one request, the first one included.
 	MaxAttempts int
 }
@@ -31,6 +33,7 @@
 // retries at another.
 type Windows struct {
 	set       WindowSettings
+	slack     func(service string) float64
 	startedAt time.Duration
 	byService map[string]*Window
 }
@@ -42,11 +45,17 @@
 
 // Set replaces the settings, as Window.Set does.
 func (ws *Windows) Set(now time.Duration, set WindowSettings) {
+	ws.SetEach(now, set, func(string) float64 { return set.Slack })
+}
+
+// SetEach replaces the settings as Set does, with a slack of its own for each service.
+func (ws *Windows) SetEach(now time.Duration, set WindowSettings, slack func(service string) float64) {
 	if set.Length != ws.set.Length {
 		ws.startedAt = now
 	}
-	ws.set = set
-	for _, w := range ws.byService {
+	ws.set, ws.slack = set, slack
+	for service, w := range ws.byService {
+		set.Slack = slack(service)
 		w.Set(now, set)
 	}
 }
@@ -67,6 +76,9 @@
 	if w == nil {
 		w = NewWindow(ws.startedAt)
 		w.set = ws.set
+		if ws.slack != nil {
+			w.set.Slack = ws.slack(service)
+		}
 		ws.byService[service] = w
 	}
 	return w
@@ -91,7 +103,8 @@
 }
 
 // NewWindow returns the window of a process that starts now. Until the process is as old as
-// the window is long, it has no slack, because its predecessor may have used it.
+// the window is long and the other daemons know of it, it has no slack, because its predecessor
+// or they may have used it.
 func NewWindow(now time.Duration) *Window { return &Window{startedAt: now} }
 
 // Set replaces the settings. The counts are kept unless Length changes; then they restart at
@@ -117,7 +130,7 @@
 	}
 	w.advance(now)
 	slack := 0.0
-	if now-w.startedAt >= w.set.Length {
+	if now-w.startedAt >= w.set.Length+w.set.LearnTime {
 		slack = w.set.Slack
 	}
 	// Each window that contains this moment has begun in one of these slots.
--- a/internal/core/step/gateway.go
+++ b/internal/core/step/gateway.go
@@ -38,6 +38,8 @@
 	StaysHere bool
 	// Counted is set if the daemon that hands it over has counted it for its retry budget.
 	Counted bool
+	// Service is the service that that daemon has chosen for it; empty if it named none.
+	Service string
 	// ConfigVersion is the version of the configuration by which that daemon admitted it; 0 if it named none.
 	ConfigVersion int64
 	// LeavingHosts are hosts that have told that daemon that they leave.
@@ -138,6 +140,9 @@
 type HandoverResult struct {
 	// Runs is the number of attempts that may have run there, final if Answer is set.
 	Runs int
+	// Sent is the number of attempts at hosts, and Reached the number of those that may have reached theirs, refused ones
+	// included. Both are final if Answer is set.
+	Sent, Reached int
 	// Answer is the daemon's own answer; nil if the answer is a target's.
 	Answer *Answer
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -67,7 +67,7 @@
 		ID: x.id, CallerID: callHeader.ID, Method: r.Method, Host: r.Host, Path: r.URL.EscapedPath(), Query: r.URL.RawQuery, Key: callHeader.Key,
 		Model: callHeader.Model, PromptTokens: callHeader.PromptTokens, MaxTokens: callHeader.MaxTokens,
 		SharedParts: callHeader.SharedParts, BodyHash: xxhash.Sum64(x.body),
-		HandedOver: origin.HandedOver, MaxRuns: origin.MaxRuns, Counted: origin.Counted, ConfigVersion: origin.ConfigVersion, LeavingHosts: origin.LeavingHosts, StaysHere: relay.ServesPath(r.URL.Path),
+		HandedOver: origin.HandedOver, MaxRuns: origin.MaxRuns, Counted: origin.Counted, Service: origin.Service, ConfigVersion: origin.ConfigVersion, LeavingHosts: origin.LeavingHosts, StaysHere: relay.ServesPath(r.URL.Path),
 	}
 	if callHeader.TimeLeft > 0 {
 		call.Deadline = x.arrivedAt + callHeader.TimeLeft
@@ -101,6 +101,8 @@
 
 	handedOver    bool   // another daemon has handed the request over
 	runs          int    // ended attempts that may have run
+	sent          int    // attempts at hosts
+	reached       int    // ended attempts that may have reached a host
 	answeringHost string // whose answer is being received, or is buffered
 
 	ended      chan step.ForwardEnded // the end of the attempt that is running
@@ -254,6 +256,7 @@
 			cancel = stopAttempt
 			x.deadline = e.Deadline
 			x.running = true
+			x.sent++
 			x.setWriteDeadline()
 			go func() {
 				defer stopAttempt()
@@ -274,6 +277,9 @@
 	if end.Ending != step.EndedUnsent && end.Ending != step.EndedRefused {
 		x.runs++
 	}
+	if end.Ending != step.EndedUnsent {
+		x.reached++
+	}
 }
 
 // finish sends the final answer.
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -14,7 +14,7 @@
 )
 
 // A request that is handed over reaches the other daemon's links as the caller sent it, its key
-// included, with the headers headerMaxRuns, headerCounted, headerConfigVersion and headerLeaving. The answer has the headers below in addition.
+// included, with the headers headerMaxRuns, headerCounted, headerService, headerConfigVersion and headerLeaving. The answer has the headers below in addition.
 const (
 	// HandoverPrefix begins the names of all these headers. Neither callers nor targets may set them.
 	HandoverPrefix = "Rhubarbswitch-Handover-"
@@ -22,6 +22,8 @@
 	headerMaxRuns = HandoverPrefix + "Max-Runs"
 	// headerCounted is set if the request counts for the retry budget of the daemon that hands it over.
 	headerCounted = HandoverPrefix + "Counted"
+	// headerService is the escaped name of the service that the daemon has chosen for the request.
+	headerService = HandoverPrefix + "Service"
 	// headerConfigVersion is the oldest version of the configuration by which the request may run; in an answer, the
 	// version of the daemon that took it.
 	headerConfigVersion = HandoverPrefix + "Config-Version"
@@ -29,6 +31,10 @@
 	headerLeaving = HandoverPrefix + "Leaving"
 	// headerRuns is how many have run by the time of the answer, or may have.
 	headerRuns = HandoverPrefix + "Runs"
+	// headerSent is how many attempts at hosts there have been, and headerReached how many of them may have reached
+	// theirs.
+	headerSent    = HandoverPrefix + "Sent"
+	headerReached = HandoverPrefix + "Reached"
 	// headerHost is the host that gave the answer; missing if it is the daemon's own.
 	headerHost = HandoverPrefix + "Host"
 	// headerCode, headerOutcome and headerRetryAfter describe an answer of the daemon's own.
@@ -48,6 +54,8 @@
 	MaxRuns int
 	// Counted is set if the request counts for the retry budget of the daemon that hands it over.
 	Counted bool
+	// Service is the service that that daemon has chosen for the request; empty if it does not say.
+	Service string
 	// ConfigVersion is the oldest version of the configuration by which the request may run; zero if it does
 	// not say.
 	ConfigVersion int64
@@ -68,6 +76,9 @@
 			return Handover{}, errors.Wrap(err, "read the version of the configuration")
 		}
 	}
+	if o.Service, err = url.QueryUnescape(h.Get(headerService)); err != nil {
+		return Handover{}, errors.Wrap(err, "read the service")
+	}
 	for _, line := range h[headerLeaving] {
 		name, number, _ := strings.Cut(line, "=")
 		host, errName := url.QueryUnescape(name)
@@ -86,6 +97,9 @@
 	if o.Counted {
 		h.Set(headerCounted, "1")
 	}
+	if o.Service != "" {
+		h.Set(headerService, url.QueryEscape(o.Service))
+	}
 	if o.ConfigVersion > 0 {
 		h.Set(headerConfigVersion, strconv.FormatInt(o.ConfigVersion, 10))
 	}
@@ -101,6 +115,9 @@
 	Host string
 	// Runs is the number of attempts that have run, or may have.
 	Runs int
+	// Sent is the number of attempts at hosts, and Reached the number of those that may have reached theirs, refused ones
+	// included. Daemons of earlier releases name neither; then both are Runs.
+	Sent, Reached int
 	// ConfigVersion is the version of the daemon's configuration, valid if Host is set; zero if the daemon
 	// does not say.
 	ConfigVersion int64
@@ -111,6 +128,8 @@
 // Set adds what the daemon says to the headers of its answer.
 func (a HandoverAnswer) Set(h http.Header) {
 	h.Set(headerRuns, strconv.Itoa(a.Runs))
+	h.Set(headerSent, strconv.Itoa(a.Sent))
+	h.Set(headerReached, strconv.Itoa(a.Reached))
 	if a.Host != "" {
 		h.Set(headerHost, a.Host)
 		if a.ConfigVersion != 0 {
@@ -134,7 +153,13 @@
 	if err != nil {
 		return a, false
 	}
-	a.Host, a.Runs = h.Get(headerHost), runs
+	a.Host, a.Runs, a.Sent, a.Reached = h.Get(headerHost), runs, runs, runs
+	if sent, err := strconv.Atoi(h.Get(headerSent)); err == nil {
+		a.Sent = sent
+	}
+	if reached, err := strconv.Atoi(h.Get(headerReached)); err == nil {
+		a.Reached = reached
+	}
 	if a.Host != "" {
 		a.ConfigVersion, _ = strconv.ParseInt(h.Get(headerConfigVersion), 10, 64) // earlier releases don't set it
 		return a, true
