soak: the retry budget of each service, counted as servers see it

The old check stays. The new one counts arrivals beyond the first of each request, for each service, against its own requests in the same window; a quarter over the budget is allowed, as restarted daemons may exceed it by that (retry.NewWindow).

--- a/internal/stub/soak/soak.go
+++ b/internal/stub/soak/soak.go
@@ -252,6 +252,7 @@
 	r.checker.checkLost(r.site.Runs(), r.site.Arrivals())
 	r.checker.checkNotices(r.site.Arrivals())
 	r.checker.checkLimits(r.site.Limits(), r.site.Arrivals())
+	r.checker.checkServiceBudget(r.site.Arrivals())
 	r.checker.checkLinksCuts()
 	r.checker.checkCrashers(r.site.Crashes(), r.site.Arrivals())
 }
