Gateway: delays below a second before SIGTERM are no pauses of the process

go test -race ./test/process -run OverTheGrace (load average 62) --- FAIL: TestHandedOverRequestsOverTheGraceOfAStopAreAnswered/handing a request has no complete answer: r23 /chat/1, work 2000, sent -1.088s and ended 5.002s after SIGTERM, 1 runs, status 200: unexpected EOF

once in four runs of all; the final answers were due 5.4 s after SIGTERM. That the gap caused it is inferred from the time, the daemon's log was not kept. A gap below a second is not counted now: the final answers come 0.6 s before the end of the grace, and a process that is late by less than a second still ends within the second after it.

TestShortDelaysAreNoPauses is new. The check of the process test allows for what timers of the test itself were late.

--- a/internal/gateway/pauses.go
+++ b/internal/gateway/pauses.go
@@ -6,8 +6,9 @@
 )
 
 const (
-	// pauseThreshold is how long nothing was done, not even a tick, if the process counts as paused.
-	pauseThreshold = 10 * tickInterval
+	// pauseThreshold is how long nothing was done, not even a tick, if the process counts as paused. A lower one
+	// would end streams too soon on a machine that is short of processors.
+	pauseThreshold = 20 * tickInterval
 	// signalDelay is how long after a pause a signal may be received that was sent during it.
 	signalDelay = 200 * time.Millisecond
 )
--- a/internal/gateway/pauses_test.go
+++ b/internal/gateway/pauses_test.go
@@ -25,3 +25,12 @@
 		require.Equal(t, end+signalDelay+tickInterval, p.sentBy(end+signalDelay+tickInterval), "sent after the pause")
 	}
 }
+
+// TestShortDelaysAreNoPauses guards against streams that a stop cuts before the last part of the grace on a busy machine.
+func TestShortDelaysAreNoPauses(t *testing.T) {
+	var p pauses
+	p.active(20 * time.Second)
+	now := 20*time.Second + pauseThreshold - time.Millisecond
+	require.Equal(t, now, p.sentBy(now))
+	require.LessOrEqual(t, pauseThreshold, time.Second)
+}
--- a/test/process/gateway_grace_test.go
+++ b/test/process/gateway_grace_test.go
@@ -276,6 +276,7 @@
 		if r.deadline > 0 {
 			deadline = min(deadline, r.deadline)
 		}
+		lastPart := lastPart - f.lag
 		atWork := slices.ContainsFunc(runs, func(end time.Time) bool { return end.IsZero() || end.After(stoppedAt.Add(lastPart)) })
 		switch {
 		case len(runs) == 0 && r.ended.Sub(r.sent) <= lossSlack+f.lag:
