fabric: loads begin only under a lease that leaves room for them

More loads from the weight store could begin in a window than it allows (CEILING), if a holder died soon after it had begun some.

Cause: the lease said how long the loads count that had begun when it was written. Those of the second after the last write were unknown to the next holder, which began as many again. Class: a bound over all servers is counted over one holder.

A holder that wants loads writes the lease first; it leaves room for loads that begin before the next write. A lease that was written while no load was wanted names the loads that still count, as before. The first load of several waits for one write of the lease; before the first request of a deployment nothing changes.

--- a/internal/core/fabric/form.go
+++ b/internal/core/fabric/form.go
@@ -344,8 +344,13 @@
 	if now < p.loadsBlockedUntil || float64(len(p.loadStarts)+n) > p.engine.MaxLoadsPerSecond*loadWindow.Seconds() {
 		return false
 	}
-	running := p.runningLoads(now)
-	return running == 0 || running+n <= max(p.engine.MaxConcurrentLoads, 1)
+	if running := p.runningLoads(now); running > 0 && running+n > max(p.engine.MaxConcurrentLoads, 1) {
+		return false
+	}
+	p.loadsWanted = true
+	covered := now < p.loadsCoveredUntil
+	p.leaseOutdated = p.leaseOutdated || !covered
+	return covered
 }
 
 // runningLoads counts the hosts that are loading weights from the store.
--- a/internal/core/fabric/pool.go
+++ b/internal/core/fabric/pool.go
@@ -175,12 +175,17 @@
 	controlSince time.Duration
 	// lastNewHostAt is when an unknown host last registered.
 	lastNewHostAt time.Duration
-	// leaseOutdated is whether members of a headless group must not join another group and the
+	// leaseOutdated is whether members of a headless group must not join another group, or loads wait, and the
 	// lease does not yet name them.
 	leaseOutdated bool
 	// loadsBlockedUntil is when the loads that the previous lease holder may have begun stop
 	// counting. Until then no load begins, except in an initial deployment.
 	loadsBlockedUntil time.Duration
+	// loadsWanted is whether loads wait, or have begun, since the lease was last written. Loads begin only
+	// before loadsCoveredUntil: until then a daemon that takes over the lease in force leaves room for them.
+	// loadsWrittenUntil is the same for the lease that was written last, accepted or not.
+	loadsWanted                          bool
+	loadsCoveredUntil, loadsWrittenUntil time.Duration
 	// joinDelays are the times from which hosts that had no entry when this daemon took control may join a
 	// group; see host.mayJoinAt.
 	joinDelays map[string]time.Duration
@@ -382,6 +387,7 @@
 	}
 	p.loadStarts = nil
 	p.loadsBlockedUntil = now + loadsEnd
+	p.loadsWanted, p.loadsCoveredUntil, p.loadsWrittenUntil = false, 0, 0
 	p.demand.restart()
 	p.moves.from, p.moves.to = "", ""
 }
@@ -434,9 +440,14 @@
 	return delays
 }
 
-// LoadsEnd returns how much longer the loads that this daemon has begun count against the
-// limit.
+// LoadsEnd returns how much longer the loads that this daemon has begun, or begins under the lease
+// that is written now, count against the limit once that lease is taken over; see OnLeaseWritten.
 func (p *Pool) LoadsEnd(now time.Duration) time.Duration {
+	if p.loadsWanted {
+		p.loadsWanted, p.loadsWrittenUntil = false, now+leaseTTL
+		return loadWindow
+	}
+	p.loadsCoveredUntil, p.loadsWrittenUntil = 0, 0
 	if len(p.loadStarts) == 0 {
 		return 0
 	}
@@ -444,12 +455,13 @@
 }
 
 // NeedsLeaseWrite reports whether the lease should be written now because it lacks hosts that
-// must not join a group yet. OnLeaseWritten ends that.
+// must not join a group yet, or loads that wait. OnLeaseWritten ends that.
 func (p *Pool) NeedsLeaseWrite() bool { return p.leaseOutdated }
 
 // OnLeaseWritten records that the lease in force names the hosts that JoinDelays returned last.
 func (p *Pool) OnLeaseWritten() {
 	p.leaseOutdated = false
+	p.loadsCoveredUntil = p.loadsWrittenUntil
 	for _, g := range p.groups {
 		if g.stage == headless {
 			g.delaysInLease = g.delaysWritten
--- a/internal/core/fabric/release_test.go
+++ b/internal/core/fabric/release_test.go
@@ -199,3 +199,29 @@
 		}
 	})
 }
+
+// TestLoadsStayWithinLimitAfterTheHolderDies guards against loads of two holders in one window, the first of which
+// dies after its last write of the lease.
+func TestLoadsStayWithinLimitAfterTheHolderDies(t *testing.T) {
+	for _, loadTime := range []time.Duration{600 * time.Millisecond, 4 * time.Second} {
+		w := newSimulation(12, 9, 0)
+		w.engine.MaxLoadsPerSecond, w.engine.MaxConcurrentLoads = 14, 20
+		for i := range w.engine.Models {
+			w.engine.Models[i].LoadTime = loadTime
+		}
+		w.addPool()
+		w.pools[0].TakeControl(0, 1<<20, nil, 0)
+		former := w.pools[0]
+		end := former.LoadsEnd(w.now) // as the last write of the lease has it
+		w.storeOut = true
+		w.run(renewInterval)
+		w.pools = nil
+		w.run(takeoverDelay - renewInterval)
+		w.storeOut = false
+		w.addPool()
+		w.pools[0].TakeControl(w.now, 9<<20, nil, end)
+		w.run(20 * time.Second)
+		require.NotEmpty(t, w.loadStarts)
+		require.False(t, w.tooManyLoads(5*time.Second, 14*5*1.1+3), "loads of %v", loadTime)
+	}
+}
--- a/internal/core/fabric/simulation_test.go
+++ b/internal/core/fabric/simulation_test.go
@@ -76,6 +76,7 @@
 	readyFormations map[string]map[string]bool
 	loadStarts      []time.Duration
 	violations      []string // violated invariants
+	storeOut        bool     // the lease is not written
 	checkFormer     bool     // whether checkFree covers the groups that hosts have left
 	poolLog         []string // what the pools logged
 	ops             step.OpID
@@ -168,8 +169,11 @@
 func (w *simulation) tick(p *Pool) {
 	out := &step.Out{}
 	p.Tick(w.now, out)
-	p.JoinDelays(w.now)
-	p.OnLeaseWritten()
+	if !w.storeOut {
+		p.JoinDelays(w.now)
+		p.LoadsEnd(w.now)
+		p.OnLeaseWritten()
+	}
 	w.perform(p, out)
 }
 
