gateway: no retry slack before the daemons are known

A service could get several times the retries that are allowed (BUDGET): each daemon that had not read the list of daemons used the whole slack once it was as old as the window.

Cause: without a list a daemon counted as the only one. Class: a bound over all daemons counted over one; a missing list taken for proof that there are no others.

A daemon without a list has no slack; its own requests still allow their share. The harness's startedWithSlack lists its daemon, as the store does once it has registered; no check of it changes.

--- a/internal/core/gateway/budget_test.go
+++ b/internal/core/gateway/budget_test.go
@@ -112,3 +112,26 @@
 	require.LessOrEqual(t, float64(retries), 0.2*reads+50)
 	require.Positive(t, retries)
 }
+
+// TestNoRetrySlackBeforeTheDaemonsAreKnown guards against daemons that each use the whole slack as long as they have not
+// read the list of daemons.
+func TestNoRetrySlackBeforeTheDaemonsAreKnown(t *testing.T) {
+	const daemons, requests = 7, 40
+	retries := 0
+	for range daemons {
+		x := started(t)
+		x.now = 20 * time.Second
+		x.setHosts(plainHost("s1"), plainHost("s2"))
+		for i := range requests {
+			effects := x.reduce(step.Call{ID: step.RequestID(fmt.Sprint(i)), Host: "h", Path: "/read/1", Key: "key"})
+			for effects = x.endAttempt(x.requireForward(effects), step.EndedRefused, 503); len(effects) == 1; retries++ {
+				f, ok := effects[0].(step.Forward)
+				if !ok {
+					break
+				}
+				effects = x.endAttempt(f, step.EndedRefused, 503)
+			}
+		}
+	}
+	require.LessOrEqual(t, float64(retries), 0.2*daemons*requests+50)
+}
--- a/internal/core/gateway/gateway.go
+++ b/internal/core/gateway/gateway.go
@@ -136,7 +136,7 @@
 	s.targets.SetQuiet(&s.quiet)
 	s.targets.SetLimits(s.limits)
 	s.lease = fabric.NewLease(set.Daemon, set.Incarnation, set.Cores, s.nextOp)
-	s.setBudget(0, 1)
+	s.setBudget(0)
 	return s
 }
 
@@ -183,8 +183,7 @@
 		s.onGone(e.ID, out)
 	case step.GatewaySettings:
 		s.settings.Limits = e
-		s.budgetDaemons = 0
-		s.setBudget(now.Mono, s.targets.Daemons())
+		s.setBudget(now.Mono)
 		for _, p := range s.pools {
 			p.SetEngineStall(e.EngineStall)
 		}
@@ -270,7 +269,7 @@
 	names := slices.Sorted(maps.Keys(s.daemonNames))
 	s.targets.SetDaemons(names)
 	s.limits.SetDaemons(names)
-	s.setBudget(now, s.targets.Daemons())
+	s.setBudget(now)
 }
 
 func (s *State) onConfig(now time.Duration, e step.SiteConfig, out *step.Out) {
@@ -389,14 +388,16 @@
 	}
 }
 
-// setBudget sets this daemon's part of the slack that all daemons share.
-func (s *State) setBudget(now time.Duration, daemons int) {
-	if daemons == s.budgetDaemons {
-		return
+// setBudget sets this daemon's part of the slack that all daemons share. It has none before the daemons
+// are known: others may use all of it.
+func (s *State) setBudget(now time.Duration) {
+	slack := 0.0
+	s.budgetDaemons = len(s.daemonNames)
+	if s.budgetDaemons > 0 {
+		slack = s.settings.Limits.RetrySlack * budgetShare / float64(s.budgetDaemons)
 	}
-	s.budgetDaemons = daemons
 	s.budget.Set(now, retry.WindowSettings{
-		Share: s.settings.Limits.RetryShare * budgetShare, Slack: s.settings.Limits.RetrySlack * budgetShare / float64(daemons),
+		Share: s.settings.Limits.RetryShare * budgetShare, Slack: slack,
 		Length: s.settings.Limits.RetryWindow, MaxAttempts: maxAttempts,
 	})
 }
--- a/internal/core/gateway/gateway_test.go
+++ b/internal/core/gateway/gateway_test.go
@@ -126,6 +126,7 @@
 // retries.
 func startedWithSlack(t *testing.T) *harness {
 	x := started(t)
+	x.setDaemons(1)
 	x.now = 10 * time.Second
 	return x
 }
