--- a/internal/core/fabric/release_test.go
+++ b/internal/core/fabric/release_test.go
@@ -137,7 +137,7 @@
 		w.hide(w.ids, false)
 		w.run(30 * time.Second)
 		serving := 4*w.open("m0") + 3*w.open("m1")
-		if len(w.violations) > 0 || serving < 12 {
+		if len(w.violations) > 0 || serving < 14 {
 			rt.Fatalf("%d hosts serve\n%v\n%s", serving, w.violations, strings.Join(w.poolLog, "\n"))
 		}
 	})
@@ -194,7 +194,7 @@
 		w.hide(w.ids, false)
 		w.run(28 * time.Second)
 		serving := 4*w.open("m0") + 3*w.open("m1")
-		if len(w.violations) > 0 || serving < 12 {
+		if len(w.violations) > 0 || serving < 14 {
 			rt.Fatalf("%d hosts serve\n%v\n%s", serving, w.violations, strings.Join(w.poolLog, "\n"))
 		}
 	})
