--- a/internal/core/fabric/release_test.go
+++ b/internal/core/fabric/release_test.go
@@ -137,7 +137,7 @@
 		w.hide(w.ids, false)
 		w.run(30 * time.Second)
 		serving := 4*w.open("m0") + 3*w.open("m1")
-		if len(w.violations) > 0 || serving < 12 {
+		if len(w.violations) > 0 || serving < 14 {
 			rt.Fatalf("%d hosts serve\n%v\n%s", serving, w.violations, strings.Join(w.poolLog, "\n"))
 		}
 	})
@@ -194,8 +194,34 @@
 		w.hide(w.ids, false)
 		w.run(28 * time.Second)
 		serving := 4*w.open("m0") + 3*w.open("m1")
-		if len(w.violations) > 0 || serving < 12 {
+		if len(w.violations) > 0 || serving < 14 {
 			rt.Fatalf("%d hosts serve\n%v\n%s", serving, w.violations, strings.Join(w.poolLog, "\n"))
 		}
 	})
 }
+
+// TestLoadsStayWithinLimitAfterTheHolderDies guards against loads of two holders in one window, the first of which
+// dies after its last write of the lease.
+func TestLoadsStayWithinLimitAfterTheHolderDies(t *testing.T) {
+	for _, loadTime := range []time.Duration{600 * time.Millisecond, 4 * time.Second} {
+		w := newSimulation(12, 9, 0)
+		w.engine.MaxLoadsPerSecond, w.engine.MaxConcurrentLoads = 14, 20
+		for i := range w.engine.Models {
+			w.engine.Models[i].LoadTime = loadTime
+		}
+		w.addPool()
+		w.pools[0].TakeControl(0, 1<<20, nil, 0)
+		former := w.pools[0]
+		end := former.LoadsEnd(w.now) // as the last write of the lease has it
+		w.storeOut = true
+		w.run(renewInterval)
+		w.pools = nil
+		w.run(takeoverDelay - renewInterval)
+		w.storeOut = false
+		w.addPool()
+		w.pools[0].TakeControl(w.now, 9<<20, nil, end)
+		w.run(20 * time.Second)
+		require.NotEmpty(t, w.loadStarts)
+		require.False(t, w.tooManyLoads(5*time.Second, 14*5*1.1+3), "loads of %v", loadTime)
+	}
+}
