--- a/internal/core/retry/part.go
+++ b/internal/core/retry/part.go
@@ -10,7 +10,7 @@
 // one allows no retry: the whole retries are dealt to the daemons in turn, in an order that differs between services.
 // With more daemons no part becomes larger.
 func Part(slack float64, daemons []string, self, service string) float64 {
-	seat, count := 0, len(daemons)
+	rank, count := 0, len(daemons)
 	if !slices.Contains(daemons, self) {
 		count++
 	}
@@ -20,8 +20,8 @@
 	own := order(self)
 	for _, d := range daemons {
 		if d != self && order(d) < own {
-			seat++
+			rank++
 		}
 	}
-	return float64(max(0, int(slack)-seat+count-1) / count)
+	return float64(max(0, int(slack)-rank+count-1) / count)
 }
