stub/raw: a server whose answer changes, and a wait that may be repeated

The WaitGroup of the open connections was used again while a Wait returned: panic: sync: WaitGroup is reused before previous Wait has returned and answers that a test changed were a data race under -race (TestBeginningOfATakingDaemonsAnswerIsBroken, the first run with the race detector). No check changed.

--- a/internal/ctl/backend/endless_test.go
+++ b/internal/ctl/backend/endless_test.go
@@ -58,15 +58,14 @@
 	for what, call := range calls {
 		t.Run(what, func(t *testing.T) {
 			t.Parallel()
-			var answer raw.Answer // one request at a time
-			s := raw.Start(t, func(*http.Request) raw.Answer { return answer })
+			s, set := raw.StartChanging(t)
 			d := newDaemon(t, s, 20*time.Second)
 			for _, framing := range []string{
 				fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body), "\r\n" + body,
 				fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\nX-More: x\r\n\r\n", len(body), body),
 			} {
 				for n, cut := range raw.CutShort("HTTP/1.1 200 OK\r\n" + framing) {
-					answer = raw.Answer{Text: cut, Reset: n%2 == 0}
+					set(raw.Answer{Text: cut, Reset: n%2 == 0})
 					before := s.Requests()
 					require.Error(t, call(t.Context(), d), "%q", cut)
 					require.Equal(t, before+1, s.Requests(), "%q", cut)
--- a/internal/platform/endless_test.go
+++ b/internal/platform/endless_test.go
@@ -110,13 +110,12 @@
 		"conflict": "HTTP/1.1 409 Conflict\r\nContent-Length: 8\r\n\r\n" + body,
 	} {
 		t.Run(name, func(t *testing.T) {
-			var answer raw.Answer // one request at a time
-			s := raw.Start(t, func(*http.Request) raw.Answer { return answer })
+			s, set := raw.StartChanging(t)
 			c := boundedClient(t, s)
 			c.callTimeout = 20 * time.Second
 			for n, cut := range raw.CutShort(text) {
 				for _, reset := range []bool{false, true} {
-					answer = raw.Answer{Text: cut, Reset: reset}
+					set(raw.Answer{Text: cut, Reset: reset})
 					before := s.Requests()
 					_, err := c.Do(t.Context(), Call{Op: "put", Method: http.MethodPut, Path: "/"})
 					_, lost := errors.Into[*LostError](err)
--- a/internal/stub/raw/raw.go
+++ b/internal/stub/raw/raw.go
@@ -59,7 +59,9 @@
 	answer   func(r *http.Request) Answer
 	written  atomic.Int64
 	requests atomic.Int64
-	open     sync.WaitGroup
+	mu       sync.Mutex // guards open
+	open     int        // connections
+	closed   sync.Cond  // a connection has been closed
 }
 
 // Start starts a server that ends with the test.
@@ -70,19 +72,27 @@
 	}
 	t.Cleanup(func() { _ = listener.Close() })
 	s := &Server{Address: listener.Addr().String(), answer: answer}
+	s.closed.L = &s.mu
 	go func() {
 		for {
 			conn, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			s.open.Add(1)
+			s.count(1)
 			go s.serve(conn.(*net.TCPConn))
 		}
 	}()
 	return s
 }
 
+// StartChanging starts a server whose answer is the one that set was last called with.
+func StartChanging(t testing.TB) (s *Server, set func(Answer)) {
+	var answer atomic.Pointer[Answer]
+	s = Start(t, func(*http.Request) Answer { return *answer.Load() })
+	return s, func(a Answer) { answer.Store(&a) }
+}
+
 // Written returns how many bytes its callers and the kernel have taken.
 func (s *Server) Written() int64 { return s.written.Load() }
 
@@ -90,11 +100,24 @@
 func (s *Server) Requests() int { return int(s.requests.Load()) }
 
 // Wait returns once no connection is open. Connections of callers that read on forever stay open.
-func (s *Server) Wait() { s.open.Wait() }
+func (s *Server) Wait() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for s.open > 0 {
+		s.closed.Wait()
+	}
+}
+
+func (s *Server) count(change int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.open += change
+	s.closed.Broadcast()
+}
 
 // serve answers the first request of a connection.
 func (s *Server) serve(conn *net.TCPConn) {
-	defer s.open.Done()
+	defer s.count(-1)
 	defer func() { _ = conn.Close() }()
 	_ = conn.SetWriteBuffer(sendBuffer) // fails only on a closed connection
 	r, err := http.ReadRequest(bufio.NewReader(conn))
