Tests: the raw server counts connections over which a request has come

A connection that a caller opened as its call timed out, and kept without a request, made Server.Wait hang: go test -race ./internal/ctl/backend did not end in 8 minutes.

--- a/internal/stub/raw/raw.go
+++ b/internal/stub/raw/raw.go
@@ -60,7 +60,7 @@
 	written  atomic.Int64
 	requests atomic.Int64
 	mu       sync.Mutex // guards open
-	open     int        // connections
+	open     int        // connections with a request
 	closed   sync.Cond  // a connection has been closed
 }
 
@@ -79,7 +79,6 @@
 			if err != nil {
 				return
 			}
-			s.count(1)
 			go s.serve(conn.(*net.TCPConn))
 		}
 	}()
@@ -99,7 +98,7 @@
 // Requests returns how many requests have arrived.
 func (s *Server) Requests() int { return int(s.requests.Load()) }
 
-// Wait returns once no connection is open. Connections of callers that read on forever stay open.
+// Wait returns once no connection is open over which a request has come. Connections of callers that read on forever stay open.
 func (s *Server) Wait() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -117,13 +116,15 @@
 
 // serve answers the first request of a connection.
 func (s *Server) serve(conn *net.TCPConn) {
-	defer s.count(-1)
-	defer func() { _ = conn.Close() }()
 	_ = conn.SetWriteBuffer(sendBuffer) // fails only on a closed connection
 	r, err := http.ReadRequest(bufio.NewReader(conn))
 	if err != nil {
+		_ = conn.Close()
 		return
 	}
+	s.count(1)
+	defer s.count(-1)
+	defer func() { _ = conn.Close() }()
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
