Test of group repair: waits until the daemons have their retry slack

Traced: the test waits for one window of 1 s, after which daemons had their slack; since they have it 2 s later, once the others know of them, and 12 requests in all allow no retries of their own. On a start of less than 2 s the streams were refused the retry.

--- a/test/process/gateway_test.go
+++ b/test/process/gateway_test.go
@@ -183,6 +183,7 @@
 // earlier run may have spent it. The window is short here so that the daemons are older.
 func TestGatewayRepairsGroups(t *testing.T) {
 	const retryWindow = time.Second
+	const slackDelay = 2 * time.Second // a daemon has no retry slack before the others know of it
 	f := newGatewayClusterWith(t, 2, map[string]any{"retryWindow": retryWindow.String()})
 	started := time.Now()
 	waitUntil(t, "two groups are open", func() bool { return f.openGroups() == 2 })
@@ -192,7 +193,7 @@
 			return d.chat(id).Body == site.EventsOf(id)
 		})
 	}
-	time.Sleep(time.Until(started.Add(retryWindow)))
+	time.Sleep(time.Until(started.Add(retryWindow + slackDelay)))
 	var wg sync.WaitGroup
 	for i := range 12 {
 		wg.Go(func() {
