fabric: one function for the longest join delay; only lapsed hosts are noted

The sum of the order delay, the stall and its margin stood in three places. SetHosts noted each host at each change of the registry, though only lapsed ones count. No behaviour changes. gofumpt, vet, staticcheck and go test ./internal/core/fabric: passed (71 s).

--- a/internal/core/fabric/control.go
+++ b/internal/core/fabric/control.go
@@ -40,7 +40,7 @@
 // have been taken from a group whose head can't be reached and still serves.
 func (p *Pool) AssumeUnknownPredecessor(now time.Duration) {
 	p.loadsBlockedUntil = max(p.loadsBlockedUntil, now+loadWindow)
-	p.predecessorUntil = now + maxOrderDelay + p.settings.EngineStall + stallMargin
+	p.predecessorUntil = now + p.longestJoinDelay()
 	for _, h := range p.hosts {
 		if h.entry.Member.Phase == site.Absent {
 			h.mayJoinAt = max(h.mayJoinAt, p.predecessorUntil)
--- a/internal/core/fabric/headless.go
+++ b/internal/core/fabric/headless.go
@@ -141,6 +141,12 @@
 	if g.seenOpen {
 		return p.settings.EngineStall + stallMargin
 	}
+	return p.longestJoinDelay()
+}
+
+// longestJoinDelay is how long a head may still serve of which nothing is known, after an order to leave was sent to
+// a member: the order, or one to open the head, may be carried out late.
+func (p *Pool) longestJoinDelay() time.Duration {
 	return maxOrderDelay + p.settings.EngineStall + stallMargin
 }
 
@@ -165,7 +171,7 @@
 		}
 		if p.sendOrder(now, m.id, step.GroupOrder{Kind: step.OrderLeave, Group: g.id}, out) {
 			m.leaveSent = true
-			h.mayJoinAt = max(h.mayJoinAt, now+maxOrderDelay+p.settings.EngineStall+stallMargin)
+			h.mayJoinAt = max(h.mayJoinAt, now+p.longestJoinDelay())
 			return
 		}
 	}
--- a/internal/core/fabric/pool.go
+++ b/internal/core/fabric/pool.go
@@ -326,7 +326,9 @@
 func (p *Pool) SetHosts(now time.Duration, entries []*site.Host) {
 	lapsed := make(map[string]bool)
 	for name, h := range p.hosts {
-		lapsed[name] = h.lapsed(now)
+		if h.lapsed(now) {
+			lapsed[name] = true
+		}
 		h.listed = false
 	}
 	for _, e := range entries {
