Review case 9: streams of sound servers are cut as a server is silent for a moment

Cause: the lease holder takes a host for lost after two missed reports (0.6 s) and aborts its group; streams that may not be resumed end with their connections (LOST).

--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -17,7 +17,7 @@
 	"crashing-part":  crashingPart,
 	"changed-path":   changedPath,
 	"shared-prompts": sharedPrompts,
-	"cold-server":    coldServer,
+	"silent-servers": silentServers,
 }
 
 func main() {
