--- a/review/stand2/still.go
+++ b/review/stand2/still.go
@@ -15,14 +15,14 @@
 
 const (
 	stillFor       = 1200 * time.Millisecond
-	stillEvery     = 2500 * time.Millisecond
+	stillEvery     = 1300 * time.Millisecond
 	streamsPerSec  = 20
 	streamDeadline = 8 * time.Second
 	stillPlay      = 45 * time.Second
 	maxCutStreams  = 3
 )
 
-// silentServers sends requests for streams that may not be resumed. The disruption, which is none for the rules: one
+// silentServers sends requests for streams, which may be resumed. The disruption, which is none for the rules: one
 // sound server after another falls silent for a moment and goes on.
 func silentServers(w *world, trouble bool) (string, error) {
 	var err error
@@ -37,7 +37,7 @@
 		"version": 1,
 		"routes": []map[string]any{{
 			"name": "chat", "host": site.Host, "pathPrefix": "/chat/", "type": "stream", "timeoutMs": streamDeadline.Milliseconds(), "goalMs": 300, "priority": 1,
-			"service": site.LLM, "maxAttempts": 2, "resumable": false, "sticky": true, "gapTargetMs": 300,
+			"service": site.LLM, "maxAttempts": 2, "resumable": true, "sticky": true, "gapTargetMs": 300,
 		}},
 		"services": []map[string]any{{"name": site.LLM, "healthPath": "/healthz", "maxConns": 384, "engine": map[string]any{
 			"slots": 8, "stride": 1, "step_ms": 200, "per_seq_ms": 0.1, "read_per_s": 50000, "report_lag_ms": 0, "formMs": 20,
