--- a/review/stand3/engine.go
+++ b/review/stand3/engine.go
@@ -42,37 +42,63 @@
 type engine struct {
 	id, domain string
 	rig        *rig
-	listener   net.Listener
-	http       http.Server
-	born       int64
+	events     int // of each stream
 
-	mu      sync.Mutex
-	member  *membership
-	staged  []string
-	seq     int
-	writes  int
-	running int
-	waiting int
-	slots   chan struct{} // holds one value for each request that runs
-	still   chan struct{} // closed when the engine goes on; nil while it does
-	events  int           // of each stream
+	mu       sync.Mutex
+	listener net.Listener
+	http     *http.Server
+	born     int64
+	member   *membership
+	staged   []string
+	seq      int
+	writes   int
+	running  int
+	waiting  int
+	slots    chan struct{} // holds one value for each request that runs
+	still    chan struct{} // closed when the engine goes on; nil while it does
 }
 
 func (g *rig) addEngine(id, domain string, events int) error {
+	e := &engine{id: id, domain: domain, rig: g, staged: []string{}, events: events}
+	g.engines = append(g.engines, e)
+	return e.start()
+}
+
+// start starts the engine, or starts it again under its ID: it then knows nothing but the weights on its host.
+func (e *engine) start() error {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
 	}
-	e := &engine{id: id, domain: domain, rig: g, listener: l, born: time.Now().UnixMilli(), staged: []string{}, events: events, slots: make(chan struct{}, engineSlots)}
-	e.http.Handler = e
-	go func() { _ = e.http.Serve(l) }()
 	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.listener, e.http, e.born = l, &http.Server{Handler: e}, max(time.Now().UnixMilli(), e.born+1)
+	e.member, e.seq, e.writes, e.running, e.waiting = nil, 0, 0, 0, 0
+	e.slots = make(chan struct{}, engineSlots)
+	go func() { _ = e.http.Serve(l) }()
 	e.register()
-	e.mu.Unlock()
-	g.engines = append(g.engines, e)
 	return nil
 }
 
+// crash ends the engine, which is back after some time.
+func (e *engine) crash(back time.Duration) {
+	e.mu.Lock()
+	server, address := e.http, e.listener.Addr().String()
+	e.member = nil
+	e.mu.Unlock()
+	_ = server.Close()
+	for _, d := range e.rig.daemons {
+		if err := d.view.Remove(address); err != nil { // its relay refuses connections too
+			e.rig.rec.add("the relay of %s to %s can't refuse connections: %v", d.name, e.id, err)
+		}
+	}
+	time.AfterFunc(back, func() {
+		if err := e.start(); err != nil {
+			e.rig.rec.add("engine %s can't start: %v", e.id, err)
+		}
+	})
+}
+
 func (e *engine) models() []map[string]any {
 	if e.member == nil || e.member.State == "joining" {
 		return []map[string]any{}
@@ -80,6 +106,19 @@
 	return []map[string]any{{"name": engineModel, "version": 1, "adapters": []string{}}}
 }
 
+// later makes a change after some time, unless the engine has crashed by then. The caller holds mu.
+func (e *engine) later(d time.Duration, change func()) {
+	born := e.born
+	time.AfterFunc(d, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if e.born == born {
+			change()
+			e.register()
+		}
+	})
+}
+
 // register writes the entry. The caller holds mu.
 func (e *engine) register() {
 	e.writes++
@@ -89,15 +128,6 @@
 	})
 }
 
-func (e *engine) later(d time.Duration, change func()) {
-	time.AfterFunc(d, func() {
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		change()
-		e.register()
-	})
-}
-
 func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.wait(r)
 	switch r.URL.Path {
@@ -250,12 +280,15 @@
 	e.mu.Lock()
 	e.waiting--
 	e.running++
+	slots, born := e.slots, e.born
 	e.mu.Unlock()
 	defer func() {
+		<-slots
 		e.mu.Lock()
-		e.running--
-		e.mu.Unlock()
-		<-e.slots
+		defer e.mu.Unlock()
+		if e.born == born {
+			e.running--
+		}
 	}()
 	next := 1
 	if last, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
@@ -265,6 +298,10 @@
 	e.rig.runs = append(e.rig.runs, run{server: e.id, service: engineService, id: id, method: r.Method, target: r.RequestURI, host: r.Host})
 	e.rig.mu.Unlock()
 	e.rig.rec.add("engine %s runs %s from event %d on", e.id, id, next)
+	if crashesOn(r) {
+		e.rig.crashed(e, id)
+		panic(http.ErrAbortHandler)
+	}
 	h.Set("X-Server-Stamp", e.id+"."+id)
 	h.Set("Content-Type", "text/event-stream")
 	out := http.NewResponseController(w)
--- a/review/stand3/rig.go
+++ b/review/stand3/rig.go
@@ -72,6 +72,7 @@
 	runs    []run
 	servers []*server
 	engines []*engine
+	crashes []time.Time // of engines
 }
 
 type daemon struct {
@@ -103,10 +104,14 @@
 		_ = s.listener.Close()
 	}
 	for _, e := range g.engines {
+		e.mu.Lock()
 		_ = e.http.Close()
+		e.mu.Unlock()
 	}
 	g.store.Close()
-	_ = os.RemoveAll(g.dir)
+	if os.Getenv("KEEP") == "" {
+		_ = os.RemoveAll(g.dir)
+	}
 }
 
 // route is a route of the configuration.
