--- a/review/stand3/rig.go
+++ b/review/stand3/rig.go
@@ -241,7 +241,11 @@
 	if err != nil {
 		return err
 	}
-	if d.process, err = program.Start(log, log, "target/rhubarbswitchd", "gateway", path); err != nil {
+	// As the platform does, the command of deploy/system.toml is started with the path of the settings in a variable.
+	if err := os.Setenv("RHUBARBSWITCH_NODE_FILE", path); err != nil {
+		return err
+	}
+	if d.process, err = program.Start(log, log, "target/rhubarbswitchd", "gateway"); err != nil {
 		return err
 	}
 	g.daemons = append(g.daemons, d)
