--- a/review/stand3/engine.go
+++ b/review/stand3/engine.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -23,11 +24,11 @@
 )
 
 // engineSpec is the service of the engines in the configuration.
-func engineSpec() map[string]any {
+func (g *rig) engineSpec() map[string]any {
 	return map[string]any{"name": engineService, "healthPath": "/healthz", "maxConns": 384, "engine": map[string]any{
 		"slots": engineSlots, "stride": 7, "step_ms": 5.95, "per_seq_ms": 0.0445, "context_per_k": 0.00813, "read_per_s": 50700,
 		"report_lag_ms": 0, "formMs": openTime.Milliseconds(), "loadsPerS": 10, "loads_at_once": 10, "usual": map[string]any{"prompt": 700, "answer": 200},
-		"models": []map[string]any{{"name": engineModel, "size": groupSize, "share": 1, "pace": 1, "loadS": loadTime.Seconds(), "warmS": warmTime.Seconds()}},
+		"models": []map[string]any{{"name": engineModel, "size": groupSize, "share": 1, "pace": 1, "loadS": g.loadTime.Seconds(), "warmS": warmTime.Seconds()}},
 	}}
 }
 
@@ -56,6 +57,8 @@
 	waiting  int
 	slots    chan struct{} // holds one value for each request that runs
 	still    chan struct{} // closed when the engine goes on; nil while it does
+	aborted  chan struct{} // closed when the engine is ordered to break its requests off
+	draining bool
 }
 
 func (g *rig) addEngine(id, domain string, events int) error {
@@ -74,7 +77,7 @@
 	defer e.mu.Unlock()
 	e.listener, e.http, e.born = l, &http.Server{Handler: e}, max(time.Now().UnixMilli(), e.born+1)
 	e.member, e.seq, e.writes, e.running, e.waiting = nil, 0, 0, 0, 0
-	e.slots = make(chan struct{}, engineSlots)
+	e.slots, e.aborted = make(chan struct{}, engineSlots), make(chan struct{})
 	go func() { _ = e.http.Serve(l) }()
 	e.register()
 	return nil
@@ -100,11 +103,31 @@
 	})
 }
 
+// drain makes the engine report that it leaves. It goes on serving.
+func (e *engine) drain() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.draining = true
+	e.register()
+}
+
+// closed makes a group that is closing ready once it has no requests. The caller holds mu.
+func (e *engine) closed() {
+	if e.member != nil && e.member.State == "closing" && e.running+e.waiting == 0 {
+		e.member.State = "ready"
+		e.register()
+	}
+}
+
 // register writes the entry. The caller holds mu.
 func (e *engine) register() {
 	e.writes++
+	state := "ready"
+	if e.draining {
+		state = "draining"
+	}
 	e.rig.store.Put("servers", e.id, map[string]any{
-		"service": engineService, "address": e.listener.Addr().String(), "zone": "zone-a", "version": "v1", "slots": engineSlots, "state": "ready",
+		"service": engineService, "address": e.listener.Addr().String(), "zone": "zone-a", "version": "v1", "slots": engineSlots, "state": state,
 		"coldLeftMs": 0, "born": e.born, "seq": e.writes, "domain": e.domain, "staged": e.staged, "group": e.member, "models": e.models(), "stage": "mixed",
 	})
 }
@@ -150,7 +173,7 @@
 		status = http.StatusOK
 	case o.Op == "stage":
 		status = http.StatusAccepted
-		e.later(loadTime, func() { e.staged = []string{o.Model} })
+		e.later(e.rig.loadTime, func() { e.staged = []string{o.Model} })
 	case o.Op == "join":
 		status = http.StatusAccepted
 		m := &membership{Name: o.Group, Epoch: o.Epoch, State: "joining"}
@@ -160,7 +183,7 @@
 			}
 		}
 		e.member = m
-		took := loadTime
+		took := e.rig.loadTime
 		if len(e.staged) > 0 {
 			took = warmTime
 		}
@@ -169,9 +192,15 @@
 		status = http.StatusAccepted
 		m := e.member
 		e.later(openTime, func() { m.State = "open" })
-	case o.Op == "close" && in && e.member.State == "open":
+	case o.Op == "close" && in && (e.member.State == "open" || e.member.State == "closing"):
 		status = http.StatusAccepted
-		e.member.State = "ready"
+		e.member.State = "closing"
+		if o.Mode == "abort" {
+			close(e.aborted)
+			e.aborted, e.member.State = make(chan struct{}), "ready"
+		} else {
+			e.closed()
+		}
 	case o.Op == "leave" && !in:
 		status = http.StatusOK
 	case o.Op == "leave":
@@ -182,7 +211,7 @@
 		e.seq++
 		e.register()
 	}
-	e.rig.rec.add("order to %s: %s %s, answered %d", e.id, o.Op, o.Group, status)
+	e.rig.rec.add("order to %s: %s %s%s, answered %d", e.id, o.Op, o.Group, strings.TrimRight(" "+o.Mode, " "), status)
 	w.WriteHeader(status)
 }
 
@@ -239,6 +268,13 @@
 	return 0, load
 }
 
+func (e *engine) leaveQueue() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.waiting--
+	e.closed()
+}
+
 func (e *engine) request(w http.ResponseWriter, r *http.Request) {
 	id, h := r.Header.Get("X-Request-Id"), w.Header()
 	h.Set("X-Request-Id", id)
@@ -250,12 +286,18 @@
 		w.WriteHeader(status)
 		return
 	}
+	e.mu.Lock()
+	aborted := e.aborted
+	e.mu.Unlock()
 	select {
 	case e.slots <- struct{}{}:
+	case <-aborted:
+		e.leaveQueue()
+		h.Set("X-Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
 	case <-r.Context().Done():
-		e.mu.Lock()
-		e.waiting--
-		e.mu.Unlock()
+		e.leaveQueue()
 		return
 	}
 	e.mu.Lock()
@@ -269,6 +311,7 @@
 		defer e.mu.Unlock()
 		if e.born == born {
 			e.running--
+			e.closed()
 		}
 	}()
 	next := 1
@@ -287,6 +330,9 @@
 		case <-r.Context().Done():
 			e.rig.rec.add("engine %s: the connection of %s was closed before event %d", e.id, id, next)
 			return
+		case <-aborted:
+			e.rig.rec.add("engine %s breaks %s off before event %d, as ordered", e.id, id, next)
+			panic(http.ErrAbortHandler)
 		case <-time.After(eventInterval):
 		}
 		e.wait(r)
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -16,10 +16,12 @@
 // cases are the cases of the review, by name. Each returns an exit code.
 var cases = map[string]func(g *rig, trouble bool) (int, error){
 	"other-service": otherService,
+	"release":       release,
 	"silent-head":   silentHead,
 }
 
-// main plays a case: stand3 CASE RECORD. With TROUBLE=0 in the environment there is no disruption.
+// main plays a case: stand3 CASE RECORD. With TROUBLE=0 in the environment there is no disruption; with TROUBLE=stop a
+// SIGTERM is the only one of the cases that send one.
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: stand3 CASE RECORD")
@@ -41,6 +43,7 @@
 		return couldnt
 	}
 	defer g.close()
+	g.stopOnly = os.Getenv("TROUBLE") == "stop"
 	code, err := cases[name](g, trouble)
 	if err != nil {
 		rec.add("could not run: %v", err)
--- a/review/stand3/rig.go
+++ b/review/stand3/rig.go
@@ -68,6 +68,9 @@
 	prefix  string // of the loopback addresses of the daemons
 	daemons []*daemon
 
+	loadTime time.Duration // of the engines' weights
+	stopOnly bool          // the SIGTERM is the only disruption
+
 	mu      sync.Mutex
 	runs    []run
 	servers []*server
@@ -89,7 +92,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &rig{rec: rec, dir: dir, store: store, prefix: fmt.Sprintf("127.%d.%d.", 60+os.Getpid()/250%100, 1+os.Getpid()%250)}, nil
+	return &rig{rec: rec, loadTime: loadTime, dir: dir, store: store, prefix: fmt.Sprintf("127.%d.%d.", 60+os.Getpid()/250%100, 1+os.Getpid()%250)}, nil
 }
 
 func (g *rig) close() {
@@ -125,7 +128,7 @@
 	var list []map[string]any
 	for _, s := range services {
 		if s == engineService {
-			list = append(list, engineSpec())
+			list = append(list, g.engineSpec())
 			continue
 		}
 		list = append(list, map[string]any{"name": s, "healthPath": "/healthz", "maxConns": 100})
--- a/review/stand3/silent.go
+++ b/review/stand3/silent.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -56,14 +55,16 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 	time.Sleep(300 * time.Millisecond)
-	g.rec.add("SIGTERM to %s", stopping.name)
-	stopping.process.Signal(syscall.SIGTERM)
+	if trouble {
+		g.rec.add("SIGTERM to %s", stopping.name)
+		stopping.process.Signal(syscall.SIGTERM)
+	}
 	time.Sleep(300 * time.Millisecond)
 	for _, h := range heads {
 		running, waiting := h.load()
 		g.rec.add("engine %s has %d requests running and %d waiting", h.id, running, waiting)
 	}
-	if trouble {
+	if trouble && !g.stopOnly {
 		g.rec.add("engine %s falls silent", heads[0].id)
 		heads[0].setStill(true)
 		time.Sleep(silence)
@@ -71,20 +72,7 @@
 		g.rec.add("engine %s goes on", heads[0].id)
 	}
 	clients.Wait()
-	code := held
-	for _, a := range own {
-		switch events := strings.Count(a.body, "\n\n"); {
-		case len(g.runsOf(a.id)) == 0:
-			g.rec.add("%s was not run", a.id)
-		case a.status == 200 && a.complete && events == streamEvents:
-		case a.status >= 400 && a.complete:
-			g.rec.add("%s was answered %d", a.id, a.status)
-		default:
-			g.rec.add("%s, which an engine ran, lost its connection after %d of %d events", a.id, events, streamEvents)
-			code = broken
-		}
-	}
-	return code, nil
+	return g.judgeStreams(own, streamEvents), nil
 }
 
 // stream sends a request for a stream.
