stricthttp: an answer whose head or trailer has an invalid field name is none

What callers saw: a target in trouble sent an answer in whose head the name of a field held a blank. They got it as an answer, without that line. Where the line was the framing (Transfer-Encoding, Content-Length), the body was not the target's: sizes of chunks appeared in it, or bytes beyond the announced length. The same with error statuses, and refusals with such a head counted as the promise that the request had not run.

Cause: net/http keeps a name with a blank as it is, for compatibility, and then doesn't take the field for the framing. When it writes an answer it drops names that are no tokens.

Change: stricthttp fails a call whose answer has a name in its head or trailer that is no token (httpguts.ValidHeaderFieldName), and closes the connection, which may be idle already. The control connections of internal/target, which read answers without a transport, use the same check.

Handled before, tests kept: control bytes, bytes beyond ASCII, separators, an empty name, a line without a colon.

--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -9,6 +9,8 @@
 
 	"github.com/coder/websocket"
 	"github.com/go-faster/errors"
+
+	"github.com/rhubarbswitch/rhubarbswitch/internal/stricthttp"
 )
 
 // Connect starts dialling a seed address from the settings. It keeps dialling while there is
@@ -169,7 +171,7 @@
 	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
 	defer cancel()
 	// Each link has its own transport, so that it never reuses a connection of an earlier one.
-	transport := &http.Transport{TLSClientConfig: m.set.TLS}
+	transport := stricthttp.NewTransport(&http.Transport{TLSClientConfig: m.set.TLS})
 	defer transport.CloseIdleConnections()
 	scheme := "ws://"
 	if m.set.TLS != nil {
--- a/internal/stricthttp/transport.go
+++ b/internal/stricthttp/transport.go
@@ -44,8 +44,17 @@
 	if err != nil {
 		return nil, err
 	}
-	if !IsFramed(resp) && resp.Body != http.NoBody && resp.StatusCode != http.StatusSwitchingProtocols {
-		resp.Body = &unframedBody{ReadCloser: resp.Body, call: c}
+	if err := CheckHead(resp); err != nil {
+		_ = c.conn.Close() // it may be idle already; an error means that it is closed
+		_ = resp.Body.Close()
+		return nil, err
+	}
+	switch {
+	case resp.Body == http.NoBody, resp.StatusCode == http.StatusSwitchingProtocols:
+	case !IsFramed(resp):
+		resp.Body = &checkedBody{ReadCloser: resp.Body, check: c.finish}
+	case len(resp.TransferEncoding) > 0:
+		resp.Body = &checkedBody{ReadCloser: resp.Body, check: func() error { return c.checkTrailer(resp) }}
 	}
 	return resp, nil
 }
@@ -55,23 +64,21 @@
 	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 }
 
-// unframedBody is the body of an answer that ends with its connection.
-type unframedBody struct {
+// checkedBody is a body whose end is checked.
+type checkedBody struct {
 	io.ReadCloser
-	call *call
-	end  error // nil before the end of the connection
+	check func() error // called once, at the end
+	end   error        // nil before the end
 }
 
-// Read returns io.EOF only if the answer is complete. The end of the connection alone does not show it: the kernel
-// reports a reset once, and if the writer of the request gets that error, the reader sees an ordinary end.
-func (b *unframedBody) Read(p []byte) (int, error) {
+func (b *checkedBody) Read(p []byte) (int, error) {
 	if b.end != nil {
 		return 0, b.end
 	}
 	n, err := b.ReadCloser.Read(p)
 	if err == io.EOF {
-		if requestErr := b.call.finish(); requestErr != nil {
-			err = errors.Wrap(requestErr, "answer without a length, whose connection ended before the request had arrived")
+		if checkErr := b.check(); checkErr != nil {
+			err = checkErr
 		}
 		b.end = err
 	}
@@ -102,10 +109,20 @@
 	}
 }
 
-// finish closes the connection, which the target has ended, and returns an error unless the target had received all of
-// the request before. It can't have if a write is still waiting, so closing the connection fails no write that counts.
+// finish ends an answer without a length, which ends with its connection, and returns an error unless the target had
+// received all of the request before. The end alone does not show that the answer is complete: the kernel reports a
+// reset once, and if the writer of the request gets that error, the reader sees an ordinary end.
 func (c *call) finish() error {
-	_ = c.conn.Close() // fails only on a closed connection
+	// The target can't have received all if a write is still waiting, so this fails no write that counts.
+	_ = c.conn.Close()
+	if err := c.checkRequest(); err != nil {
+		return errors.Wrap(err, "the answer's connection ended before the request had arrived")
+	}
+	return nil
+}
+
+// checkRequest returns an error unless all of the request was written and acknowledged. The connection is closed.
+func (c *call) checkRequest() error {
 	if err := c.checkWrites(); err != nil {
 		return err
 	}
@@ -120,6 +137,7 @@
 	return c.checkWrites() // net/http may write the last bytes after that
 }
 
+// checkWrites returns an error if a write to the connection has failed, or its end was not acknowledged.
 func (c *call) checkWrites() error {
 	if c.tcp == nil {
 		return nil
@@ -134,3 +152,12 @@
 	}
 	return nil
 }
+
+// checkTrailer returns an error, and closes the connection, if the trailer of an answer is invalid.
+func (c *call) checkTrailer(resp *http.Response) error {
+	err := checkNames(resp.Trailer)
+	if err != nil {
+		_ = c.conn.Close() // it may be idle already; an error means that it is closed
+	}
+	return err
+}
--- a/internal/stub/raw/raw.go
+++ b/internal/stub/raw/raw.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -241,3 +242,33 @@
 	}
 	return cut
 }
+
+// InvalidNames returns answers, each complete but for a field of its head whose name is no token, by that fault. head is
+// the status line and the header lines of an ordinary answer, without the empty line after them and without its framing.
+func InvalidNames(head, body string) map[string]string {
+	length := fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body)
+	chunks := fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+	return map[string]string{
+		"blank":                              head + "X Odd: value\r\n" + length,
+		"blank before the colon":             head + "X-Odd : value\r\n" + length,
+		"blanks before the colon, no value":  head + "X-Odd  :\r\n" + length,
+		"tab":                                head + "X\tOdd: value\r\n" + length,
+		"control byte":                       head + "X\x01Odd: value\r\n" + length,
+		"zero byte":                          head + "X-Odd\x00: value\r\n" + length,
+		"byte beyond ASCII":                  head + "X-Odd\xe9: value\r\n" + length,
+		"separator":                          head + "X(Odd): value\r\n" + length,
+		"no name":                            head + ": value\r\n" + length,
+		"no colon":                           head + "X-Odd value\r\n" + length,
+		"length, blank":                      head + fmt.Sprintf("Content Length: %d\r\n\r\n%s, and more", len(body), body),
+		"length, blank before the colon":     head + fmt.Sprintf("Content-Length : %d\r\n\r\n%s, and more", len(body), body),
+		"no length, blank before the colon":  head + "Content-Length : 0\r\n\r\n",
+		"chunks, blank before the colon":     head + "Transfer-Encoding : chunked\r\n\r\n" + chunks,
+		"chunks, blank":                      head + "Transfer Encoding: chunked\r\n\r\n" + chunks,
+		"chunks and length, blank in chunks": head + fmt.Sprintf("Content-Length: %d\r\nTransfer-Encoding : chunked\r\n\r\n%s", len(chunks), chunks),
+	}
+}
+
+// InvalidTrailer returns an answer in chunks, complete but for a field of its trailer whose name is no token.
+func InvalidTrailer(head, body string) string {
+	return head + fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\nX Odd: value\r\n\r\n", len(body), body)
+}
--- a/internal/target/control.go
+++ b/internal/target/control.go
@@ -16,6 +16,7 @@
 
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/step"
 	"github.com/rhubarbswitch/rhubarbswitch/internal/engineapi"
+	"github.com/rhubarbswitch/rhubarbswitch/internal/stricthttp"
 )
 
 // maxControlAnswerBytes bounds the body of an answer of the control interface; the rest is
@@ -156,6 +157,9 @@
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "read answer")
 	}
+	if err := stricthttp.CheckHead(resp); err != nil {
+		return nil, nil, err
+	}
 	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxControlAnswerBytes))
 	_ = resp.Body.Close()
 	if err != nil {
