stricthttp: an answer with an impossible status is none, wherever answers are read

What callers saw: on other systems of this kind, an answer whose status was 000. Here the gateway had handled 000 to 199 before (TestImpossibleStatusIsNoAnswer: a 502, sent and handed over). Found while going through the other places: the gateway passed 600 to 999 on as the target's answer; the callers' interface took any status below 500 as a complete answer to a call; probes took any below 300 for a sign of life; an engine's answer with an impossible status counted as its refusal of the order; rhubarbctl told an operator that a write was refused which the daemon may have made.

Cause: net/http accepts each status of three digits, and each place had a rule of its own, or none.

The gateway's own rule goes; what callers see of it is as before.

Handled before, tests kept: the store (...AreLost), notices (...InAnswersToMessages).

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -93,9 +93,6 @@
 	if t := a.stallTimer.Load(); t != nil {
 		t.Stop()
 	}
-	if resp.StatusCode < http.StatusOK {
-		return step.EndedBroken // ends no request, and net/http can't send it as the answer to one
-	}
 	a.result.Status = resp.StatusCode
 	if a.forward.Daemon != "" {
 		return a.receiveHandover(resp)
--- a/internal/gateway/invalid_answer_test.go
+++ b/internal/gateway/invalid_answer_test.go
@@ -114,3 +114,20 @@
 		}
 	}
 }
+
+// TestImpossibleStatusFromATakingDaemonIsNoAnswer is TestImpossibleStatusIsNoAnswer between two daemons.
+func TestImpossibleStatusFromATakingDaemonIsNoAnswer(t *testing.T) {
+	for _, status := range raw.InvalidStatuses {
+		for _, path := range everyKind {
+			t.Run(status+path, func(t *testing.T) {
+				t.Parallel()
+				s := startRawTakingDaemon(t, func(r rawRequest) rawAnswer {
+					return rawAnswer{text: whole(r.id, status, "body", "Rhubarbswitch-Handover-Runs: 1", "Rhubarbswitch-Handover-Host: host-0"), close: true}
+				})
+				a := s.send(path, "id")
+				require.Equal(t, http.StatusBadGateway, a.status)
+				require.Empty(t, a.header.Get("X-Server-Stamp"))
+			})
+		}
+	}
+}
--- a/internal/gateway/refusal_copies_test.go
+++ b/internal/gateway/refusal_copies_test.go
@@ -248,7 +248,7 @@
 
 // TestImpossibleStatusIsNoAnswer guards against statuses that end no request, and with which none can be answered.
 func TestImpossibleStatusIsNoAnswer(t *testing.T) {
-	for _, status := range []string{"000 None", "001 One", "099 Low", "100 Continue", "101 Switching Protocols", "103 Early Hints", "199 Odd"} {
+	for _, status := range []string{"000 None", "001 One", "099 Low", "100 Continue", "101 Switching Protocols", "103 Early Hints", "199 Odd", "600 High", "999 Highest"} {
 		t.Run(status, func(t *testing.T) {
 			eachWay(t, everyKind, func(t *testing.T, handedOver bool, path string) {
 				s := startRawSite(t, handedOver, 3, func(r rawRequest) rawAnswer {
--- a/internal/platform/invalid_answer_test.go
+++ b/internal/platform/invalid_answer_test.go
@@ -28,3 +28,15 @@
 		}
 	}
 }
+
+// TestImpossibleStatusesAreLost guards against a status of the store that counts as a result.
+func TestImpossibleStatusesAreLost(t *testing.T) {
+	for _, status := range raw.InvalidStatuses {
+		c := boundedClient(t, raw.Start(t, func(*http.Request) raw.Answer {
+			return raw.Answer{Text: "HTTP/1.1 " + status + "\r\nContent-Length: 8\r\n\r\n" + `{"at":7}`}
+		}))
+		_, err := c.Do(t.Context(), Call{Op: "put", Method: http.MethodPut, Path: "/"})
+		_, lost := errors.Into[*LostError](err)
+		require.True(t, lost, "%s: %v", status, err)
+	}
+}
--- a/internal/relay/invalid_answer_test.go
+++ b/internal/relay/invalid_answer_test.go
@@ -41,3 +41,13 @@
 		}
 	}
 }
+
+// TestImpossibleStatusesInAnswersToMessages guards against messages that count as taken, or refused, by a status that says nothing.
+func TestImpossibleStatusesInAnswersToMessages(t *testing.T) {
+	for _, status := range raw.InvalidStatuses {
+		t.Run(status, func(t *testing.T) {
+			t.Parallel()
+			requireNoAnswer(t, "HTTP/1.1 "+status+"\r\nContent-Length: 0\r\n\r\n")
+		})
+	}
+}
--- a/internal/stub/raw/raw.go
+++ b/internal/stub/raw/raw.go
@@ -268,6 +268,9 @@
 	}
 }
 
+// InvalidStatuses are the ends of status lines whose status ends no request.
+var InvalidStatuses = []string{"000 None", "001 One", "099 Low", "101 Switching Protocols", "199 Odd", "600 High", "999 Highest"}
+
 // InvalidTrailer returns an answer in chunks, complete but for a field of its trailer whose name is no token.
 func InvalidTrailer(head, body string) string {
 	return head + fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\nX Odd: value\r\n\r\n", len(body), body)
--- a/internal/target/invalid_answer_test.go
+++ b/internal/target/invalid_answer_test.go
@@ -61,7 +61,11 @@
 
 // invalidTexts are whole answers that are invalid, by their fault.
 func invalidTexts(status, header, body string) map[string]string {
-	return raw.InvalidNames("HTTP/1.1 "+status+"\r\n"+header, body)
+	texts := raw.InvalidNames("HTTP/1.1 "+status+"\r\n"+header, body)
+	for _, invalid := range raw.InvalidStatuses {
+		texts["status "+invalid] = fmt.Sprintf("HTTP/1.1 %s\r\n%sContent-Length: %d\r\n\r\n%s", invalid, header, len(body), body)
+	}
+	return texts
 }
 
 // TestInvalidAnswersToAttempts guards against a call or a stream that counts as complete, or as refused, by an invalid answer.
