--- a/internal/gateway/early_answer_test.go
+++ b/internal/gateway/early_answer_test.go
@@ -68,6 +68,30 @@
 	}
 }
 
+// TestUploadThatWasResetGoesOnElsewhere has one target reset uploads that may be repeated, and streams that may be resumed.
+func TestUploadThatWasResetGoesOnElsewhere(t *testing.T) {
+	eachWay(t, []string{"/read/1", "/chat/1"}, func(t *testing.T, handedOver bool, path string) {
+		s := startRawSiteOf(t, handedOver, startEarlyRawTargets(t, 3, func(r rawRequest) rawAnswer {
+			from := 1
+			if last, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
+				from = last + 1
+			}
+			if r.number == 1 {
+				return rawAnswer{text: resetUploads["events"](r.id), reset: true}
+			}
+			return rawAnswer{text: chunked(r.id, events(from, lastEvent))}
+		}))
+		for round := range uploadRounds {
+			id := fmt.Sprint("id-", round)
+			a := s.sendBody(path, id, largeUpload)
+			require.Equal(t, http.StatusOK, a.status, a.body)
+			require.True(t, a.complete)
+			require.Equal(t, events(1, lastEvent), a.body)
+			require.Len(t, s.requestsWith(id), 2)
+		}
+	})
+}
+
 // TestResetDuringHandedOverUploadEndsNoAnswer is TestResetDuringUploadEndsNoAnswer between two daemons.
 func TestResetDuringHandedOverUploadEndsNoAnswer(t *testing.T) {
 	for _, path := range everyKind {
