fabric: a group that closes by plan lets its streams end

Cause: the holder aborted a group 1.5 s after it had begun to close (4 s for a move of hosts), whatever ran there. A member that drains stays for up to 10 s while its head has work. A holder that took over control from another one in that time aborted at once: it saw a head that was closing, and did not take that for a plan.

Now the head of a group that closes by plan has 10 s, unless a member is lost: then nothing there can go on. That holds for a member or head that drains, for a move, and for a close that an earlier holder has begun. An order to close is not repeated to a head that is seen closing.

The simulation took a second order to close for the end of all requests; engines go on, and so does it now.

Ruled out: a daemon that cuts streams by itself.

--- a/internal/core/fabric/group.go
+++ b/internal/core/fabric/group.go
@@ -42,8 +42,8 @@
 	// that order, or one to open the head, was sent; zero if it must be sent again at once.
 	lastHeadOrder   step.GroupOrderKind
 	lastHeadOrderAt time.Duration
-	// plannedClose is whether the group is closed because a member drains, or for a move. Then its
-	// requests in flight get closeTimeout, or moveCloseTimeout, to finish.
+	// plannedClose is whether the group is closed because a member drains, for a move, or by the daemon that had
+	// control before. Then its requests in flight get closeTimeout to finish, unless a member is lost.
 	plannedClose bool
 	// moveTo is the model for which the group is closed, or will be once its members have the
 	// weights; nil if it is not.
@@ -174,6 +174,7 @@
 	headLost      bool // the head does not serve this formation any more
 	headReachable bool // the head answers, in the incarnation that joined
 	headRestarted bool // the head's process has restarted
+	memberDead    bool // a lost member can't go on with the requests in flight
 	draining      bool // a member's host is draining
 	allReady      bool // every member is registered under this formation, and ready or further
 }
@@ -189,6 +190,7 @@
 		}
 		if p.memberLost(now, g, m, h) {
 			s.allReady = false
+			s.memberDead = s.memberDead || !h.mayGoOn(now, g, m)
 			if rank == 0 {
 				s.headLost = true
 			} else {
@@ -233,6 +235,16 @@
 	return false
 }
 
+// mayGoOn reports whether a member that counts as lost may go on with the requests in flight: it answers and only its
+// entry is missing.
+func (h *host) mayGoOn(now time.Duration, g *group, m *member) bool {
+	switch {
+	case h == nil || h.entry.Incarnation != m.incarnation || h.unresponsive() || h.lapsed(now):
+		return false
+	}
+	return h.hasAnswered && h.lastReport.Member.Group == g.id
+}
+
 func (p *Pool) advance(now time.Duration, g *group, out *step.Out) {
 	s := p.checkHealth(now, g)
 	switch g.stage {
@@ -322,7 +334,10 @@
 	case s.draining:
 		g.plannedClose = true
 		reason = "a member leaves"
-	case phase == site.Broken || phase == site.Closing || phase == site.Ready && g.stage == serving:
+	case phase == site.Closing:
+		g.plannedClose = true
+		reason = "its head is closing"
+	case phase == site.Broken || phase == site.Ready && g.stage == serving:
 		reason = "its head is " + phase.String()
 	case phase == site.Open && g.stage == opening:
 		g.seenOpen = true
@@ -375,19 +390,18 @@
 		p.releaseGroup(now, g, g.closeReason, headNeverJoined, out)
 	case phase != site.Open && phase != site.Closing:
 		p.orderHead(now, g, step.OrderLeave, out)
-	case g.plannedClose && now-g.stageSince < g.closeTimeout():
-		p.orderHead(now, g, step.OrderClose, out)
+	case p.mayFinish(now, g, s):
+		if phase != site.Closing {
+			p.orderHead(now, g, step.OrderClose, out)
+		}
 	default:
 		p.orderHead(now, g, step.OrderAbort, out)
 	}
 }
 
-// closeTimeout is how long the head may finish its requests when its group is closed by plan.
-func (g *group) closeTimeout() time.Duration {
-	if g.moveTo != nil {
-		return moveCloseTimeout
-	}
-	return closeTimeout
+// mayFinish reports whether the head of a group that is closed may finish its requests.
+func (p *Pool) mayFinish(now time.Duration, g *group, s health) bool {
+	return g.plannedClose && !s.memberDead && now-g.stageSince < closeTimeout
 }
 
 // orderHead sends an order to the head. An accepted order is repeated only after
--- a/internal/core/fabric/pool.go
+++ b/internal/core/fabric/pool.go
@@ -88,9 +88,9 @@
 	// maxOrderDelay is how long after it was sent an unanswered order may still be carried
 	// out. Published disturbances that delay orders last that long.
 	maxOrderDelay = 12 * time.Second
-	// closeTimeout is how long a head may finish its requests when its group is closed by
-	// plan. After that they are aborted.
-	closeTimeout = 1500 * time.Millisecond
+	// closeTimeout is how long a head may finish its requests when its group is closed and all members are
+	// alive. After that they are aborted. A member that drains stays for as long.
+	closeTimeout = 10 * time.Second
 	// orderRetryDelay is how long an accepted order to a head may have no visible effect
 	// before it is sent again.
 	orderRetryDelay = time.Second
--- a/internal/core/fabric/rebalance.go
+++ b/internal/core/fabric/rebalance.go
@@ -30,16 +30,14 @@
 	// moveControlTime is how long this daemon must have had control before it moves hosts: what the
 	// holder before it has begun shows by then.
 	moveControlTime = 3 * time.Second
-	// moveCloseTimeout is how long a group that is closed for a move may finish its requests.
-	moveCloseTimeout = 4 * time.Second
 	// maxMovingShare is the share of a model's groups, at least one, that may be closing for moves.
 	maxMovingShare = 0.25
 	// maxStagingMoves bounds the moves for which weights are loaded first. More of them would only
 	// share the rate of loads.
 	maxStagingMoves = 2
 	// moveReserveTime is how long the hosts of a closed group are kept for the model that they go to. The
-	// other groups of the same move close within moveCloseTimeout, and then leave.
-	moveReserveTime = moveCloseTimeout + 2*time.Second
+	// other groups of the same move close within closeTimeout, and then leave.
+	moveReserveTime = closeTimeout + 2*time.Second
 )
 
 // moves is the state of the moves between models.
--- a/internal/core/fabric/simulation_test.go
+++ b/internal/core/fabric/simulation_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/site"
@@ -319,6 +320,9 @@
 		return step.OrderRejected
 	}
 	f.orders++
+	if o.Kind == step.OrderClose && f.member.Phase == site.Closing {
+		return step.OrderAccepted // it finishes its requests already
+	}
 	if d := w.closeTime(); o.Kind == step.OrderClose && f.member.Phase == site.Open && d > 0 {
 		f.member.Phase = site.Closing
 		incarnation, group := f.incarnation, f.member.Group
@@ -524,3 +528,17 @@
 	}
 	return false
 }
+
+// logged reports whether the pools have logged a line with all of these parts.
+func (w *simulation) logged(parts ...string) bool {
+	for _, line := range w.poolLog {
+		found := true
+		for _, p := range parts {
+			found = found && strings.Contains(line, p)
+		}
+		if found {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/core/gateway/calls.go
+++ b/internal/core/gateway/calls.go
@@ -80,8 +80,8 @@
 	callerGone       bool     // the caller disconnected
 	failedHosts      []string // hosts where an attempt failed
 	refusals         []refusal
-	events           int      // events delivered, over all attempts
-	hasFailureAnswer bool     // the last attempt ended with a complete 5xx answer
+	events           int  // events delivered, over all attempts
+	hasFailureAnswer bool // the last attempt ended with a complete 5xx answer
 	// tried are the condemned fingerprints of a request that was let through to find out whether it
 	// is sound; empty for any other.
 	tried []quarantine.Fingerprint
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -79,8 +79,8 @@
 	resumeAfter  string
 	eventsBefore int
 	resumes      bool
-	started    bool // an event of this attempt's stream has been delivered
-	beganAt    time.Duration
+	started      bool // an event of this attempt's stream has been delivered
+	beganAt      time.Duration
 }
 
 // run sends the request and processes the answer. It returns how the attempt ended.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -107,9 +107,9 @@
 	unresumable atomic.Bool // the last event written does not show which one is next
 	holdMu      sync.Mutex  // guards buffered and closed
 	// buffered are the complete answers that have arrived, by attempt.
-	buffered map[step.AttemptID]*bufferedAnswer
-	closed   bool // the handler is about to return
-	resetOnClose    *serverConn     // of an HTTP/1.0 caller that is getting a stream; else nil
+	buffered     map[step.AttemptID]*bufferedAnswer
+	closed       bool        // the handler is about to return
+	resetOnClose *serverConn // of an HTTP/1.0 caller that is getting a stream; else nil
 
 	handedOver bool // another daemon has handed the request over
 
--- a/internal/gateway/rawtarget_test.go
+++ b/internal/gateway/rawtarget_test.go
@@ -39,9 +39,9 @@
 type rawAnswer struct {
 	text      string
 	rest      func() string // returns what is written after text; nil if nothing is
-	close     bool // closes the connection then
-	reset     bool // resets it
-	halfClose bool // ends what it writes, and reads nothing more until the test ends
+	close     bool          // closes the connection then
+	reset     bool          // resets it
+	halfClose bool          // ends what it writes, and reads nothing more until the test ends
 }
 
 // rawTargets are servers that write what a script says, byte for byte.
