fabric: a moment's silence ends no requests

Cause: two missed reports, 0.6 s of silence, count as the loss of a member. A head that was back got an abort at once; and for a silent head a member was ordered to leave as soon as the lease said so, after which the group could not serve any more.

Now the loss still takes the group out of routing and starts its replacement. But as long as the silence is shorter than 2 s, and neither a refused connection nor another incarnation shows that the process has ended, no member is ordered to leave, and a head that answers finishes its requests like one that closes by plan. A host that refuses a report request's connection counts as ended at once.

TestSilentMemberEndsNoRequests fails on (head silent for 0.7 s) and passes now; TestLongSilenceIsALoss keeps the other side.

--- a/internal/core/fabric/group.go
+++ b/internal/core/fabric/group.go
@@ -45,6 +45,9 @@
 	// plannedClose is whether the group is closed because a member drains, for a move, or by the daemon that had
 	// control before. Then its requests in flight get closeTimeout to finish, unless a member is lost.
 	plannedClose bool
+	// closedForSilence is whether the group is closed because a member fell silent that may be sound. Its requests in
+	// flight may finish like those of a planned close.
+	closedForSilence bool
 	// moveTo is the model for which the group is closed, or will be once its members have the
 	// weights; nil if it is not.
 	moveTo *site.Model
@@ -235,12 +238,14 @@
 	return false
 }
 
-// mayGoOn reports whether a member that counts as lost may go on with the requests in flight: it answers and only its
-// entry is missing.
+// mayGoOn reports whether a member that counts as lost may go on with the requests in flight: it has been silent for
+// no longer than a sound engine may be, or it answers and only its entry is missing.
 func (h *host) mayGoOn(now time.Duration, g *group, m *member) bool {
 	switch {
-	case h == nil || h.entry.Incarnation != m.incarnation || h.unresponsive() || h.lapsed(now):
+	case h == nil || h.entry.Incarnation != m.incarnation || h.refusesConnections || h.lapsed(now):
 		return false
+	case h.unresponsive():
+		return now-h.firstMissAt < soundSilence
 	}
 	return h.hasAnswered && h.lastReport.Member.Group == g.id
 }
@@ -350,6 +355,7 @@
 	}
 	if reason != "" {
 		p.startClosing(now, g, reason, out)
+		g.closedForSilence = (s.headLost || s.lostRank >= 0) && !s.memberDead
 		p.advanceClosing(now, g, s, out)
 	}
 }
@@ -401,7 +407,7 @@
 
 // mayFinish reports whether the head of a group that is closed may finish its requests.
 func (p *Pool) mayFinish(now time.Duration, g *group, s health) bool {
-	return g.plannedClose && !s.memberDead && now-g.stageSince < closeTimeout
+	return (g.plannedClose || g.closedForSilence) && !s.memberDead && now-g.stageSince < closeTimeout
 }
 
 // orderHead sends an order to the head. An accepted order is repeated only after
--- a/internal/core/fabric/pool.go
+++ b/internal/core/fabric/pool.go
@@ -64,6 +64,9 @@
 	// unresponsive. A miss is a report request without an answer, an order that could not be
 	// sent, or a report of another incarnation.
 	maxMissedReports = 2
+	// soundSilence is for how long a sound engine may answer nothing and go on. No group is broken up for
+	// less, nor its requests aborted, unless something else shows that the engine is lost.
+	soundSilence = 2 * time.Second
 	// sameBatchWindow is how far apart the report requests of one tick may be sent: a tick and
 	// the time to carry out its effects.
 	sameBatchWindow = 50 * time.Millisecond
@@ -233,6 +236,8 @@
 	firstMissAt     time.Duration
 	countMissesFrom time.Duration
 	silent          bool
+	// refusesConnections is whether the host refused the connection for the last request: its process has ended.
+	refusesConnections bool
 	// lastMissAt is when the last request that was missed was sent, answeredSentAt when the last one
 	// that was answered, and answeredBefore when the answered one before that.
 	lastMissAt, answeredSentAt, answeredBefore time.Duration
--- /dev/null
+++ b/internal/core/fabric/silence_test.go
@@ -0,0 +1,53 @@
+package fabric
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rhubarbswitch/rhubarbswitch/internal/core/site"
+)
+
+// silence lets an engine answer nothing for a time, as a sound one may.
+func (w *simulation) silence(id string, d time.Duration) {
+	w.engines[id].unreachable = true
+	w.run(d)
+	w.engines[id].unreachable = false
+}
+
+// TestSilentMemberEndsNoRequests guards against streams that are aborted at a sound head, because it or another member
+// of its group was silent for about a second.
+func TestSilentMemberEndsNoRequests(t *testing.T) {
+	for _, head := range []bool{true, false} {
+		for _, silence := range []time.Duration{400 * time.Millisecond, 700 * time.Millisecond, time.Second, 1500 * time.Millisecond} {
+			w := started(t, 3)
+			w.closeTime = func() time.Duration { return 3 * time.Second } // the streams in flight
+			groups := w.open("m0")
+			id := w.member("m0", head)
+			group := w.engines[id].member.Group
+			w.poolLog = nil
+			w.silence(id, silence)
+			w.run(2 * time.Second)
+			require.False(t, w.logged("{order abort}"), "head %v, silent for %v: %s", head, silence, w.poolLog)
+			require.False(t, w.logged("{order leave}"), "head %v, silent for %v: %s", head, silence, w.poolLog)
+			require.Equal(t, group, w.engines[id].member.Group)
+			w.run(20 * time.Second)
+			require.Equal(t, groups, w.open("m0"))
+			require.Empty(t, w.violations)
+		}
+	}
+}
+
+// TestLongSilenceIsALoss guards against a group that waits for a member that is gone.
+func TestLongSilenceIsALoss(t *testing.T) {
+	w := started(t, 3)
+	w.closeTime = func() time.Duration { return time.Hour } // the streams in flight stall
+	id := w.member("m0", false)
+	head := w.engines[id].memberIDs[0]
+	group := w.engines[id].member.Group
+	w.silence(id, 4*time.Second)
+	require.NotEqual(t, group, w.engines[head].member.Group)
+	require.NotEqual(t, site.Closing, w.engines[head].member.Phase)
+	require.Empty(t, w.violations)
+}
--- a/internal/core/step/gateway.go
+++ b/internal/core/step/gateway.go
@@ -302,6 +302,8 @@
 	Host   string
 	OK     bool        // the engine answered
 	Report site.Report // valid if OK
+	// Refused is set if the host refused the connection.
+	Refused bool
 	// Sent is when the request was sent.
 	Sent time.Duration
 	// Limit is what the engine stated, valid also if OK is unset.
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -20,6 +20,7 @@
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -396,6 +397,7 @@
 	r.Limit = stated.Limit
 	if err != nil {
 		d.log.Debug("report request failed", "host", e.Host, "error", err)
+		r.Refused = errors.Is(err, syscall.ECONNREFUSED)
 		return r
 	}
 	r.OK, r.Report = true, report
