gateway: only a stream that has begun runs on beside its takeover

A request without an event at its caller loses nothing by a refusal. It leaves a stalled target first, as before; the test of that is the earlier one again. A takeover that is refused or does not reach its host asks the next host at once, not at the next report of the stall 100 ms later.

--- a/internal/core/gateway/calls.go
+++ b/internal/core/gateway/calls.go
@@ -99,13 +99,15 @@
 	attempt      step.AttemptID // at host, or handed over to daemon
 	host         string
 	daemon       string
-	address      string        // of the host
-	incarnation  int64         // of the host
-	sentAt       time.Duration // when the attempt was started
-	eventsBefore int           // events delivered by earlier attempts
-	firstEventAt time.Duration // when the attempt delivered its first event; zero before
-	answerBegan  bool          // the attempt has begun to answer
-	isTakeover   bool          // it was started to replace another one that was still running
+	address      string             // of the host
+	incarnation  int64              // of the host
+	sentAt       time.Duration      // when the attempt was started
+	eventsBefore int                // events delivered by earlier attempts
+	firstEventAt time.Duration      // when the attempt delivered its first event; zero before
+	answerBegan  bool               // the attempt has begun to answer
+	stall        step.AnswerStalled // the last one; valid once a takeover was started
+	isTakeover   bool               // it was started to replace another one that was still running
+	moving       bool               // it is being cancelled to move the request
 	estimates
 }
 
@@ -269,7 +271,7 @@
 		MaxWaiting: waiting,
 		Service:    c.service, Model: s.model(c), PromptTokens: c.req.PromptTokens,
 		Spread:   rendezvous.Mix(rendezvous.Hash(string(c.req.ID)) + uint64(c.attempts)),
-		TimeLeft: c.deadline - now, AvoidHosts: c.avoidedHosts(now), HandedOver: c.req.HandedOver, Begun: c.events > 0,
+		TimeLeft: c.deadline - now, AvoidHosts: c.avoidedHosts(now), HandedOver: c.req.HandedOver, Begun: c.streamBegan(),
 	}
 }
 
@@ -424,7 +426,7 @@
 			event.F("begun", c.answerBegan), event.F("attemptEvents", c.events-c.eventsBefore), event.F("millis", (now-c.sentAt).Milliseconds()))
 		s.paths.DoubtUrgently(c.service)
 		s.probePaths(now, out)
-		if s.probeAfterBreak(now, c, out) && c.route.MayRepeat() && c.other == nil && !s.lifecycle.ending {
+		if s.probeAfterBreak(now, c, out) && c.route.MayRepeat() && !c.moving && c.other == nil && !s.lifecycle.ending {
 			c.awaitsProbe = &e
 			return
 		}
@@ -440,7 +442,7 @@
 		s.recordSuccess(now, cmp.Or(c.firstEventAt, now), c, out)
 	}
 	if !complete && c.other != nil {
-		s.continueWithOther(c, e, out)
+		s.continueWithOther(now, c, e, out)
 		return
 	}
 	switch {
@@ -467,13 +469,14 @@
 func (s *State) retryOrEnd(now time.Duration, c *call, e step.ForwardEnded, out *step.Out) {
 	answer := failureAnswer(c, e)
 	c.hasFailureAnswer = e.Ending == step.EndedError && !c.withheld(e)
+	moving := c.moving
 	c.avoidHost(e.Ending)
 	notRun := e.Ending == step.EndedUnsent || e.Ending == step.EndedRefused
 	mayRetry := notRun || c.route.MayRepeat() && c.ranAttempts < c.maxRuns && len(c.tried) == 0
-	// An unsent attempt has reached no target. One that another daemon did not run may have reached
-	// targets there that refused it.
+	// A move has spent its retry when it was decided, and an unsent attempt has reached no
+	// target. One that another daemon did not run may have reached targets there that refused it.
 	reachedElsewhere := e.Handover != nil && e.Handover.Reached > 0
-	exempt := e.Ending == step.EndedUnsent || notRun && c.daemon != "" && !reachedElsewhere
+	exempt := moving || e.Ending == step.EndedUnsent || notRun && c.daemon != "" && !reachedElsewhere
 	mayRetry = mayRetry && !e.Unresumable && now < c.deadline && !c.attemptsSpent()
 	elsewhere := s.pathDoubtful(c)
 	if decision := s.quarantineDecision(now, c, false); decision.RetryAfter > 0 {
--- a/internal/core/gateway/crashes.go
+++ b/internal/core/gateway/crashes.go
@@ -418,7 +418,7 @@
 func (s *State) cancelRefused(out *step.Out) {
 	for _, id := range slices.Sorted(maps.Keys(s.calls)) {
 		c := s.calls[id]
-		waits := c.firstEventAt == 0 && c.awaitsProbe == nil && c.interrupted == nil && !c.callerGone && !c.other.hasBegun() && len(c.tried) == 0
+		waits := c.firstEventAt == 0 && c.awaitsProbe == nil && c.interrupted == nil && !c.callerGone && !c.moving && c.other == nil && len(c.tried) == 0
 		if waits && (c.route.MayRepeat() || c.route.Kind == site.Stream) && s.crashes.tracker.CertainlyRefused(c.fingerprints()) {
 			c.cancelAttempts(out)
 		}
--- a/internal/core/gateway/takeover.go
+++ b/internal/core/gateway/takeover.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"slices"
 	"time"
 
 	"github.com/rhubarbswitch/rhubarbswitch/internal/core/place"
@@ -9,46 +8,25 @@
 	"github.com/rhubarbswitch/rhubarbswitch/internal/event"
 )
 
-// A stalled attempt may be at a target that is sound and goes on a moment later. So it is not cancelled for
-// another one that may be refused: it runs on beside the takeover, a second attempt at another target or
-// daemon, until one of the two delivers an event or a complete answer. Then the other one is cancelled.
-// A takeover that is refused, fails or stalls itself ends alone.
+// A stalled stream may be at a target that is sound and goes on a moment later. So it is not cancelled for another
+// attempt that may be refused: it runs on beside the takeover, a second attempt at another target or daemon, until
+// one of the two delivers an event. Then the other one is cancelled. A takeover that is refused, fails or stalls
+// itself ends alone.
 
-// startTakeover starts a second attempt of a request whose only one has stalled, if that is allowed.
+// startTakeover starts a second attempt of a stream that has stalled. mayMove has allowed it.
 func (s *State) startTakeover(now time.Duration, c *call, e step.AnswerStalled, out *step.Out) {
-	if !c.route.MayRepeat() || c.attemptsSpent() || c.ranAttempts+1 >= c.maxRuns || len(c.tried) > 0 || s.lifecycle.ending {
-		return
-	}
-	if s.wantsHandover(c) {
-		if !s.peers.Available(now, s.handoverRequest(c)) || !s.budget.Allow(now, c.service, c.countedAttempts()) {
-			return
-		}
-		s.beginTakeover(c, e, out)
+	request := s.moveRequest(now, c)
+	running := c.attemptState
+	running.stall = e
+	c.other = &running
+	switch {
+	case s.wantsHandover(c):
 		if !s.handOver(now, c, out) {
 			c.restoreOther()
 		}
-		return
-	}
-	if s.quarantineDecision(now, c, false).RetryAfter > 0 {
-		return
+	default:
+		s.forward(now, c, s.targets.Choose(now, request), request, nil, out)
 	}
-	s.rankRequest(now, c, false)
-	request := s.placement(now, c)
-	request.AvoidHosts = append(slices.Clone(request.AvoidHosts), c.host)
-	if s.targets.Peek(now, request).Target == nil || !s.budget.Allow(now, c.service, c.countedAttempts()) {
-		return
-	}
-	choice := s.targets.Choose(now, request)
-	s.beginTakeover(c, e, out)
-	s.forward(now, c, choice, request, nil, out)
-}
-
-// beginTakeover keeps the running attempt beside the one that is started next.
-func (s *State) beginTakeover(c *call, e step.AnswerStalled, out *step.Out) {
-	out.Log(event.RequestMoved, event.F("request", c.req.CallerID), event.F("attempt", c.attempt), event.F("host", c.host),
-		event.F("service", c.service), event.F("begun", c.answerBegan), event.F("silentMillis", e.TargetSilence.Milliseconds()))
-	running := c.attemptState
-	c.other = &running
 }
 
 // callOf returns the request of a running attempt, with that attempt as its last one, or nil.
@@ -102,12 +80,17 @@
 	}
 }
 
-// continueWithOther goes on with the other attempt after the last one has ended without a complete answer.
-func (s *State) continueWithOther(c *call, e step.ForwardEnded, out *step.Out) {
+// continueWithOther goes on with the other attempt after the last one has ended without a complete answer. If that was a
+// takeover that did not run, the next target is asked at once.
+func (s *State) continueWithOther(now time.Duration, c *call, e step.ForwardEnded, out *step.Out) {
 	out.Log(event.TakeoverEnded, event.F("request", c.req.CallerID), event.F("attempt", c.other.attempt), event.F("host", c.other.host), event.F("daemon", c.other.daemon),
 		event.F("taken", c.other.isTakeover), event.F("cancelled", ""), event.F("reason", e.Ending.String()))
 	c.avoidHost(e.Ending)
+	notRun := c.isTakeover && (e.Ending == step.EndedRefused || e.Ending == step.EndedUnsent)
 	c.restoreOther()
+	if notRun && !c.callerGone {
+		s.moveIfAllowed(now, c, c.stall, out)
+	}
 }
 
 // restoreOther makes the other attempt the last one.
@@ -150,5 +133,9 @@
 	return 0
 }
 
+// streamBegan reports whether the caller has an event of the stream. events counts those of a running attempt only
+// once it has ended.
+func (c *call) streamBegan() bool { return c.events > 0 || c.firstEventAt > 0 || c.other.hasBegun() }
+
 // hasBegun reports whether there is such an attempt and it has delivered an event.
 func (a *attemptState) hasBegun() bool { return a != nil && a.firstEventAt > 0 }
