fabric: patience ends where others have room, or the host accepts no connection

A group that lets its requests finish keeps its hosts from the next one. Two cases need no patience: the other heads of the model have room for its requests (by the last reports, for twice as many), so that they go on there at once; and a host that accepts no connection while a report is due. A silent engine's host accepts connections; one without power or links doesn't.

So a planned close lasts more than 1.5 s, and a silent group is kept, only while the others are full; and only hosts that accept connections may be silent for up to 2 s. The daemon opens a connection if a report has not come after half of its time.

--- a/internal/core/fabric/group.go
+++ b/internal/core/fabric/group.go
@@ -238,14 +238,14 @@
 	return false
 }
 
-// mayGoOn reports whether a member that counts as lost may go on with the requests in flight: it has been silent for
-// no longer than a sound engine may be, or it answers and only its entry is missing.
+// mayGoOn reports whether a member that counts as lost may go on with the requests in flight: it accepts connections and
+// has been silent for no longer than a sound engine may be, or it answers and only its entry is missing.
 func (h *host) mayGoOn(now time.Duration, g *group, m *member) bool {
 	switch {
-	case h == nil || h.entry.Incarnation != m.incarnation || h.refusesConnections || h.lapsed(now):
+	case h == nil || h.entry.Incarnation != m.incarnation || h.lapsed(now):
 		return false
 	case h.unresponsive():
-		return now-h.firstMissAt < soundSilence
+		return h.acceptsConnections && now-h.firstMissAt < soundSilence
 	}
 	return h.hasAnswered && h.lastReport.Member.Group == g.id
 }
@@ -405,9 +405,29 @@
 	}
 }
 
-// mayFinish reports whether the head of a group that is closed may finish its requests.
+// mayFinish reports whether the head of a group that is closed may finish its requests. Those that other heads have
+// room for are not waited for: there they go on at once, and the hosts are free sooner.
 func (p *Pool) mayFinish(now time.Duration, g *group, s health) bool {
-	return (g.plannedClose || g.closedForSilence) && !s.memberDead && now-g.stageSince < closeTimeout
+	closingFor := now - g.stageSince
+	switch {
+	case !g.plannedClose && !g.closedForSilence || s.memberDead || closingFor >= closeTimeout:
+		return false
+	case g.plannedClose && closingFor < minCloseTimeout:
+		return true
+	}
+	return !p.fitsElsewhere(g)
+}
+
+// fitsElsewhere reports whether other heads of its model have room for the requests at a group's head, by the last reports.
+// They are to take no more than half of it, since others need it too.
+func (p *Pool) fitsElsewhere(g *group) bool {
+	free := 0
+	for _, other := range p.groups {
+		if h := p.hosts[other.head().id]; other != g && other.stage == serving && other.model == g.model && h != nil && !h.silent {
+			free += max(0, p.engine.Slots-p.requestsAt(other))
+		}
+	}
+	return 2*p.requestsAt(g) <= free
 }
 
 // orderHead sends an order to the head. An accepted order is repeated only after
--- a/internal/core/fabric/pool.go
+++ b/internal/core/fabric/pool.go
@@ -64,8 +64,8 @@
 	// unresponsive. A miss is a report request without an answer, an order that could not be
 	// sent, or a report of another incarnation.
 	maxMissedReports = 2
-	// soundSilence is for how long a sound engine may answer nothing and go on. No group is broken up for
-	// less, nor its requests aborted, unless something else shows that the engine is lost.
+	// soundSilence is for how long a sound engine may answer nothing and go on. As long as its host accepts
+	// connections, no group is broken up for less, nor its requests aborted, unless others have room for them.
 	soundSilence = 2 * time.Second
 	// sameBatchWindow is how far apart the report requests of one tick may be sent: a tick and
 	// the time to carry out its effects.
@@ -91,9 +91,11 @@
 	// maxOrderDelay is how long after it was sent an unanswered order may still be carried
 	// out. Published disturbances that delay orders last that long.
 	maxOrderDelay = 12 * time.Second
-	// closeTimeout is how long a head may finish its requests when its group is closed and all members are
-	// alive. After that they are aborted. A member that drains stays for as long.
-	closeTimeout = 10 * time.Second
+	// minCloseTimeout is how long a head may finish its requests when its group is closed by plan, and closeTimeout
+	// how long if the other heads have no room for them. After that they are aborted. A member that drains stays
+	// for as long.
+	minCloseTimeout = 1500 * time.Millisecond
+	closeTimeout    = 10 * time.Second
 	// orderRetryDelay is how long an accepted order to a head may have no visible effect
 	// before it is sent again.
 	orderRetryDelay = time.Second
@@ -236,8 +238,9 @@
 	firstMissAt     time.Duration
 	countMissesFrom time.Duration
 	silent          bool
-	// refusesConnections is whether the host refused the connection for the last request: its process has ended.
-	refusesConnections bool
+	// acceptsConnections is whether the host accepted a connection while it left the last request unanswered. One that
+	// has lost its power or its links does not.
+	acceptsConnections bool
 	// lastMissAt is when the last request that was missed was sent, answeredSentAt when the last one
 	// that was answered, and answeredBefore when the answered one before that.
 	lastMissAt, answeredSentAt, answeredBefore time.Duration
--- a/internal/core/fabric/reports.go
+++ b/internal/core/fabric/reports.go
@@ -116,14 +116,14 @@
 	}
 	if !r.OK || r.Report.Incarnation != h.entry.Incarnation {
 		h.countMiss(r.Sent)
-		h.refusesConnections = r.Refused
+		h.acceptsConnections = r.Accepts
 		if h.unresponsive() && !h.unresponsiveLogged {
 			h.unresponsiveLogged = true
-			out.Log(event.HostUnresponsive, event.F("host", r.Host), event.F("listed", h.listed), event.F("heardMillis", (now-h.lastAnswerAt).Milliseconds()))
+			out.Log(event.HostUnresponsive, event.F("host", r.Host), event.F("listed", h.listed), event.F("accepts", r.Accepts), event.F("heardMillis", (now-h.lastAnswerAt).Milliseconds()))
 		}
 		return
 	}
-	h.missedReports, h.lastAnswerAt, h.hasAnswered, h.unresponsiveLogged, h.refusesConnections = 0, now, true, false, false
+	h.missedReports, h.lastAnswerAt, h.hasAnswered, h.unresponsiveLogged = 0, now, true, false
 	h.answeredBefore, h.answeredSentAt, h.silent = h.answeredSentAt, r.Sent, false
 	h.lastReport = r.Report
 	if !h.orderCountKnown && r.Sent >= h.recountFrom {
--- a/internal/core/step/gateway.go
+++ b/internal/core/step/gateway.go
@@ -302,8 +302,8 @@
 	Host   string
 	OK     bool        // the engine answered
 	Report site.Report // valid if OK
-	// Refused is set if the host refused the connection.
-	Refused bool
+	// Accepts is whether the host accepted a connection although the engine did not answer in time.
+	Accepts bool
 	// Sent is when the request was sent.
 	Sent time.Duration
 	// Limit is what the engine stated, valid also if OK is unset.
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -38,6 +38,16 @@
 	return p
 }
 
+// acceptsConnection reports whether a host accepts a connection before the context ends.
+func acceptsConnection(ctx context.Context, address string) bool {
+	conn, err := new(net.Dialer).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
 // shareEvidence sends evidence to other daemons. One that can't be reached learns of it from what
 // the platform holds.
 func (d *Daemon) shareEvidence(ctx context.Context, e step.ShareEvidence) {
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -20,7 +20,6 @@
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -390,6 +389,8 @@
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	r := step.ReportAnswered{Host: e.Host, Sent: d.clock()}
+	accepts := make(chan bool, 1)
+	connect := time.AfterFunc(reportTimeout/2, func() { accepts <- acceptsConnection(ctx, e.Address) })
 	report, stated, err := d.platform.Report(ctx, e.Address)
 	if !stated.Notice.Empty() {
 		d.Post(step.HostNotice{Host: e.Host, Notice: stated.Notice})
@@ -397,9 +398,12 @@
 	r.Limit = stated.Limit
 	if err != nil {
 		d.log.Debug("report request failed", "host", e.Host, "error", err)
-		r.Refused = errors.Is(err, syscall.ECONNREFUSED)
+		if !connect.Stop() {
+			r.Accepts = <-accepts
+		}
 		return r
 	}
+	connect.Stop()
 	r.OK, r.Report = true, report
 	return r
 }
