quarantine: parts that ran well before the crashes are not suspected like new ones

Cause: all parts on board of three crashes were condemned, whatever they had shown before, and the trial that clears them waited 3 s for each part of the request.

Such a proven part is not condemned while one or two unproven fingerprints explain all crashes under it: a harmful part crashes each server that begins to answer it, so one that ran well is less likely the cause. More than two explanations are none, since each request has something of its own; then the part is condemned as before. A request of which no unproven part is suspected is tried at once. Without any history, as after a restart, a request waits 3 s in all, not 3 s for each part. A request with proven and suspected parts waits as long as before.

The check of sound requests in crashes_property_test.go looked at a request without a service, for which the quarantine decides nothing, so it could not fail. It now counts the answers that callers get.

--- a/internal/core/gateway/crashes_property_test.go
+++ b/internal/core/gateway/crashes_property_test.go
@@ -170,8 +170,13 @@
 			} else {
 				w.forward(d, e)
 			}
-		case step.Deliver, step.Answer:
+		case step.Deliver:
 			w.handed.onEffect(e)
+		case step.Answer:
+			w.handed.onEffect(e)
+			if e.Code == step.CodeQuarantined && w.requests[e.ID].crasher == "" {
+				w.refused = append(w.refused, fmt.Sprintf("%s at %v by %s: verdicts %+v", e.ID, w.now, d.s.settings.Daemon, d.s.crashes.tracker.Verdicts()))
+			}
 		case step.Cancel:
 			w.cancel(d, e)
 		case step.ProbeHost:
@@ -216,18 +221,6 @@
 	}
 	w.requests[id], w.handed.calls[id] = r, call
 	w.post(d, call)
-	if r.crasher == "" && d.s.calls[id] == nil {
-		if decision := w.decision(d, call); decision.RetryAfter > 0 {
-			w.refused = append(w.refused, fmt.Sprintf("%s at %v by %s: %+v, verdicts %+v", id, w.now, d.s.settings.Daemon, decision, d.s.crashes.tracker.Verdicts()))
-		}
-	}
-}
-
-// decision is what the daemon's quarantine decides on a request.
-func (w *crashWorld) decision(d *worldDaemon, r step.Call) quarantine.Decision {
-	c := &call{req: r}
-	c.team = "team"
-	return d.s.quarantineDecision(w.now, c, false)
 }
 
 // handOver carries a request to another daemon.
--- a/internal/core/quarantine/decision.go
+++ b/internal/core/quarantine/decision.go
@@ -40,7 +40,7 @@
 // lets one through as a trial only if mayTry is set.
 func (t *Tracker) Decide(now time.Duration, fingerprints []Fingerprint, mayTry bool) Decision {
 	var condemned []*Verdict
-	suspects := 0
+	suspects, proven, unproven := 0, 0, 0
 	for _, f := range fingerprints {
 		v := t.verdicts[f]
 		if v != nil {
@@ -49,14 +49,27 @@
 		if v != nil || t.suspected[f] || f.Kind == PromptPart {
 			suspects++
 		}
+		switch {
+		case t.isProven(f):
+			proven++
+		case v != nil || t.suspected[f]:
+			unproven++
+		}
 	}
 	var d Decision
-	joint := time.Duration(suspects-1) * t.set.JointTrialDelay
+	joint := time.Duration(0)
+	switch {
+	case unproven == 0:
+	case proven > 0: // the others ran well, so these are the likely cause
+		joint = time.Duration(suspects-1) * t.set.JointTrialDelay
+	case suspects > 1:
+		joint = t.set.JointTrialDelay
+	}
 	for _, v := range condemned {
 		left := v.left(now)
 		certain := v.isCertainFor(fingerprints)
 		if !certain {
-			left = min(left, t.trialFrom(now, v, fingerprints, joint, mayTry)-now)
+			left = min(left, t.trialFrom(now, v, fingerprints, joint, unproven == 0, mayTry)-now)
 			if !mayTry {
 				left = max(left, t.set.TrialDelay)
 			}
@@ -79,9 +92,9 @@
 }
 
 // trialFrom returns the time from which a request with a condemned fingerprint may be let through.
-// The first one is let through at once if it lacks a rival of the fingerprint. joint is the
-// additional delay of a request with several suspects.
-func (t *Tracker) trialFrom(now time.Duration, v *Verdict, fingerprints []Fingerprint, joint time.Duration, mayTry bool) time.Duration {
+// The first one is let through at once if it lacks a rival of the fingerprint, or is proven: all parts of its
+// prompt have run well. joint is the additional delay of a request with several suspects.
+func (t *Tracker) trialFrom(now time.Duration, v *Verdict, fingerprints []Fingerprint, joint time.Duration, proven, mayTry bool) time.Duration {
 	trials, lastTrialAt := v.trials, v.lastTrialAt
 	if extra := v.crashes - t.set.MinCrashes; extra > trials && v.Fingerprint.Kind != PromptPart && !v.Provisional {
 		trials, lastTrialAt = extra, max(lastTrialAt, v.lastCrashAt)
@@ -94,7 +107,7 @@
 		due = lastTrialAt + delayAfter(2*trials-1, t.set.TrialDelay) // few: each may crash a host
 	case trials > 0:
 		due = lastTrialAt + delayAfter(trials, t.set.NextTrialDelay) + joint
-	case containsAll(fingerprints, v.Rivals):
+	case containsAll(fingerprints, v.Rivals) && !proven:
 		due = v.since + t.set.TrialDelay + joint
 	case !v.voidTrial:
 		return v.since + joint
--- a/internal/core/quarantine/evidence.go
+++ b/internal/core/quarantine/evidence.go
@@ -109,6 +109,7 @@
 // any more.
 func (t *Tracker) forget(now time.Duration) {
 	t.crashes = slices.DeleteFunc(t.crashes, func(c Crash) bool { return now-c.At > t.set.CrashTTL })
+	t.forgetProven(now)
 	named := make(map[Fingerprint]bool)
 	for _, c := range t.crashes {
 		for _, f := range c.Suspects {
--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -43,8 +43,8 @@
 	// Crashes beyond MinCrashes count as trials of a request. If none has come by its time, each
 	// daemon's TrialStep counts from the first one that comes later. Under a provisional verdict the
 	// first trial has no delay, and later ones have TrialDelay and longer ones.
-	// A request waits JointTrialDelay longer for each further part of its prompt and suspect that it
-	// has, since it tells less. A request is not tried if MinCrashes crashes had nothing on board but
+	// A request with further suspects or parts of its prompt waits JointTrialDelay longer, since it tells less, and for
+	// each of them if some are proven and others are suspected: those are the likely cause. A request is not tried if MinCrashes crashes had nothing on board but
 	// what it consists of, such as one that is sent again and again.
 	TrialDelay, TrialStep, NextTrialDelay, JointTrialDelay time.Duration
 }
@@ -68,10 +68,12 @@
 	crashes []Crash // sorted by time
 	// lastSuccess is when a request with a suspected fingerprint last ran well.
 	lastSuccess map[Fingerprint]time.Duration
-	verdicts    map[Fingerprint]*Verdict
-	probations  map[Fingerprint]probation
-	suspected   map[Fingerprint]bool // as of the last evaluation, and of crashes since
-	outdated    bool                 // something was recorded since
+	// proven is when a request with a part of a prompt last ran well, suspected or not; see RecordProven.
+	proven     map[Fingerprint]time.Duration
+	verdicts   map[Fingerprint]*Verdict
+	probations map[Fingerprint]probation
+	suspected  map[Fingerprint]bool // as of the last evaluation, and of crashes since
+	outdated   bool                 // something was recorded since
 	// newProvisional are the verdicts that TakeProvisional returns next.
 	newProvisional []*Verdict
 	forgotAt       time.Duration // when forget last ran
@@ -82,7 +84,7 @@
 // fingerprint, from 0 on; daemons that know each other have different ranks.
 func New(set Settings, rank func(Fingerprint) int) *Tracker {
 	return &Tracker{
-		set: set, rank: rank, lastSuccess: make(map[Fingerprint]time.Duration), verdicts: make(map[Fingerprint]*Verdict),
+		set: set, rank: rank, lastSuccess: make(map[Fingerprint]time.Duration), proven: make(map[Fingerprint]time.Duration), verdicts: make(map[Fingerprint]*Verdict),
 		probations: make(map[Fingerprint]probation), suspected: make(map[Fingerprint]bool),
 	}
 }
--- a/internal/core/quarantine/verdict.go
+++ b/internal/core/quarantine/verdict.go
@@ -151,10 +151,13 @@
 // candidates returns the fingerprints that enough crashes speak against, with these crashes.
 func (t *Tracker) candidates(against map[Fingerprint][]int) map[Fingerprint][]int {
 	found := make(map[Fingerprint][]int)
+	explained := explanations{tracker: t}
 	for f, crashes := range against {
 		minCrashes, from := t.set.MinCrashes, t.crashes[crashes[0]].At+t.set.MinSpan
 		if _, onProbation := t.probations[f]; onProbation {
 			minCrashes, from = 1, 0
+		} else if len(crashes) >= minCrashes && t.isProven(f) && explained.all(crashes) {
+			continue
 		}
 		if v := t.verdicts[f]; v != nil && v.Provisional {
 			// A daemon that knows of fewer crashes has adopted the verdict: one more is enough.
