gateway: test that a takeover's bad answer leaves the stream alone

No answer of another target, of status 000 or anything else than the rest of the stream, may end a stream whose own target goes on. All cases of notTheRest and status 000, directly and over a hand-over; all pass: the case is handled already.

--- a/internal/gateway/takeover_test.go
+++ b/internal/gateway/takeover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 	"time"
 
@@ -75,3 +76,29 @@
 		require.Len(t, s.requestsWith("id"), 2)
 	})
 }
+
+// TestBrokenTakeoverLeavesTheStreamAlone guards against a stream that ends, or gets something else, since another target
+// that was to take it over answers with anything but its rest.
+func TestBrokenTakeoverLeavesTheStreamAlone(t *testing.T) {
+	answers := maps.Clone(notTheRest)
+	answers["status 000"] = func(id string) rawAnswer { return rawAnswer{text: whole(id, "000 Trouble", "error text")} }
+	for name, answer := range answers {
+		t.Run(name, func(t *testing.T) {
+			eachWay(t, []string{"/chat/1"}, func(t *testing.T, handedOver bool, path string) {
+				var s *rawSite
+				s = startRawSite(t, handedOver, 2, func(r rawRequest) rawAnswer {
+					if r.number == 1 {
+						return silentStream(r.id, func() {
+							s.waitForRequests(r.id, 2)
+							time.Sleep(50 * time.Millisecond) // the answer of the other target arrives
+						})
+					}
+					return answer(r.id)
+				})
+				a := s.send(path, "id")
+				require.Equal(t, events(1, lastEvent), a.body)
+				require.True(t, a.complete)
+			})
+		})
+	}
+}
