fabric: no abort of sound streams where others have room, either

The exception is gone: a planned close lasts up to 10 s, and a silence of less than 2 s at a host that accepts connections ends no requests.

A stall of an attempt that runs beside a takeover can no longer end that attempt, whichever of the two is the last one; none was seen.

--- a/internal/core/fabric/group.go
+++ b/internal/core/fabric/group.go
@@ -405,29 +405,10 @@
 	}
 }
 
-// mayFinish reports whether the head of a group that is closed may finish its requests. Those that other heads have
-// room for are not waited for: there they go on at once, and the hosts are free sooner.
+// mayFinish reports whether the head of a group that is closed may finish its requests. They are not aborted for others to
+// go on with: a stream may have used the targets that its route permits.
 func (p *Pool) mayFinish(now time.Duration, g *group, s health) bool {
-	closingFor := now - g.stageSince
-	switch {
-	case !g.plannedClose && !g.closedForSilence || s.memberDead || closingFor >= closeTimeout:
-		return false
-	case g.plannedClose && closingFor < minCloseTimeout:
-		return true
-	}
-	return !p.fitsElsewhere(g)
-}
-
-// fitsElsewhere reports whether other heads of its model have room for the requests at a group's head, by the last reports.
-// They are to take no more than half of it, since others need it too.
-func (p *Pool) fitsElsewhere(g *group) bool {
-	free := 0
-	for _, other := range p.groups {
-		if h := p.hosts[other.head().id]; other != g && other.stage == serving && other.model == g.model && h != nil && !h.silent {
-			free += max(0, p.engine.Slots-p.requestsAt(other))
-		}
-	}
-	return 2*p.requestsAt(g) <= free
+	return (g.plannedClose || g.closedForSilence) && !s.memberDead && now-g.stageSince < closeTimeout
 }
 
 // orderHead sends an order to the head. An accepted order is repeated only after
--- a/internal/core/fabric/headless.go
+++ b/internal/core/fabric/headless.go
@@ -56,7 +56,7 @@
 		g.enterStage(now, closing)
 	case !g.memberLeft && g.unheard && g.heardAt == 0 && p.unlisted(g):
 		p.hideGroup(now, g, out)
-	case !g.memberLeft && !waits && (s.memberDead || p.fitsElsewhere(g)):
+	case !g.memberLeft && !waits && s.memberDead:
 		p.removeMember(now, g, out)
 	}
 }
--- a/internal/core/fabric/pool.go
+++ b/internal/core/fabric/pool.go
@@ -65,7 +65,7 @@
 	// sent, or a report of another incarnation.
 	maxMissedReports = 2
 	// soundSilence is for how long a sound engine may answer nothing and go on. As long as its host accepts
-	// connections, no group is broken up for less, nor its requests aborted, unless others have room for them.
+	// connections, no group is broken up for less, nor its requests aborted.
 	soundSilence = 2 * time.Second
 	// sameBatchWindow is how far apart the report requests of one tick may be sent: a tick and
 	// the time to carry out its effects.
@@ -91,11 +91,9 @@
 	// maxOrderDelay is how long after it was sent an unanswered order may still be carried
 	// out. Published disturbances that delay orders last that long.
 	maxOrderDelay = 12 * time.Second
-	// minCloseTimeout is how long a head may finish its requests when its group is closed by plan, and closeTimeout
-	// how long if the other heads have no room for them. After that they are aborted. A member that drains stays
-	// for as long.
-	minCloseTimeout = 1500 * time.Millisecond
-	closeTimeout    = 10 * time.Second
+	// closeTimeout is how long a head may finish its requests when its group is closed and all members are
+	// alive. After that they are aborted. A member that drains stays for as long.
+	closeTimeout = 10 * time.Second
 	// orderRetryDelay is how long an accepted order to a head may have no visible effect
 	// before it is sent again.
 	orderRetryDelay = time.Second
--- a/internal/core/gateway/stall.go
+++ b/internal/core/gateway/stall.go
@@ -17,7 +17,7 @@
 func (s *State) onStalled(now time.Duration, e step.AnswerStalled, out *step.Out) {
 	c := s.calls[e.ID]
 	if c == nil || c.attempt != e.Attempt || c.moving || c.callerGone || c.awaitsProbe != nil {
-		return // of two attempts only the takeover counts: it is the last one
+		return
 	}
 	if c.route.Kind == site.Stream && e.TargetSilence < eventGapGrace {
 		return // the target serves other requests: this one waits for its turn
@@ -30,7 +30,9 @@
 		return
 	}
 	if c.other != nil {
-		s.abandonTakeover(now, c, "stalled", out)
+		if c.isTakeover {
+			s.abandonTakeover(now, c, "stalled", out)
+		}
 		return
 	}
 	if s.paths.Probing(now, c.service) && !s.paths.ReachedSince(c.service, now-recentAnswer) {
