--- a/internal/core/quarantine/decision.go
+++ b/internal/core/quarantine/decision.go
@@ -57,26 +57,19 @@
 		}
 	}
 	var d Decision
+	joint := time.Duration(0)
+	switch {
+	case unproven == 0:
+	case proven > 0: // the others ran well, so these are the likely cause
+		joint = time.Duration(suspects-1) * t.set.JointTrialDelay
+	case suspects > 1:
+		joint = t.set.JointTrialDelay
+	}
 	for _, v := range condemned {
-		if v.fewestSuspects == 0 || suspects < v.fewestSuspects {
-			v.fewestSuspects = suspects
-		}
-		v.mostSuspects = max(v.mostSuspects, suspects)
-		likelySound := unproven == 0 || suspects < v.mostSuspects || !containsAll(fingerprints, v.Rivals)
-		joint := time.Duration(0)
-		switch {
-		case unproven == 0:
-		case proven > 0: // the others ran well, so these are the likely cause
-			joint = time.Duration(suspects-1) * t.set.JointTrialDelay
-		case suspects > v.fewestSuspects: // requests that tell more come, too
-			joint = 2 * t.set.JointTrialDelay
-		case suspects > 1:
-			joint = t.set.JointTrialDelay
-		}
 		left := v.left(now)
 		certain := v.isCertainFor(fingerprints)
 		if !certain {
-			left = min(left, t.trialFrom(now, v, joint, likelySound, mayTry)-now)
+			left = min(left, t.trialFrom(now, v, fingerprints, joint, unproven == 0, mayTry)-now)
 			if !mayTry {
 				left = max(left, t.set.TrialDelay)
 			}
@@ -99,9 +92,9 @@
 }
 
 // trialFrom returns the time from which a request with a condemned fingerprint may be let through.
-// The first one needs no turn if it is likely sound: it lacks a rival of the fingerprint, has no unproven suspect, or
-// has fewer suspects than others. joint is the additional delay of a request with several suspects.
-func (t *Tracker) trialFrom(now time.Duration, v *Verdict, joint time.Duration, likelySound, mayTry bool) time.Duration {
+// The first one is let through at once if it lacks a rival of the fingerprint, or is proven: all parts of its
+// prompt have run well. joint is the additional delay of a request with several suspects.
+func (t *Tracker) trialFrom(now time.Duration, v *Verdict, fingerprints []Fingerprint, joint time.Duration, proven, mayTry bool) time.Duration {
 	trials, lastTrialAt := v.trials, v.lastTrialAt
 	if extra := v.crashes - t.set.MinCrashes; extra > trials && v.Fingerprint.Kind != PromptPart && !v.Provisional {
 		trials, lastTrialAt = extra, max(lastTrialAt, v.lastCrashAt)
@@ -112,11 +105,9 @@
 		due = v.since
 	case v.Provisional:
 		due = lastTrialAt + delayAfter(2*trials-1, t.set.TrialDelay) // few: each may crash a host
-	case v.trialsAssumed && likelySound: // TrialDelay leaves the daemon that decided time to tell of a trial
-		return v.since + t.set.TrialDelay + joint
 	case trials > 0:
 		due = lastTrialAt + delayAfter(trials, t.set.NextTrialDelay) + joint
-	case !likelySound:
+	case containsAll(fingerprints, v.Rivals) && !proven:
 		due = v.since + t.set.TrialDelay + joint
 	case !v.voidTrial:
 		return v.since + joint
@@ -254,7 +245,7 @@
 	}
 	own := t.begin(now, f)
 	own.Rivals, own.SoleSuspects, own.Hosts, own.Level, own.ttl = v.Rivals, v.SoleSuspects, v.Hosts, v.Level, t.ttl(v.Level)
-	own.trials, own.lastTrialAt, own.trialsAssumed = adoptedTrials, now, true
+	own.trials, own.lastTrialAt = adoptedTrials, now
 	if own.Provisional = v.Provisional; v.Provisional {
 		own.trials = adoptedProvisionalTrials
 		t.newProvisional = append(t.newProvisional, own)
--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -43,9 +43,8 @@
 	// Crashes beyond MinCrashes count as trials of a request. If none has come by its time, each
 	// daemon's TrialStep counts from the first one that comes later. Under a provisional verdict the
 	// first trial has no delay, and later ones have TrialDelay and longer ones.
-	// A request with further suspects or parts of its prompt waits JointTrialDelay longer, since it tells less, and twice
-	// as long if requests with fewer come, too. It waits for each of them if some are proven and others are suspected:
-	// those are the likely cause. A request is not tried if MinCrashes crashes had nothing on board but
+	// A request with further suspects or parts of its prompt waits JointTrialDelay longer, since it tells less, and for
+	// each of them if some are proven and others are suspected: those are the likely cause. A request is not tried if MinCrashes crashes had nothing on board but
 	// what it consists of, such as one that is sent again and again.
 	TrialDelay, TrialStep, NextTrialDelay, JointTrialDelay time.Duration
 }
--- a/internal/core/quarantine/verdict.go
+++ b/internal/core/quarantine/verdict.go
@@ -47,12 +47,7 @@
 	trials      int           // of all daemons
 	lastTrialAt time.Duration // valid if there was one
 	voidTrial   bool          // the last one reached no host
-	// trialsAssumed is whether no trial is known: those that count were assumed as the verdict was adopted.
-	trialsAssumed bool
-	asked         demand // since the last trial
-	// fewestSuspects and mostSuspects are the least and the largest number of suspects of a request with the fingerprint;
-	// zero before the first.
-	fewestSuspects, mostSuspects int
+	asked       demand        // since the last trial
 }
 
 // demand records the requests with a condemned fingerprint that a daemon could have tried.
@@ -64,7 +59,7 @@
 func (v *Verdict) left(now time.Duration) time.Duration { return v.since + v.ttl - now }
 
 func (v *Verdict) recordTrial(at time.Duration) {
-	v.trials, v.lastTrialAt, v.voidTrial, v.trialsAssumed, v.asked = v.trials+1, max(v.lastTrialAt, at), false, false, demand{}
+	v.trials, v.lastTrialAt, v.voidTrial, v.asked = v.trials+1, max(v.lastTrialAt, at), false, demand{}
 }
 
 // probation follows a verdict that has expired: the next crash brings the next verdict.
