quarantine: RecordProven takes the parts of a prompt

Each answered request computed its fingerprints, two hashes over its content among them, although only the parts of its prompt are remembered, and quarantine dropped the rest. It gets the parts as they came. No behaviour changes.

--- a/internal/core/gateway/crashes.go
+++ b/internal/core/gateway/crashes.go
@@ -327,7 +327,7 @@
 
 // recordSuccess records that a request ran well at a time, which clears what it is suspected of.
 func (s *State) recordSuccess(now, at time.Duration, c *call, out *step.Out) {
-	s.crashes.tracker.RecordProven(at, c.fingerprints())
+	s.crashes.tracker.RecordProven(at, c.req.SharedParts)
 	if s.crashes.tracker.Idle() {
 		return
 	}
--- a/internal/core/quarantine/proven.go
+++ b/internal/core/quarantine/proven.go
@@ -14,14 +14,12 @@
 	maxExplaining = 2
 )
 
-// RecordProven records that a request with these fingerprints ran well at a time, whether they are suspected or not. A
-// part of a prompt that crashes hosts crashes each one that begins to answer it, so one that ran well before the
-// crashes is less suspect than one that never did.
-func (t *Tracker) RecordProven(at time.Duration, fingerprints []Fingerprint) {
-	for _, f := range fingerprints {
-		if f.Kind != PromptPart {
-			continue
-		}
+// RecordProven records that a request with these parts of a prompt ran well at a time, whether they are suspected or
+// not. A part that crashes hosts crashes each one that begins to answer it, so one that ran well before the crashes is
+// less suspect than one that never did.
+func (t *Tracker) RecordProven(at time.Duration, parts []uint64) {
+	for _, id := range parts {
+		f := Fingerprint{Kind: PromptPart, Hash: id}
 		if last, known := t.proven[f]; known || len(t.proven) < maxProven {
 			t.proven[f] = max(last, at)
 		}
--- a/internal/core/quarantine/proven_test.go
+++ b/internal/core/quarantine/proven_test.go
@@ -13,8 +13,8 @@
 	var shared []Fingerprint
 	for i := range parts {
 		shared = append(shared, part(uint64(100+i)))
+		t.RecordProven(time.Second, []uint64{uint64(100 + i)})
 	}
-	t.RecordProven(time.Second, shared)
 	return t, shared
 }
 
@@ -70,7 +70,7 @@
 func TestProvenPartsAreBounded(t *testing.T) {
 	tracker := New(Defaults(), func(Fingerprint) int { return 0 })
 	for i := range uint64(2 * maxProven) {
-		tracker.RecordProven(time.Second, []Fingerprint{part(i), {Kind: Content, Hash: i}})
+		tracker.RecordProven(time.Second, []uint64{i})
 	}
 	require.Len(t, tracker.proven, maxProven)
 	tracker.Tick(time.Second + Defaults().CrashTTL + forgetInterval + 1)
