gateway: one copy of what takeovers and report requests repeated

The line that tells which of two attempts goes on stood in three places, and the opening of a connection to a host in two (probeHost had it before). The simulation's search in its log took several texts and was always given one.

--- a/internal/core/fabric/simulation_test.go
+++ b/internal/core/fabric/simulation_test.go
@@ -531,16 +531,7 @@
 	return false
 }
 
-// logged reports whether the pools have logged a line with all of these parts.
-func (w *simulation) logged(parts ...string) bool {
-	for _, line := range w.poolLog {
-		found := true
-		for _, p := range parts {
-			found = found && strings.Contains(line, p)
-		}
-		if found {
-			return true
-		}
-	}
-	return false
+// logged reports whether the pools have logged a line with some text.
+func (w *simulation) logged(text string) bool {
+	return slices.ContainsFunc(w.poolLog, func(line string) bool { return strings.Contains(line, text) })
 }
--- a/internal/core/gateway/stall.go
+++ b/internal/core/gateway/stall.go
@@ -31,7 +31,7 @@
 	}
 	if c.other != nil {
 		if c.isTakeover {
-			s.abandonTakeover(now, c, "stalled", out)
+			s.abandonTakeover(now, c, out)
 		}
 		return
 	}
--- a/internal/core/gateway/takeover.go
+++ b/internal/core/gateway/takeover.go
@@ -58,8 +58,7 @@
 		return
 	}
 	c.other = nil
-	out.Log(event.TakeoverEnded, event.F("request", c.req.CallerID), event.F("attempt", c.attempt), event.F("host", c.host), event.F("daemon", c.daemon),
-		event.F("taken", c.isTakeover), event.F("cancelled", other.attempt), event.F("reason", "goes on"))
+	c.logTakeoverEnded(&c.attemptState, other.attempt, "goes on", out)
 	out.Add(step.Cancel{ID: c.req.ID, Attempt: other.attempt})
 	s.recordAbandoned(now, c, other)
 	if !other.isTakeover && other.host != "" {
@@ -67,11 +66,10 @@
 	}
 }
 
-// abandonTakeover cancels a takeover that brings nothing. The attempt that it was to replace runs on.
-func (s *State) abandonTakeover(now time.Duration, c *call, reason string, out *step.Out) {
+// abandonTakeover cancels a takeover that has stalled. The attempt that it was to replace runs on.
+func (s *State) abandonTakeover(now time.Duration, c *call, out *step.Out) {
 	takeover := c.attemptState
-	out.Log(event.TakeoverEnded, event.F("request", c.req.CallerID), event.F("attempt", c.other.attempt), event.F("host", c.other.host), event.F("daemon", c.other.daemon),
-		event.F("taken", false), event.F("cancelled", takeover.attempt), event.F("reason", reason))
+	c.logTakeoverEnded(c.other, takeover.attempt, "stalled", out)
 	out.Add(step.Cancel{ID: c.req.ID, Attempt: takeover.attempt})
 	c.restoreOther()
 	s.recordAbandoned(now, c, &takeover)
@@ -83,8 +81,7 @@
 // continueWithOther goes on with the other attempt after the last one has ended without a complete answer. If that was a
 // takeover that did not run, the next target is asked at once.
 func (s *State) continueWithOther(now time.Duration, c *call, e step.ForwardEnded, out *step.Out) {
-	out.Log(event.TakeoverEnded, event.F("request", c.req.CallerID), event.F("attempt", c.other.attempt), event.F("host", c.other.host), event.F("daemon", c.other.daemon),
-		event.F("taken", c.other.isTakeover), event.F("cancelled", ""), event.F("reason", e.Ending.String()))
+	c.logTakeoverEnded(c.other, "", e.Ending.String(), out)
 	c.avoidHost(e.Ending)
 	notRun := c.isTakeover && (e.Ending == step.EndedRefused || e.Ending == step.EndedUnsent)
 	c.restoreOther()
@@ -93,6 +90,12 @@
 	}
 }
 
+// logTakeoverEnded logs which of two attempts goes on alone, and which one is cancelled for it, if any.
+func (c *call) logTakeoverEnded(goesOn *attemptState, cancelled step.AttemptID, reason string, out *step.Out) {
+	out.Log(event.TakeoverEnded, event.F("request", c.req.CallerID), event.F("attempt", goesOn.attempt), event.F("host", goesOn.host), event.F("daemon", goesOn.daemon),
+		event.F("taken", goesOn.isTakeover), event.F("cancelled", cancelled), event.F("reason", reason))
+}
+
 // restoreOther makes the other attempt the last one.
 func (c *call) restoreOther() {
 	c.attemptState, c.other = *c.other, nil
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -19,11 +19,9 @@
 // there, without a request that would need a slot.
 func (d *Daemon) probeHost(ctx context.Context, e step.ProbeHost) step.HostProbed {
 	p := step.HostProbed{Host: e.Host, Result: step.ProbeAccepted, Sent: d.clock(), PathOf: e.PathOf}
-	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", e.Address)
+	err := connect(ctx, e.Address)
 	switch {
 	case err == nil:
-		_ = conn.Close()
 	case errors.Is(err, syscall.ECONNREFUSED):
 		p.Result = step.ProbeRefused
 	default:
@@ -38,14 +36,14 @@
 	return p
 }
 
-// acceptsConnection reports whether a host accepts a connection before the context ends.
-func acceptsConnection(ctx context.Context, address string) bool {
-	conn, err := new(net.Dialer).DialContext(ctx, "tcp", address)
-	if err != nil {
-		return false
+// connect opens a connection to a host and closes it again.
+func connect(ctx context.Context, address string) error {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err == nil {
+		_ = conn.Close()
 	}
-	_ = conn.Close()
-	return true
+	return err
 }
 
 // shareEvidence sends evidence to other daemons. One that can't be reached learns of it from what
--- a/internal/gateway/daemon.go
+++ b/internal/gateway/daemon.go
@@ -390,7 +390,7 @@
 	defer cancel()
 	r := step.ReportAnswered{Host: e.Host, Sent: d.clock()}
 	accepts := make(chan bool, 1)
-	connect := time.AfterFunc(reportTimeout/2, func() { accepts <- acceptsConnection(ctx, e.Address) })
+	connect := time.AfterFunc(reportTimeout/2, func() { accepts <- connect(ctx, e.Address) == nil })
 	report, stated, err := d.platform.Report(ctx, e.Address)
 	if !stated.Notice.Empty() {
 		d.Post(step.HostNotice{Host: e.Host, Notice: stated.Notice})
