gateway: one buffered answer again

Answers were kept by attempt, for takeovers of plain requests. Since only streams that have begun have two attempts, and those buffer none: one answer is enough, as before, and its test is as it was. Whether an attempt has ended complete is forgotten as the next one starts, as it was with the ending of the last attempt.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -88,16 +88,16 @@
 	}
 }
 
-// finishAnswer sends the buffered answer of an attempt. For a stream nothing is left to do: its events have
+// finishAnswer sends the buffered answer. For a stream nothing is left to do: its events have
 // been sent.
-func (x *exchange) finishAnswer(attempt step.AttemptID) {
+func (x *exchange) finishAnswer() {
 	if x.streamStarted {
 		if x.resetOnClose != nil {
 			_ = x.resetOnClose.SetLinger(-1) // the default; fails only on a closed connection
 		}
 		return
 	}
-	answer := x.heldAnswer(attempt)
+	answer := x.buffered
 	if answer == nil {
 		x.daemon.log.Error("the answer to deliver is missing", "request", x.callerID)
 		x.sendError(step.Answer{Status: http.StatusBadGateway, Code: step.CodeTargetFailed, Outcome: object.Unknown, Message: "the answer was lost, and the request may have run"})
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -278,7 +278,7 @@
 		held.release()
 		return step.EndedBroken
 	}
-	a.exchange.hold(&bufferedAnswer{attempt: a.forward.Attempt, host: a.forward.Host, status: resp.StatusCode, header: resp.Header, body: body, held: held})
+	a.exchange.hold(&bufferedAnswer{host: a.forward.Host, status: resp.StatusCode, header: resp.Header, body: body, held: held})
 	if resp.StatusCode >= http.StatusInternalServerError {
 		return step.EndedError
 	}
--- a/internal/gateway/buffer_test.go
+++ b/internal/gateway/buffer_test.go
@@ -120,7 +120,7 @@
 	}
 	x.hold(answer(2 * smallBytes))
 	x.hold(answer(smallBytes))
-	x.finishAnswer("")
+	x.finishAnswer()
 	x.giveMemoryBack()
 	x.hold(answer(smallBytes))
 	require.Equal(t, untouched, []int64{answers.small.Load(), answers.large.Load(), bodies.small.Load(), bodies.large.Load()})
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -105,9 +105,10 @@
 	reached         int            // ended attempts that may have reached a host
 
 	unresumable atomic.Bool // the last event written does not show which one is next
-	holdMu      sync.Mutex  // guards buffered and closed
-	// buffered are the complete answers that have arrived, by attempt.
-	buffered     map[step.AttemptID]*bufferedAnswer
+	// buffered is nil before a complete answer has arrived. Only streams that have begun have two attempts, and
+	// those buffer none.
+	buffered     *bufferedAnswer
+	holdMu       sync.Mutex  // guards the change of buffered and closed
 	closed       bool        // the handler is about to return
 	resetOnClose *serverConn // of an HTTP/1.0 caller that is getting a stream; else nil
 
@@ -115,51 +116,34 @@
 
 	ended    chan step.ForwardEnded // the ends of the running attempts
 	cancels  map[step.AttemptID]context.CancelFunc
-	complete step.AttemptID // the attempt that has ended with a complete answer; empty before
-	deadline time.Duration  // of the last attempt; zero before
+	complete bool          // an attempt has ended with a complete answer since the last one was started
+	deadline time.Duration // of the last attempt; zero before
 }
 
 // bufferedAnswer is a target's complete answer that has not been sent to the caller yet. The
 // reducer decides whether it is.
 type bufferedAnswer struct {
-	attempt step.AttemptID
-	host    string // empty if another daemon gave it
-	status  int
-	header  http.Header
-	body    []byte
-	held    *buffer // the memory of body
+	host   string // empty if another daemon gave it
+	status int
+	header http.Header
+	body   []byte
+	held   *buffer // the memory of body
 }
 
-// hold keeps an answer in place of earlier failures, and of an earlier one of its attempt; nil keeps none. Once the
-// exchange has ended it keeps none.
+// hold keeps an answer in place of an earlier one; nil keeps none. Once the exchange has ended it keeps none.
 func (x *exchange) hold(a *bufferedAnswer) {
 	x.holdMu.Lock()
 	defer x.holdMu.Unlock()
-	for attempt, earlier := range x.buffered {
-		if a == nil || attempt == a.attempt || earlier.status >= http.StatusInternalServerError {
-			earlier.held.release()
-			delete(x.buffered, attempt)
-		}
+	if x.buffered != nil {
+		x.buffered.held.release()
 	}
-	switch {
-	case a == nil:
-	case x.closed:
+	x.buffered = a
+	if x.closed && a != nil {
 		a.held.release()
-	default:
-		if x.buffered == nil {
-			x.buffered = make(map[step.AttemptID]*bufferedAnswer, 1)
-		}
-		x.buffered[a.attempt] = a
+		x.buffered = nil
 	}
 }
 
-// heldAnswer returns the answer of an attempt, or nil.
-func (x *exchange) heldAnswer(attempt step.AttemptID) *bufferedAnswer {
-	x.holdMu.Lock()
-	defer x.holdMu.Unlock()
-	return x.buffered[attempt]
-}
-
 // position returns the last event with a number that the caller has, and how many events it has.
 func (x *exchange) position() (lastEventID string, events int) {
 	x.relayMu.Lock()
@@ -315,6 +299,7 @@
 	x.relayMu.Lock()
 	x.contested = len(x.cancels) > 0
 	x.sent++
+	x.complete = false
 	x.relayMu.Unlock()
 	if x.cancels == nil {
 		x.cancels = make(map[step.AttemptID]context.CancelFunc, 1)
@@ -340,9 +325,7 @@
 	x.relayMu.Lock()
 	defer x.relayMu.Unlock()
 	delete(x.cancels, end.Attempt)
-	if end.Ending == step.EndedComplete {
-		x.complete = end.Attempt
-	}
+	x.complete = x.complete || end.Ending == step.EndedComplete
 	if end.Ending != step.EndedUnsent && end.Ending != step.EndedRefused {
 		x.runs++
 	}
@@ -362,7 +345,7 @@
 		return
 	}
 	x.countAnswer(loop.CodeOK)
-	x.finishAnswer(effect.(step.Deliver).Attempt)
+	x.finishAnswer()
 }
 
 // finishWithoutReducer sends a final answer after the reducer has ended: the one that it has decided on, what the
@@ -381,10 +364,9 @@
 			pending = false
 		}
 	}
-	answer := x.heldAnswer(x.complete)
 	switch {
-	case x.complete != "" && (x.streamStarted || answer != nil && answer.status < http.StatusBadRequest):
-		x.finish(step.Deliver{ID: x.id, Attempt: x.complete})
+	case x.complete && (x.streamStarted || x.buffered != nil && x.buffered.status < http.StatusBadRequest):
+		x.finish(step.Deliver{})
 	case x.runs > 0:
 		x.finish(step.Answer{Status: http.StatusGatewayTimeout, Code: step.CodeShuttingDown, Outcome: object.Unknown, Message: "this daemon is stopping, and the request may have run"})
 	default:
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -88,7 +88,7 @@
 	case !a.started && (!stricthttp.IsFramed(resp) || a.resumes):
 		return step.EndedBroken
 	case !x.streamStarted:
-		x.hold(&bufferedAnswer{attempt: a.forward.Attempt, host: a.forward.Host, status: resp.StatusCode, header: resp.Header, held: &buffer{budget: x.daemon.answers}})
+		x.hold(&bufferedAnswer{host: a.forward.Host, status: resp.StatusCode, header: resp.Header, held: &buffer{budget: x.daemon.answers}})
 	}
 	return step.EndedComplete
 }
