stricthttp: what is written after an answer's end has not arrived

Cause: the check of the request asked how many bytes were unacknowledged as the end was read. A writer that is slower than the answer's end has little on its way then, all of it acknowledged. What it writes until the connection is closed fits into the kernel's buffer, so no write fails, and the request counted as written and acknowledged.

Now the kernel's count of acknowledged bytes is read with the end, and all that has been written is compared with it. The acknowledgement of all that a target has read comes with its end at the latest, so sound answers are complete as before, also if the writer has not returned yet. All calls share the check.

--- a/internal/stricthttp/transport.go
+++ b/internal/stricthttp/transport.go
@@ -27,7 +27,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &conn{Conn: c}, nil
+		return newConn(c), nil
 	}
 	t.DisableCompression = true
 	return &Transport{t}
@@ -137,17 +137,19 @@
 	return c.checkWrites() // net/http may write the last bytes after that
 }
 
-// checkWrites returns an error if a write to the connection has failed, or its end was not acknowledged.
+// checkWrites returns an error if a write to the connection has failed, or if the target had not acknowledged all that is
+// written by now as it ended the connection.
 func (c *call) checkWrites() error {
 	if c.tcp == nil {
 		return nil
 	}
+	acknowledged := c.tcp.acknowledged.Load()
 	switch written, err := c.tcp.writes(); {
 	case err != nil:
 		return err
 	case written == c.writtenBefore:
 		return errNothingWritten
-	case c.tcp.unacknowledged.Load() > 0:
+	case acknowledged >= 0 && acknowledged < written:
 		return errUnacknowledged
 	}
 	return nil
--- a/internal/stricthttp/transport_test.go
+++ b/internal/stricthttp/transport_test.go
@@ -122,6 +122,48 @@
 	}
 }
 
+// TestWritesAfterTheEndHaveNotArrived guards against an answer that counts as complete although part of its request was
+// written after its end: the kernel takes that part, and nothing fails.
+func TestWritesAfterTheEndHaveNotArrived(t *testing.T) {
+	for name, c := range map[string]struct {
+		before, after int // bytes written before and after the end is read
+		err           error
+	}{
+		"all before the end": {1000, 0, nil},
+		"some after the end": {1000, 1000, errUnacknowledged},
+		"all after the end":  {0, 1000, errUnacknowledged},
+		"nothing at all":     {0, 0, errNothingWritten},
+		"one byte after":     {1000, 1, errUnacknowledged},
+		"one byte before":    {1, 0, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer func() { require.NoError(t, listener.Close()) }()
+			dialed, err := net.Dial("tcp", listener.Addr().String())
+			require.NoError(t, err)
+			target, err := listener.Accept()
+			require.NoError(t, err)
+			defer func() { require.NoError(t, target.Close()) }()
+
+			tcp := newConn(dialed)
+			r := call{ctx: t.Context()}
+			r.begin(tcp)
+			_, err = tcp.Write(make([]byte, c.before))
+			require.NoError(t, err)
+			_, err = io.ReadFull(target, make([]byte, c.before))
+			require.NoError(t, err)
+			require.NoError(t, target.(*net.TCPConn).CloseWrite())
+			_, err = tcp.Read(make([]byte, 1))
+			require.Equal(t, io.EOF, err)
+			_, err = tcp.Write(make([]byte, c.after))
+			require.NoError(t, err)
+			r.wroteRequest <- nil
+			require.ErrorIs(t, r.finish(), c.err)
+		})
+	}
+}
+
 // TestUnframedAnswersOverTLSAreComplete sends requests as rhubarbctl does.
 func TestUnframedAnswersOverTLSAreComplete(t *testing.T) {
 	s := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
