platform: subtests of unread writes share no variable with earlier ones

The runs at hand (1 of 150, 1 of 200, 12 busy processes) show "race detected" and nothing else: the test set the text of an answer that a server of the subtest before still read. Each subtest has its own answer; the check, its rounds and its bounds are the same.

--- a/internal/platform/early_answer_test.go
+++ b/internal/platform/early_answer_test.go
@@ -19,6 +19,7 @@
 	for name, answer := range map[string]raw.Answer{"reset": {Reset: true}, "end": {HalfClose: true}} {
 		for _, status := range []string{"200 OK", "409 Conflict", "404 Not Found"} {
 			t.Run(name+" "+status, func(t *testing.T) {
+				answer := answer // servers of earlier subtests may still read theirs
 				answer.Text = "HTTP/1.1 " + status + "\r\n\r\n" + `{"at":7}`
 				c := boundedClient(t, raw.StartEarly(t, func(*http.Request) raw.Answer { return answer }))
 				for range rounds {
