fabric: members of an unknown head leave without a second wait

Callers found no host for 3 s longer: a daemon that takes control without knowing a group's head gives the head's entry 3 s to arrive, and closes the group.

Cause: orders the member only once a lost member can't go on. Whether a member without an entry is lost counts from the start of the stage, so right after the group became headless none was.

TestMembersOfAnUnknownHeadLeaveAtOnce fails before and passes now.

The members now stay only while the head itself may go on, which an unknown one can't be shown to do.

--- a/internal/core/fabric/headless.go
+++ b/internal/core/fabric/headless.go
@@ -56,11 +56,17 @@
 		g.enterStage(now, closing)
 	case !g.memberLeft && g.unheard && g.heardAt == 0 && p.unlisted(g):
 		p.hideGroup(now, g, out)
-	case !g.memberLeft && !waits && s.memberDead:
+	case !g.memberLeft && !waits && !p.headMayGoOn(now, g, s):
 		p.removeMember(now, g, out)
 	}
 }
 
+// headMayGoOn reports whether the head of a headless group may go on with the requests in flight. One that is not known can't be
+// waited for.
+func (p *Pool) headMayGoOn(now time.Duration, g *group, s health) bool {
+	return !s.memberDead && p.hosts[g.head().id].mayGoOn(now, g, g.head())
+}
+
 // updateHeard notes when all members of a headless group are silent, and when one of them answers again.
 func (p *Pool) updateHeard(now time.Duration, g *group) {
 	silent, answered := true, false
--- a/internal/core/fabric/silence_test.go
+++ b/internal/core/fabric/silence_test.go
@@ -64,3 +64,22 @@
 	require.NotEqual(t, site.Closing, w.engines[head].member.Phase)
 	require.Empty(t, w.violations)
 }
+
+// TestMembersOfAnUnknownHeadLeaveAtOnce guards against hosts that are missed for seconds longer: a daemon that takes control
+// without knowing the head of a group gave the head's entry time to arrive twice, before and after it closed the group.
+func TestMembersOfAnUnknownHeadLeaveAtOnce(t *testing.T) {
+	w := started(t, 1)
+	head := w.member("m0", true)
+	w.pools[0].DropControl()
+	w.crash(head)
+	w.engines[head].listedAs = nil
+	next := New(Settings{EngineStall: simulationStall}, w.pools[0].nextOp)
+	next.SetEngine(w.engine)
+	w.pools[0] = next
+	w.publish(true)
+	next.TakeControl(w.now, 9<<20, nil, 0)
+	w.poolLog = nil
+	w.run(formationGrace + 500*time.Millisecond)
+	require.True(t, w.logged("{order leave}"), "%s", w.poolLog)
+	require.Empty(t, w.violations)
+}
